--- /dev/null
+++ b/cmd/stairrelay/main.go
@@ -0,0 +1,136 @@
+// Command stairrelay is a cluster scheduler: controllers that share parts of
+// the work and take each other's over.
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"stairrelay/internal/cloud"
+	"stairrelay/internal/engine"
+	"stairrelay/internal/peers"
+	"stairrelay/internal/settings"
+	"stairrelay/internal/store"
+	"stairrelay/internal/users"
+	"stairrelay/internal/workers"
+)
+
+// version is the release; the build's own stamp is added where there is one.
+const version = "0.1.0"
+
+// operatorsEnv names the operators' settings file, since the platform fixes
+// the command line.
+const operatorsEnv = "STAIRRELAY_OPERATORS"
+
+// errSettings ends the program with status 2.
+var errSettings = errors.New("")
+
+func main() {
+	if err := command().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "stairrelay:", err)
+		if errors.Is(err, errSettings) {
+			os.Exit(2)
+		}
+		os.Exit(1)
+	}
+}
+
+func command() *cobra.Command {
+	var config, operators string
+	root := &cobra.Command{
+		Use:           "stairrelay --config FILE",
+		Short:         "Run a controller of the cluster scheduler",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		Args:          cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if config == "" {
+				return fmt.Errorf("%w--config: missing; see --help", errSettings)
+			}
+			s, err := settings.Load(config, operators)
+			if err != nil {
+				return fmt.Errorf("%w%w", errSettings, err)
+			}
+			return run(cmd.Context(), s)
+		},
+	}
+	root.Flags().StringVar(&config, "config", "", "the platform's settings file (TOML)")
+	root.PersistentFlags().StringVar(&operators, "operators", os.Getenv(operatorsEnv), "the operators' settings file (JSON); also "+operatorsEnv)
+	root.AddCommand(&cobra.Command{
+		Use:   "check-config FILE",
+		Short: "Check the settings and open nothing",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if _, err := settings.Load(args[0], operators); err != nil {
+				return fmt.Errorf("%w%w", errSettings, err)
+			}
+			fmt.Fprintln(cmd.OutOrStdout(), "ok")
+			return nil
+		},
+	}, &cobra.Command{
+		Use:   "version",
+		Short: "Print the version",
+		Args:  cobra.NoArgs,
+		Run:   func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), "stairrelay", version) },
+	})
+	root.CompletionOptions.DisableDefaultCmd = true
+	return root
+}
+
+func logger() *slog.Logger {
+	level := slog.LevelInfo
+	switch os.Getenv("LOG_LEVEL") {
+	case "error":
+		level = slog.LevelError
+	case "debug":
+		level = slog.LevelDebug
+	}
+	return slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
+}
+
+func run(ctx context.Context, s *settings.Settings) error {
+	// The share of a core is small and only one thread runs at a time.
+	runtime.GOMAXPROCS(1)
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(s.MemoryMB * 0.6 * (1 << 20)))
+	}
+	debug.SetGCPercent(200)
+	log := logger()
+	var boot [4]byte
+	if _, err := rand.Read(boot[:]); err != nil {
+		return fmt.Errorf("drawing a boot id: %w", err)
+	}
+	s.Core.Boot = hex.EncodeToString(boot[:])
+	e := engine.New(s.Core, log)
+	st, cl, wk, pe := store.New(s.State, e.Answer), cloud.New(s.Cloud, e.Answer), workers.New(e.Answer), peers.New(s.Peers, e.Answer)
+	front, err := net.Listen("tcp", s.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	back, err := net.Listen("tcp", s.Back)
+	if err != nil {
+		return fmt.Errorf("back: %w", err)
+	}
+	failed := make(chan error, 2)
+	serve := func(l net.Listener, h http.Handler) {
+		srv := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
+		failed <- srv.Serve(l)
+	}
+	go serve(front, users.Handler(e, workers.Handler(e, log)))
+	go serve(back, peers.Handler(e, log))
+	log.Info("started", "version", version, "node", string(s.Core.Self), "listen", s.Listen)
+	go e.Run(ctx, engine.Actors{Store: st.Do, Cloud: cl.Do, Workers: wk.Do, Peers: pe.Do})
+	return <-failed
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,314 @@
+package core
+
+import (
+	"container/heap"
+	"sort"
+	"time"
+)
+
+const (
+	second = Time(time.Second)
+	milli  = Time(time.Millisecond)
+)
+
+// Core is a controller's whole state.
+type Core struct {
+	cfg  Config
+	now  Time
+	wall Wall
+	out  []Effect
+
+	lastCall CallID
+	calls    map[CallID]func(any)
+	timers   timerHeap
+	timerSeq uint64
+
+	w       writer
+	storeUp storeHealth
+
+	parts    []*part             // by number
+	jobs     map[JobID]*job      // jobs of held parts
+	known    map[JobID]*knownJob // what is known of all jobs: part, final state
+	machines map[MachineID]*machine
+	owners   map[MachineID]ownerNote
+	peers    map[NodeID]*peer
+	teams    map[string]*team
+	types    map[string]MachineType
+	listed   cloudView
+
+	askQueue    map[NodeID][]waitingView
+	askPending  map[NodeID]bool
+	jobsEpoch   Epoch
+	watching    bool
+	partsEpoch  Epoch
+	counters    Counters
+	classes     map[string]*classStats
+	rentSeq     int
+	nextList    Time
+	cloudBucket bucket
+	lastReport  Time
+	heldReports []*machine
+	pokes       []*machine
+	placing     bool
+}
+
+// Counters are for the periodic log line.
+type Counters struct {
+	Reports, Submits, Queries, Cancels, Orders, Txns, Puts, Conflicts, Gets, PeerCalls, CloudCalls int
+}
+
+type team struct {
+	Team
+	part Part
+}
+
+type knownJob struct {
+	part  Part
+	final Status
+	tasks int
+	team  string
+	need  Res // of a cancelled job
+}
+
+type ownerNote struct {
+	part Part
+	at   Time
+}
+
+// New makes a Core. Nothing happens before the first Step.
+func New(cfg Config) *Core {
+	c := &Core{
+		cfg: cfg, calls: map[CallID]func(any){}, jobs: map[JobID]*job{}, known: map[JobID]*knownJob{},
+		machines: map[MachineID]*machine{}, owners: map[MachineID]ownerNote{}, peers: map[NodeID]*peer{},
+		teams: map[string]*team{}, types: map[string]MachineType{}, askQueue: map[NodeID][]waitingView{},
+		askPending: map[NodeID]bool{}, classes: map[string]*classStats{},
+	}
+	c.w.init(c)
+	for i := range cfg.Nodes {
+		c.parts = append(c.parts, &part{id: Part(i), home: cfg.Nodes[i]})
+		if n := cfg.Nodes[i]; n != cfg.Self {
+			c.peers[n] = &peer{id: n}
+		}
+	}
+	for name, p := range assignTeams(cfg.Teams, len(cfg.Nodes)) {
+		for _, t := range cfg.Teams {
+			if t.Name == name {
+				c.teams[name] = &team{Team: t, part: p}
+			}
+		}
+	}
+	c.cloudBucket = bucket{rate: cfg.CloudRPS * cfg.Tuning.BudgetShare / float64(len(cfg.Nodes)), cap: 2}
+	c.after(0, c.boot)
+	return c
+}
+
+// assignTeams spreads the teams over the parts by guarantee, largest first.
+// It depends on the settings alone, so that every node finds the same.
+func assignTeams(teams []Team, parts int) map[string]Part {
+	ts := append([]Team(nil), teams...)
+	sort.SliceStable(ts, func(i, j int) bool {
+		a, b := ts[i].Guarantee.CPU+ts[i].Guarantee.GPU*8, ts[j].Guarantee.CPU+ts[j].Guarantee.GPU*8
+		if a != b {
+			return a > b
+		}
+		return ts[i].Name < ts[j].Name
+	})
+	load := make([]Amount, parts)
+	res := map[string]Part{}
+	for _, t := range ts {
+		best := 0
+		for p := range load {
+			if load[p] < load[best] {
+				best = p
+			}
+		}
+		load[best] += t.Guarantee.CPU + t.Guarantee.GPU*8 + 1
+		res[t.Name] = Part(best)
+	}
+	return res
+}
+
+// Step takes one event and returns what is to be done about it.
+func (c *Core) Step(now Time, wall Wall, ev Event) []Effect {
+	if now > c.now {
+		c.now = now
+	}
+	c.wall = wall
+	c.out = nil
+	switch e := ev.(type) {
+	case Tick:
+	case Submit:
+		c.counters.Submits++
+		c.onSubmit(e)
+	case Query:
+		c.counters.Queries++
+		c.onQuery(e)
+	case Cancel:
+		c.counters.Cancels++
+		c.onCancel(e.Req, e.ID, true)
+	case Health:
+		c.onHealth(e)
+	case Checkin:
+		c.counters.Reports++
+		c.onCheckin(e)
+	case PeerAsk:
+		c.onPeer(e)
+	case Reply:
+		if fn := c.calls[e.Call]; fn != nil {
+			delete(c.calls, e.Call)
+			fn(e.Body)
+		}
+	}
+	c.runTimers()
+	c.flush()
+	return c.out
+}
+
+// flush decides once per step on all that the step has changed.
+func (c *Core) flush() {
+	if c.placing {
+		c.placing = false
+		c.place()
+	}
+	c.pushOrders()
+	c.w.pump()
+	c.releaseReports()
+}
+
+func (c *Core) emit(e Effect) { c.out = append(c.out, e) }
+
+func (c *Core) call(fn func(any)) CallID {
+	c.lastCall++
+	c.calls[c.lastCall] = fn
+	return c.lastCall
+}
+
+func (c *Core) logf(level, text string, args ...any) {
+	c.emit(Log{Level: level, Text: text, Args: args})
+}
+
+func (c *Core) respond(r Respond) { c.emit(r) }
+
+// refuse answers at once that the request can't be taken now.
+func (c *Core) refuse(req ReqID, status, after int, why string) {
+	c.emit(Respond{Req: req, Status: status, RetryAfter: after, Error: why})
+}
+
+type timer struct {
+	at  Time
+	seq uint64
+	fn  func()
+}
+
+type timerHeap []timer
+
+func (h timerHeap) Len() int { return len(h) }
+func (h timerHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
+}
+func (h timerHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *timerHeap) Push(x any)   { *h = append(*h, x.(timer)) }
+func (h *timerHeap) Pop() any {
+	o := *h
+	x := o[len(o)-1]
+	*h = o[:len(o)-1]
+	return x
+}
+
+func (c *Core) after(d Time, fn func()) {
+	c.timerSeq++
+	heap.Push(&c.timers, timer{c.now + d, c.timerSeq, fn})
+}
+
+func (c *Core) every(d func() Time, fn func()) {
+	var loop func()
+	loop = func() {
+		fn()
+		c.after(d(), loop)
+	}
+	loop()
+}
+
+func fixed(d Time) func() Time { return func() Time { return d } }
+
+// NextWake says when the next Tick is due.
+func (c *Core) NextWake() (Time, bool) {
+	if len(c.timers) == 0 {
+		return 0, false
+	}
+	return c.timers[0].at, true
+}
+
+func (c *Core) runTimers() {
+	for len(c.timers) > 0 && c.timers[0].at <= c.now {
+		t := heap.Pop(&c.timers).(timer)
+		t.fn()
+	}
+}
+
+// bucket is a token bucket.
+type bucket struct {
+	rate, cap, have float64
+	at              Time
+}
+
+func (b *bucket) refill(now Time) {
+	b.have += b.rate * float64(now-b.at) / float64(second)
+	if b.have > b.cap {
+		b.have = b.cap
+	}
+	b.at = now
+}
+
+func (b *bucket) take(now Time, n float64) bool {
+	b.refill(now)
+	if b.have < n {
+		return false
+	}
+	b.have -= n
+	return true
+}
+
+// boot starts everything that runs on its own.
+func (c *Core) boot() {
+	t := c.cfg.Tuning
+	for _, n := range c.cfg.Nodes {
+		if p := c.peers[n]; p != nil {
+			c.pingLoop(p)
+		}
+	}
+	c.loadParts()
+	c.loadJobs()
+	c.fetchTypes()
+	c.every(fixed(t.Checkpoint), c.checkpoint)
+	c.every(fixed(second/2), c.machineSweep)
+	c.every(fixed(second), c.rentSweep)
+	c.every(fixed(second/4), func() { c.placing = true })
+	c.every(fixed(30*second), c.stats)
+}
+
+func (c *Core) stats() {
+	k := c.counters
+	c.counters = Counters{}
+	held := 0
+	for _, p := range c.parts {
+		if p.held {
+			held++
+		}
+	}
+	c.logf("info", "stats", "reports", k.Reports, "submits", k.Submits, "queries", k.Queries, "cancels", k.Cancels,
+		"orders", k.Orders, "txns", k.Txns, "puts", k.Puts, "conflicts", k.Conflicts, "gets", k.Gets,
+		"peer_calls", k.PeerCalls, "cloud_calls", k.CloudCalls, "parts", held, "jobs", len(c.jobs),
+		"machines", len(c.machines), "queue", c.w.depth(), "inflight", c.w.inflight)
+}
+
+func sortedKeys2[V any](m map[string]V) []string { return sortedKeys(m) }
+
+func sortedKeys[K ~string, V any](m map[K]V) []K {
+	ks := make([]K, 0, len(m))
+	for k := range m {
+		ks = append(ks, k)
+	}
+	sort.Slice(ks, func(i, j int) bool { return ks[i] < ks[j] })
+	return ks
+}
--- /dev/null
+++ b/internal/core/events.go
@@ -0,0 +1,286 @@
+package core
+
+// Event is anything that happens to a controller.
+type Event interface{ isEvent() }
+
+// Effect is anything that a controller wants done.
+type Effect interface{ isEffect() }
+
+type (
+	// Tick says that the time asked for by NextWake has come.
+	Tick struct{}
+	// Submit is a user's checked submission.
+	Submit struct {
+		Req ReqID
+		Job JobSpec
+		Bad int    // 400 when the body is unusable but names an id, else 0
+		Why string // what is wrong with it
+	}
+	// Query asks for a job's state.
+	Query struct {
+		Req ReqID
+		ID  JobID
+	}
+	// Cancel asks for a job to be cancelled.
+	Cancel struct {
+		Req ReqID
+		ID  JobID
+	}
+	// Health asks whether this node can take requests.
+	Health struct{ Req ReqID }
+	// Checkin is a worker's report that waits for an answer.
+	Checkin struct {
+		Req    ReqID
+		Report Report
+	}
+	// PeerAsk is another controller's message that waits for an answer.
+	PeerAsk struct {
+		Req ReqID
+		Msg PeerMsg
+	}
+	// Reply answers an outgoing call.
+	Reply struct {
+		Call CallID
+		Body any
+	}
+)
+
+func (Tick) isEvent()    {}
+func (Submit) isEvent()  {}
+func (Query) isEvent()   {}
+func (Cancel) isEvent()  {}
+func (Health) isEvent()  {}
+func (Checkin) isEvent() {}
+func (PeerAsk) isEvent() {}
+func (Reply) isEvent()   {}
+
+// Outcome of a call.
+type Outcome int
+
+const (
+	// OK: carried out.
+	OK Outcome = iota
+	// Conflict: compared and refused, nothing carried out.
+	Conflict
+	// NotDone: certainly not carried out; may be tried again.
+	NotDone
+	// Unknown: may have been, or may yet be, carried out.
+	Unknown
+	// Missing: the thing asked for does not exist.
+	Missing
+	// Gone: the position asked for is too old.
+	Gone
+	// Throttled: over the request limit, not carried out.
+	Throttled
+	// Invalid: the other side calls the request malformed.
+	Invalid
+)
+
+type (
+	// KV is a key of the store with its value.
+	KV struct {
+		Key   string
+		Value []byte
+		Mark  Mark
+	}
+	// TxnOp sets a key, or drops it when Value is nil.
+	TxnOp struct {
+		Key   string
+		Value []byte
+	}
+	// Cond demands a key's version.
+	Cond struct {
+		Key  string
+		Mark Mark
+	}
+	// StoreTxn asks for an atomic change.
+	StoreTxn struct {
+		Call CallID
+		When []Cond
+		Then []TxnOp
+	}
+	// StoreGet reads a key.
+	StoreGet struct {
+		Call CallID
+		Key  string
+	}
+	// StoreList reads all keys with a prefix.
+	StoreList struct {
+		Call   CallID
+		Prefix string
+	}
+	// StoreWatch waits for changes.
+	StoreWatch struct {
+		Call   CallID
+		Prefix string
+		Since  Epoch
+		Wait   Time
+	}
+	// TxnReply answers a StoreTxn.
+	TxnReply struct {
+		Out    Outcome
+		Epoch  Epoch
+		Failed []string
+	}
+	// GetReply answers a StoreGet.
+	GetReply struct {
+		Out Outcome
+		KV  KV
+	}
+	// ListReply answers a StoreList.
+	ListReply struct {
+		Out   Outcome
+		Items []KV
+		Epoch Epoch
+	}
+	// WatchReply answers a StoreWatch; an item without value was dropped.
+	WatchReply struct {
+		Out   Outcome
+		Items []KV
+		Epoch Epoch
+	}
+	// CloudTypes asks for the machine types.
+	CloudTypes struct{ Call CallID }
+	// CloudRent rents under a recorded name.
+	CloudRent struct {
+		Call  CallID
+		Name  string
+		Type  string
+		Zone  string
+		Spot  bool
+		Count int
+	}
+	// CloudReturn gives machines back.
+	CloudReturn struct {
+		Call CallID
+		IDs  []MachineID
+	}
+	// CloudList reads the whole machine list.
+	CloudList struct{ Call CallID }
+	// TypesReply answers CloudTypes.
+	TypesReply struct {
+		Out   Outcome
+		Types []MachineType
+	}
+	// RentReply answers CloudRent. Missing: no capacity.
+	RentReply struct {
+		Out Outcome
+		IDs []MachineID
+	}
+	// ReturnReply answers CloudReturn.
+	ReturnReply struct{ Out Outcome }
+	// CloudListReply answers CloudList.
+	CloudListReply struct {
+		Out   Outcome
+		Items []Listed
+	}
+	// Orders sends commands straight to a worker.
+	Orders struct {
+		Call     CallID
+		Addr     string
+		Token    Token
+		Session  Session
+		Commands []Command
+	}
+	// OrdersReply answers Orders; Report is set for OK and Conflict.
+	OrdersReply struct {
+		Out    Outcome
+		Report Report
+	}
+	// PeerCall sends a message to another controller.
+	PeerCall struct {
+		Call    CallID
+		To      NodeID
+		Timeout Time
+		Msg     PeerMsg
+	}
+	// PeerReply answers a PeerCall.
+	PeerReply struct {
+		Out Outcome
+		Msg PeerMsg
+	}
+	// Respond answers a request that came in.
+	Respond struct {
+		Req        ReqID
+		Status     int
+		RetryAfter int
+		View       *JobView
+		Worker     *WorkerAnswer
+		Peer       *PeerMsg
+		Error      string
+	}
+	// WorkerAnswer is the body for a worker.
+	WorkerAnswer struct {
+		Token    Token
+		Commands []Command
+		Redirect NodeID
+	}
+	// Log is a line for the operators.
+	Log struct {
+		Level string
+		Text  string
+		Args  []any
+	}
+)
+
+func (StoreTxn) isEffect()    {}
+func (StoreGet) isEffect()    {}
+func (StoreList) isEffect()   {}
+func (StoreWatch) isEffect()  {}
+func (CloudTypes) isEffect()  {}
+func (CloudRent) isEffect()   {}
+func (CloudReturn) isEffect() {}
+func (CloudList) isEffect()   {}
+func (Orders) isEffect()      {}
+func (PeerCall) isEffect()    {}
+func (Respond) isEffect()     {}
+func (Log) isEffect()         {}
+
+// PeerMsg is what controllers say to one another; exactly one pointer is set.
+type PeerMsg struct {
+	Version int
+	From    NodeID
+	Ping    *Ping
+	Tell    *Tell
+	Ask     *Ask
+	Views   []JobView
+	Cancel  JobID
+	Status  int
+}
+
+// Ping is both the call and the answer of failure detection.
+type Ping struct {
+	Boot      string
+	Parts     []PartTerm
+	StoreOK   bool
+	WorkersOK bool
+	Heard     map[NodeID]int64 // ms since each other node last answered
+	Offer     []Part           // parts that their home may claim back now
+	Idle      []IdleMachine
+}
+
+// PartTerm says that the sender holds a part.
+type PartTerm struct {
+	Part Part
+	Term Term
+}
+
+// IdleMachine is one that another part may take by a conditional write.
+type IdleMachine struct {
+	ID   MachineID
+	Mark Mark
+	Type string
+	Zone string
+	Spot bool
+	Addr string
+}
+
+// Tell passes on jobs that have just been stored.
+type Tell struct {
+	Keys []KV
+}
+
+// Ask asks the owner about jobs.
+type Ask struct {
+	IDs []JobID
+}
--- /dev/null
+++ b/internal/core/machines.go
@@ -0,0 +1,1032 @@
+package core
+
+import (
+	"encoding/json"
+	"sort"
+	"strconv"
+	"strings"
+)
+
+// Phases of a task on a machine. The machine's stored record lists every task
+// from aReady on; a task leaves m.assigns only after a stored record without it.
+type phase uint8
+
+const (
+	aRecording phase = iota // the record that lists it is not stored yet
+	aReady                  // recorded, the start may be sent
+	aSent                   // the start was sent, no report has shown it
+	aSeen                   // a report has shown it
+	aEnded                  // a report has shown it ended
+	aDoubt                  // listed by an earlier holder's record, not compared yet
+)
+
+// assign is a task that is, or may be, on a machine.
+type assign struct {
+	task      TaskID
+	mach      MachineID
+	j         *job
+	attempt   Attempt
+	phase     phase
+	cause     Cause
+	need      Res
+	gone      bool // proven not to be on the machine; waits for the record to say so
+	viaOrders bool
+	sentStamp Stamp
+	state     TaskState
+	stop      bool // is to be stopped
+	grace     float64
+	stopSent  Time
+	stops     int
+	placedAt  Time
+	runAt     Time
+}
+
+func (a *assign) live() bool { return a.phase != aEnded && !a.gone }
+
+type image struct {
+	name string
+	gb   float64
+}
+
+// machine of a part held here.
+type machine struct {
+	id      MachineID
+	part    Part
+	addr    string
+	typ     string
+	zone    string
+	spot    bool
+	mark    Mark
+	token   Token
+	acked   bool // the worker's highest token is ours
+	since   Time // when this node began to own it
+	booting bool
+
+	session Session
+	stamp   Stamp
+	heard   Time
+	assigns map[TaskID]*assign
+	reap    map[TaskID]Attempt // ended, the record no longer lists it
+	kill    map[TaskID]Attempt // running without being listed
+	stored  int                // tasks in the stored record
+
+	w, again bool
+	bumping  bool // a higher token is to be stored
+	unsure   bool // a start sent by /orders may yet arrive
+	checking bool
+
+	returning  bool
+	returned   bool // the record says so, the cloud may be called
+	calling    bool
+	draining   bool
+	noticeAt   Time
+	notBefore  Time // no new starts before
+	errors     int
+	failedJobs map[JobID]bool
+	images     []image
+
+	pending      ReqID
+	pendingStamp Stamp
+	deadline     Time
+	ordersBusy   bool
+	ordersAt     Time
+	poked        bool
+	idleSince    Time
+}
+
+type machineRecord struct {
+	Part   Part                  `json:"p"`
+	Addr   string                `json:"a,omitempty"`
+	Type   string                `json:"f"`
+	Zone   string                `json:"y"`
+	Spot   bool                  `json:"s,omitempty"`
+	Return bool                  `json:"r,omitempty"`
+	Tasks  map[JobID][][2]uint64 `json:"t,omitempty"`
+	W      string                `json:"w"`
+}
+
+func machineKey(id MachineID) string { return "machines/" + string(id) }
+
+func (c *Core) addMachine(id MachineID, p *part, rec machineRecord, mark Mark) *machine {
+	m := &machine{id: id, part: p.id, addr: rec.Addr, typ: rec.Type, zone: rec.Zone, spot: rec.Spot, mark: mark,
+		token: Token(max(uint64(p.claim), uint64(mark))), since: c.now, heard: c.now, idleSince: c.now,
+		assigns: map[TaskID]*assign{}, reap: map[TaskID]Attempt{}, kill: map[TaskID]Attempt{}, failedJobs: map[JobID]bool{}}
+	c.machines[id] = m
+	delete(c.owners, id)
+	return m
+}
+
+// learnMachine takes a machine's record over from an earlier holder.
+func (c *Core) learnMachine(kv KV, p *part) {
+	id := MachineID(strings.TrimPrefix(kv.Key, "machines/"))
+	var rec machineRecord
+	if json.Unmarshal(kv.Value, &rec) != nil || rec.Part < 0 || int(rec.Part) >= len(c.parts) {
+		c.broken(p, kv.Key, "machine record")
+		return
+	}
+	if rec.Part != p.id {
+		c.owners[id] = ownerNote{rec.Part, c.now}
+		return
+	}
+	m := c.addMachine(id, p, rec, kv.Mark)
+	// The claim is later than every move of a machine of the part.
+	m.token = Token(p.claim)
+	m.returning, m.returned = rec.Return, rec.Return
+	m.booting = rec.Addr == ""
+	for _, jid := range sortedKeys(rec.Tasks) {
+		for _, t := range rec.Tasks[jid] {
+			m.stored++
+			task := TaskID{jid, int(t[0])}
+			j := c.jobs[jid]
+			if j == nil {
+				k := c.known[jid]
+				switch {
+				case k == nil:
+					c.broken(p, kv.Key, "lists a task of no known job")
+					return
+				case k.final == StCancelled:
+					j = newJob(JobSpec{ID: jid, Team: k.team, Need: k.need, Tasks: k.tasks}, p.id, 0, c.now)
+					j.final, j.cancelling = StCancelled, true
+					c.jobs[jid] = j
+				default:
+					continue // done: what the worker still shows is reaped
+				}
+			}
+			if task.Index >= len(j.state) {
+				c.broken(p, kv.Key, "lists a task beyond its job")
+				return
+			}
+			if j.state[task.Index] >= tDone {
+				continue
+			}
+			a := &assign{task: task, mach: id, j: j, attempt: Attempt(t[1]), phase: aDoubt, need: j.spec.Need, placedAt: c.now, stop: j.final != ""}
+			m.assigns[task] = a
+			if j.state[task.Index] == tPending {
+				j.setPlaced(task.Index, a)
+			}
+		}
+	}
+}
+
+// dropMachine forgets a machine that is no longer ours.
+func (c *Core) dropMachine(m *machine) {
+	if c.machines[m.id] != m {
+		return
+	}
+	delete(c.machines, m.id)
+	if m.pending != 0 {
+		c.redirect(m.pending, c.parts[m.part].holder)
+		m.pending = 0
+	}
+}
+
+func (c *Core) redirect(req ReqID, to NodeID) {
+	if to == c.cfg.Self {
+		to = ""
+	}
+	c.emit(Respond{Req: req, Status: 421, Worker: &WorkerAnswer{Redirect: to}})
+}
+
+func (m *machine) sorted() []*assign {
+	l := make([]*assign, 0, len(m.assigns))
+	for _, a := range m.assigns {
+		l = append(l, a)
+	}
+	sort.Slice(l, func(i, k int) bool {
+		a, b := l[i].task, l[k].task
+		return a.Job < b.Job || a.Job == b.Job && a.Index < b.Index
+	})
+	return l
+}
+
+func (m *machine) used() Res {
+	var r Res
+	for _, a := range m.assigns {
+		if a.live() {
+			r = r.plus(a.need)
+		}
+	}
+	return r
+}
+
+func (m *machine) liveTasks() int {
+	n := 0
+	for _, a := range m.assigns {
+		if a.live() {
+			n++
+		}
+	}
+	return n
+}
+
+// writeMachine stores which tasks may be on a machine. All that changes while
+// the write waits its turn goes into the same put.
+func (c *Core) writeMachine(m *machine, prio int) {
+	if m.w {
+		m.again = true
+		c.w.promote(machineKey(m.id), prio)
+		return
+	}
+	m.w, m.again = true, false
+	p := c.parts[m.part]
+	claim := p.claim
+	var in, out []*assign
+	var bump, ret bool
+	c.w.add(prio, &write{
+		part: m.part, keys: []string{machineKey(m.id)},
+		build: func(nonce string) ([]TxnOp, []Mark) {
+			if c.machines[m.id] != m {
+				m.w = false
+				return nil, nil
+			}
+			m.again = false
+			in, out = nil, nil
+			bump, ret = m.bumping, m.returning
+			rec := machineRecord{Part: m.part, Addr: m.addr, Type: m.typ, Zone: m.zone, Spot: m.spot, Return: ret, W: nonce}
+			for _, a := range m.sorted() {
+				if a.gone {
+					out = append(out, a)
+					continue
+				}
+				in = append(in, a)
+				if rec.Tasks == nil {
+					rec.Tasks = map[JobID][][2]uint64{}
+				}
+				rec.Tasks[a.task.Job] = append(rec.Tasks[a.task.Job], [2]uint64{uint64(a.task.Index), uint64(a.attempt)})
+			}
+			v, _ := json.Marshal(rec)
+			return []TxnOp{{machineKey(m.id), v}}, []Mark{m.mark}
+		},
+		ok: func(e Epoch) {
+			m.w = false
+			m.mark = Mark(e)
+			if c.machines[m.id] != m || p.claim != claim || !p.held {
+				return
+			}
+			m.stored = len(in)
+			for _, a := range in {
+				if a.phase == aRecording {
+					a.phase = aReady
+					if !a.j.active() {
+						a.gone = true // cancelled meanwhile, never sent
+					} else {
+						c.poke(m)
+					}
+				}
+			}
+			for _, a := range out {
+				c.removeAssign(m, a)
+			}
+			if bump {
+				m.bumping = false
+				m.token, m.acked = Token(e), false
+			}
+			if ret && !m.returned {
+				m.returned = true
+				c.callReturn(m)
+			}
+			if m.again {
+				c.writeMachine(m, prioStart)
+			}
+		},
+		conflict: func() {
+			m.w = false
+			if c.machines[m.id] == m {
+				c.checkOwner(m)
+			}
+		},
+		lost: func() { m.w = false },
+	})
+}
+
+// removeAssign follows a stored record that no longer lists the task: from
+// here on it may be started elsewhere.
+func (c *Core) removeAssign(m *machine, a *assign) {
+	if m.assigns[a.task] != a {
+		return
+	}
+	delete(m.assigns, a.task)
+	if a.phase == aEnded {
+		m.reap[a.task] = a.attempt
+	}
+	c.freeTask(a)
+	if len(m.assigns) == 0 {
+		m.idleSince = c.now
+	}
+}
+
+func (c *Core) freeTask(a *assign) {
+	j := a.j
+	if j.where[a.task.Index] == a {
+		j.setPending(a.task.Index)
+		// Two records may list one task after a late transaction of an
+		// earlier holder: it waits for the other machine too.
+		for _, id := range sortedKeys(c.machines) {
+			if b := c.machines[id].assigns[a.task]; b != nil && b != a && b.j == j {
+				j.setPlaced(a.task.Index, b)
+				break
+			}
+		}
+	}
+	if j.final != "" && len(j.where) == 0 && c.jobs[j.spec.ID] == j {
+		delete(c.jobs, j.spec.ID)
+	}
+	c.placing = true
+}
+
+// checkOwner finds out whether a machine was moved to another part.
+func (c *Core) checkOwner(m *machine) {
+	if m.checking {
+		return
+	}
+	m.checking = true
+	c.get(machineKey(m.id), func(r GetReply) {
+		m.checking = false
+		if c.machines[m.id] != m {
+			return
+		}
+		var rec machineRecord
+		switch {
+		case r.Out == Missing:
+			rec.Part = NoPart
+		case r.Out != OK:
+			if m.again || !m.w {
+				c.after(second, func() {
+					if c.machines[m.id] == m {
+						c.checkOwner(m)
+					}
+				})
+			}
+			return
+		case json.Unmarshal(r.KV.Value, &rec) != nil:
+			c.broken(c.parts[m.part], r.KV.Key, "machine record")
+			return
+		}
+		if rec.Part != m.part {
+			for _, a := range m.sorted() {
+				if a.phase != aRecording && !a.gone {
+					c.broken(c.parts[m.part], machineKey(m.id), "moved while it listed tasks")
+					return
+				}
+			}
+			c.logf("debug", "machine moved away", "machine", string(m.id), "to", int(rec.Part))
+			for _, a := range m.sorted() {
+				c.freeTask(a)
+			}
+			c.dropMachine(m)
+			if rec.Part >= 0 && int(rec.Part) < len(c.parts) {
+				c.owners[m.id] = ownerNote{rec.Part, c.now}
+			}
+			return
+		}
+		if r.KV.Mark != m.mark && !m.w {
+			c.broken(c.parts[m.part], machineKey(m.id), "changed by another writer")
+			return
+		}
+		// Still ours, yet the worker has seen a higher token: an owner that
+		// has since lost it had a later one. Ours must rise above it.
+		c.rereadPart(c.parts[m.part])
+		c.bump(m)
+	})
+}
+
+// bump raises a machine's token. Whatever was sent under the lower one can't
+// be executed any more once the worker has acknowledged the new one.
+func (c *Core) bump(m *machine) {
+	if m.bumping || m.returning {
+		return
+	}
+	m.bumping = true
+	c.writeMachine(m, prioStart)
+}
+
+// --- reports ---
+
+func (c *Core) onCheckin(e Checkin) {
+	r := &e.Report
+	c.lastReport = c.now
+	m := c.machines[r.Machine]
+	if m == nil {
+		c.strangeReport(e)
+		return
+	}
+	p := c.parts[m.part]
+	switch {
+	case !p.held || !p.ready:
+		c.refuse(e.Req, 503, 0, "")
+		return
+	case r.Token > m.token:
+		// Somebody later is entitled: a 200 with our token would be dropped
+		// and hold the worker here while its lease runs out.
+		c.checkOwner(m)
+		c.redirect(e.Req, c.parts[m.part].holder)
+		return
+	case r.Session < m.session:
+		c.redirect(e.Req, "")
+		return
+	}
+	if m.pending != 0 {
+		c.redirect(m.pending, "")
+	}
+	m.pending, m.pendingStamp, m.deadline = e.Req, r.Stamp, c.now+300*milli
+	c.after(300*milli, func() {})
+	if c.reconcile(m, r, false) {
+		c.placing = true
+	}
+	c.heldReports = append(c.heldReports, m)
+}
+
+// releaseReports answers the reports whose machine has no start on its way to
+// the record; the others wait for it a moment, so that the answer carries it.
+func (c *Core) releaseReports() {
+	rest := c.heldReports[:0]
+	for _, m := range c.heldReports {
+		if m.pending == 0 {
+			continue
+		}
+		wait := false
+		if c.now < m.deadline && !c.storeLost(500*milli) {
+			for _, a := range m.assigns {
+				wait = wait || a.phase == aRecording && !a.gone
+			}
+		}
+		if wait {
+			rest = append(rest, m)
+			continue
+		}
+		c.answerReport(m)
+	}
+	c.heldReports = rest
+}
+
+func (c *Core) answerReport(m *machine) {
+	req := m.pending
+	m.pending = 0
+	w := &WorkerAnswer{Token: m.token}
+	if !m.bumping {
+		w.Commands = c.commands(m, false)
+		for _, cmd := range w.Commands {
+			if cmd.Verb == Start {
+				a := m.assigns[cmd.Task]
+				a.phase, a.viaOrders, a.sentStamp = aSent, false, m.pendingStamp
+			}
+		}
+	}
+	m.poked = false
+	c.emit(Respond{Req: req, Status: 200, Worker: w})
+}
+
+// commands lists what the machine is to do now.
+func (c *Core) commands(m *machine, urgentOnly bool) []Command {
+	var out []Command
+	var starts []Command
+	for _, a := range m.sorted() {
+		switch {
+		case a.gone:
+		case a.stop && a.phase != aEnded && a.phase != aReady && a.phase != aRecording:
+			if urgentOnly && a.stopSent > 0 {
+				continue
+			}
+			if a.state == Saving && a.grace > 0 && !a.expired(c.now) {
+				continue
+			}
+			g := a.grace
+			if a.expired(c.now) {
+				g = 0
+			}
+			if a.stopSent == 0 {
+				a.stopSent = c.now
+			}
+			out = append(out, Command{Verb: Stop, Task: a.task, Attempt: a.attempt, Grace: g})
+		case a.phase == aReady && !m.unsure && !m.returning && c.now >= m.notBefore && a.j.active():
+			if _, reaping := m.reap[a.task]; reaping {
+				continue
+			}
+			if _, killing := m.kill[a.task]; killing {
+				continue
+			}
+			starts = append(starts, Command{Verb: Start, Task: a.task, Attempt: a.attempt})
+		case a.phase == aEnded && a.cause == CauseDone && !m.unsure && !urgentOnly && c.storedDone(a):
+			out = append(out, Command{Verb: Forget, Task: a.task, Attempt: a.attempt})
+		}
+	}
+	if !urgentOnly {
+		for _, t := range sortedTasks(m.kill) {
+			out = append(out, Command{Verb: Stop, Task: t, Attempt: m.kill[t]})
+		}
+		if !m.unsure {
+			for _, t := range sortedTasks(m.reap) {
+				out = append(out, Command{Verb: Forget, Task: t, Attempt: m.reap[t]})
+			}
+		}
+	}
+	return append(out, starts...)
+}
+
+func (a *assign) expired(now Time) bool {
+	return a.stopSent > 0 && float64(now-a.stopSent)/float64(second) > a.grace+2
+}
+
+func (c *Core) storedDone(a *assign) bool {
+	return a.j.final != "" || a.j.state[a.task.Index] == tStored
+}
+
+func sortedTasks(m map[TaskID]Attempt) []TaskID {
+	l := make([]TaskID, 0, len(m))
+	for t := range m {
+		l = append(l, t)
+	}
+	sort.Slice(l, func(i, k int) bool {
+		return l[i].Job < l[k].Job || l[i].Job == l[k].Job && l[i].Index < l[k].Index
+	})
+	return l
+}
+
+// reconcile compares a worker's account with what is believed of it. It
+// returns false for an account older than one already taken in.
+func (c *Core) reconcile(m *machine, r *Report, viaOrders bool) bool {
+	fresh := r.Session > m.session
+	if r.Session < m.session || !fresh && r.Stamp <= m.stamp {
+		return false
+	}
+	m.session, m.stamp, m.heard = r.Session, r.Stamp, c.now
+	if m.booting {
+		m.booting = false
+		c.booted(m)
+	}
+	if m.addr != r.Addr && r.Addr != "" {
+		m.addr = r.Addr
+	}
+	m.acked = r.Token == m.token
+	if m.acked && !m.bumping {
+		m.unsure = false
+	}
+	if fresh {
+		m.images = nil
+	}
+	if r.Notice >= 0 {
+		c.onNotice(m, r.Notice)
+	}
+	present := make(map[TaskID]bool, len(r.Tasks))
+	for i := range r.Tasks {
+		t := &r.Tasks[i]
+		present[t.Task] = true
+		a := m.assigns[t.Task]
+		if a == nil || a.attempt != t.Attempt {
+			c.strayTask(m, t)
+			continue
+		}
+		c.seen(m, a, t)
+	}
+	for _, a := range m.sorted() {
+		if present[a.task] && m.kill[a.task] == 0 && m.reap[a.task] == 0 || a.gone {
+			continue
+		}
+		switch a.phase {
+		case aDoubt:
+			// Only under our token is its absence proof: before, a late
+			// start of the earlier holder could still be executed.
+			if m.acked {
+				c.setGone(m, a)
+			}
+		case aSent:
+			switch {
+			case fresh,
+				a.viaOrders && !m.unsure && !m.ordersBusy,
+				!a.viaOrders && !viaOrders && r.Stamp > a.sentStamp:
+				a.phase = aReady
+				if !a.j.active() {
+					c.setGone(m, a)
+				}
+			}
+		case aSeen:
+			c.setGone(m, a)
+		case aEnded:
+			if a.cause != CauseDone || c.storedDone(a) {
+				c.setGone(m, a)
+			}
+		}
+	}
+	for t := range m.reap {
+		if !present[t] {
+			delete(m.reap, t)
+		}
+	}
+	for t := range m.kill {
+		if !present[t] {
+			delete(m.kill, t)
+		}
+	}
+	return true
+}
+
+// setGone notes that a task is proven to be off the machine. The record must
+// say so before it may start elsewhere; when nobody waits for that, it can
+// share a later write.
+func (c *Core) setGone(m *machine, a *assign) {
+	if a.gone {
+		return
+	}
+	a.gone = true
+	if a.j.where[a.task.Index] == a && a.j.active() {
+		c.writeMachine(m, prioStart)
+		return
+	}
+	if a.phase == aEnded && a.cause == CauseDone || !a.j.active() {
+		// The job's own record tells its outcome: nothing waits for the list.
+		if a.phase != aDoubt && m.stored < 40 {
+			return
+		}
+	}
+	c.writeMachine(m, prioLazy)
+}
+
+// strayTask is a task that the machine's record does not list.
+func (c *Core) strayTask(m *machine, t *TaskReport) {
+	if t.State == Ended {
+		delete(m.kill, t.Task)
+		m.reap[t.Task] = t.Attempt
+		return
+	}
+	if m.kill[t.Task] != t.Attempt {
+		c.logf("info", "stray task", "machine", string(m.id), "task", t.Task.String(), "attempt", uint64(t.Attempt))
+	}
+	m.kill[t.Task] = t.Attempt
+}
+
+// seen takes in one listed task's state.
+func (c *Core) seen(m *machine, a *assign, t *TaskReport) {
+	if a.phase == aEnded {
+		return
+	}
+	if a.phase != aSeen {
+		a.phase = aSeen
+	}
+	a.state = t.State
+	switch t.State {
+	case Running:
+		if a.runAt == 0 {
+			a.runAt = c.now
+			m.addImage(a.j, c.types[m.typ].CacheGB)
+		}
+	case Ended:
+		c.ended(m, a, t)
+	}
+}
+
+func (m *machine) addImage(j *job, cache float64) {
+	for i, im := range m.images {
+		if im.name == j.spec.Image {
+			m.images = append(append(m.images[:i:i], m.images[i+1:]...), im)
+			return
+		}
+	}
+	m.images = append(m.images, image{j.spec.Image, j.spec.ImageGB})
+	sum := 0.0
+	for _, im := range m.images {
+		sum += im.gb
+	}
+	for len(m.images) > 1 && sum > cache {
+		sum -= m.images[0].gb
+		m.images = m.images[1:]
+	}
+}
+
+func (m *machine) hasImage(name string) bool {
+	for _, im := range m.images {
+		if im.name == name {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Core) ended(m *machine, a *assign, t *TaskReport) {
+	j := a.j
+	a.phase, a.cause = aEnded, t.Cause
+	if t.Cause == CauseDone {
+		j.setDone(a.task.Index)
+		c.learnRuntime(m, a)
+		if j.final == "" && j.loading == 0 && j.done == j.spec.Tasks {
+			c.writeJob(j, prioDone)
+		}
+		return
+	}
+	switch t.Cause {
+	case CauseError:
+		c.onTaskError(m, a)
+	case CauseFull, CauseBusy:
+		m.notBefore = c.now + 3*second
+	case CauseNoSuch:
+		j.holdUntil = c.now + 3*second
+	}
+	c.setGone(m, a)
+	if !j.active() {
+		m.reap[a.task] = a.attempt
+	}
+}
+
+// onTaskError tells a faulty machine from a faulty job: several jobs failing
+// on one machine speak against the machine, one job failing on several
+// machines against the job, which is then retried ever more slowly.
+func (c *Core) onTaskError(m *machine, a *assign) {
+	j := a.j
+	m.errors++
+	m.failedJobs[j.spec.ID] = true
+	j.errors++
+	j.failedOn[m.id] = true
+	if len(j.failedOn) >= 2 {
+		j.holdUntil = c.now + min(second<<min(len(j.failedOn)+j.errors/2, 6), 60*second)
+	}
+	if len(m.failedJobs) >= 2 && !m.draining {
+		c.logf("info", "machine fails tasks", "machine", string(m.id), "errors", m.errors)
+		c.drain(m)
+	}
+}
+
+func (c *Core) drain(m *machine) {
+	m.draining = true
+	c.placing = true
+}
+
+// onNotice: the cloud will take the machine. What can save does so in time,
+// what can't finish starts anew elsewhere, what can finish is left alone.
+func (c *Core) onNotice(m *machine, left float64) {
+	if !m.draining {
+		c.logf("debug", "spot notice", "machine", string(m.id), "left_s", left)
+		m.draining = true
+	}
+	m.noticeAt = c.now + Time(left*float64(second))
+	for _, a := range m.sorted() {
+		if !a.live() || a.stop {
+			continue
+		}
+		rest := c.expectedRest(m, a)
+		s := a.j.spec
+		if s.CheckpntS > 0 {
+			if rest > left-2 && left < s.SaveS+10 {
+				c.stopTask(m, a, s.SaveS+1)
+			}
+		} else if rest > left*1.5+5 {
+			c.stopTask(m, a, 0)
+		}
+	}
+}
+
+func (c *Core) stopTask(m *machine, a *assign, grace float64) {
+	if a.stop {
+		return
+	}
+	a.stop, a.grace = true, grace
+	if a.phase == aReady || a.phase == aRecording {
+		// Never sent: only the record has to forget it.
+		if a.phase == aReady {
+			c.setGone(m, a)
+		} else {
+			a.stop = false
+		}
+		return
+	}
+	c.poke(m)
+}
+
+// unplan withdraws the starts that have not been sent.
+func (c *Core) unplan(j *job) {
+	for _, id := range sortedKeys(c.machines) {
+		m := c.machines[id]
+		for _, a := range m.sorted() {
+			if a.j == j && a.phase == aReady {
+				c.setGone(m, a)
+			}
+		}
+	}
+}
+
+// stopAll stops every task of a job that is cancelled.
+func (c *Core) stopAll(j *job) {
+	for _, id := range sortedKeys(c.machines) {
+		m := c.machines[id]
+		for _, a := range m.sorted() {
+			if a.j == j && a.live() && a.phase != aRecording {
+				a.stop = false
+				c.stopTask(m, a, 0)
+				a.grace, a.stopSent = 0, 0
+			}
+		}
+	}
+}
+
+// --- direct commands ---
+
+func (c *Core) poke(m *machine) {
+	if !m.poked {
+		m.poked = true
+		c.pokes = append(c.pokes, m)
+	}
+}
+
+// pushOrders sends what can't wait for the machines' next reports.
+func (c *Core) pushOrders() {
+	q := c.pokes
+	c.pokes = nil
+	for _, m := range q {
+		m.poked = false
+		if c.machines[m.id] != m || m.pending != 0 || m.ordersBusy || !m.acked || m.bumping || m.addr == "" ||
+			c.now-m.heard > 2*c.cfg.ReportEvery {
+			continue
+		}
+		cmds := c.commands(m, true)
+		if len(cmds) > 0 {
+			c.sendOrders(m, cmds)
+		}
+	}
+}
+
+func (c *Core) sendOrders(m *machine, cmds []Command) {
+	m.ordersBusy, m.ordersAt = true, c.now
+	c.counters.Orders++
+	var starts []*assign
+	for _, cmd := range cmds {
+		if cmd.Verb == Start {
+			a := m.assigns[cmd.Task]
+			a.phase, a.viaOrders = aSent, true
+			starts = append(starts, a)
+		}
+	}
+	token := m.token
+	c.emit(Orders{Addr: m.addr, Token: token, Session: m.session, Commands: cmds, Call: c.call(func(b any) {
+		r := b.(OrdersReply)
+		m.ordersBusy = false
+		if c.machines[m.id] != m {
+			return
+		}
+		unsent := func() {
+			for _, a := range starts {
+				if a.phase == aSent {
+					a.phase = aReady
+					if !a.j.active() {
+						c.setGone(m, a)
+					}
+				}
+			}
+		}
+		switch r.Out {
+		case OK:
+			c.ordersDone(m, &r.Report)
+		case Conflict:
+			unsent()
+			if r.Report.Token > m.token {
+				c.checkOwner(m)
+				return
+			}
+			c.ordersDone(m, &r.Report)
+		case NotDone:
+			unsent()
+		default:
+			for _, a := range m.assigns {
+				a.stopSent = 0
+			}
+			if len(starts) > 0 {
+				// The command may arrive minutes late; a higher token ends that.
+				m.unsure = true
+				c.bump(m)
+			}
+		}
+	})})
+}
+
+func (c *Core) ordersDone(m *machine, r *Report) {
+	if r.Machine != m.id {
+		return
+	}
+	if c.reconcile(m, r, true) {
+		c.placing = true
+	}
+}
+
+// --- machines that no record of ours lists ---
+
+// strangeReport answers a worker that this node doesn't own.
+func (c *Core) strangeReport(e Checkin) {
+	id := e.Report.Machine
+	if n, ok := c.owners[id]; ok && c.now-n.at < 15*second {
+		p := c.parts[n.part]
+		if !p.held {
+			c.redirect(e.Req, p.holder)
+			return
+		}
+		if !p.ready {
+			c.refuse(e.Req, 503, 0, "")
+			return
+		}
+	}
+	if c.storeLost(500 * milli) {
+		c.refuse(e.Req, 503, 0, "")
+		return
+	}
+	c.get(machineKey(id), func(r GetReply) {
+		if m := c.machines[id]; m != nil { // learned meanwhile
+			c.onCheckin(e)
+			return
+		}
+		switch r.Out {
+		case OK:
+			var rec machineRecord
+			if json.Unmarshal(r.KV.Value, &rec) != nil || rec.Part < 0 || int(rec.Part) >= len(c.parts) {
+				c.refuse(e.Req, 503, 0, "")
+				return
+			}
+			c.owners[id] = ownerNote{rec.Part, c.now}
+			if p := c.parts[rec.Part]; !p.held {
+				c.redirect(e.Req, p.holder)
+				return
+			}
+			c.refuse(e.Req, 503, 0, "")
+		case Missing:
+			rep := e.Report
+			c.adopt(id, machineRecord{Addr: rep.Addr, Type: rep.Type, Zone: rep.Zone, Spot: rep.Spot}, func(m *machine, to NodeID) {
+				if m == nil {
+					c.redirect(e.Req, to)
+					return
+				}
+				c.onCheckin(e)
+			})
+		default:
+			c.refuse(e.Req, 503, 0, "")
+		}
+	})
+}
+
+// machineNumber spreads unknown machines over the parts.
+func (c *Core) partFor(id MachineID) *part {
+	n := 0
+	for i := len(id) - 1; i >= 0 && id[i] >= '0' && id[i] <= '9'; i-- {
+		v, _ := strconv.Atoi(string(id[i:]))
+		n = v
+		if len(id)-i > 9 {
+			break
+		}
+	}
+	return c.parts[n%len(c.parts)]
+}
+
+// adopt takes a machine without a record into a part: its own by number, or
+// any held here while that part's holder is lost.
+func (c *Core) adopt(id MachineID, rec machineRecord, fn func(*machine, NodeID)) {
+	p := c.partFor(id)
+	if !p.held || !p.ready {
+		if !c.lost(p.holder) && p.holder != "" && p.holder != c.cfg.Self {
+			fn(nil, p.holder)
+			return
+		}
+		for _, q := range c.parts {
+			if q.held && q.ready {
+				p = q
+			}
+		}
+	}
+	if !p.held || !p.ready {
+		fn(nil, "")
+		return
+	}
+	rec.Part = p.id
+	c.createMachine(id, p, rec, 0, func(m *machine) {
+		if m == nil {
+			fn(nil, "")
+			return
+		}
+		fn(m, "")
+	})
+}
+
+// createMachine writes a machine's record under this part, on condition that
+// its key has the given mark: 0 to create it, another's to take an idle one.
+// The revision of this write is the machine's token: it lies above all earlier.
+func (c *Core) createMachine(id MachineID, p *part, rec machineRecord, mark Mark, fn func(*machine)) {
+	claim := p.claim
+	rec.Part = p.id
+	c.w.add(prioStart, &write{
+		part: p.id, keys: []string{machineKey(id)},
+		build: func(nonce string) ([]TxnOp, []Mark) {
+			if c.machines[id] != nil {
+				fn(nil)
+				return nil, nil
+			}
+			rec.W = nonce
+			v, _ := json.Marshal(rec)
+			return []TxnOp{{machineKey(id), v}}, []Mark{mark}
+		},
+		ok: func(e Epoch) {
+			if !p.held || p.claim != claim || c.machines[id] != nil {
+				fn(nil)
+				return
+			}
+			m := c.addMachine(id, p, rec, Mark(e))
+			m.booting = rec.Addr == ""
+			c.placing = true
+			fn(m)
+		},
+		conflict: func() { fn(nil) },
+		lost:     func() { fn(nil) },
+	})
+}
--- /dev/null
+++ b/internal/core/parts.go
@@ -0,0 +1,321 @@
+package core
+
+import (
+	"encoding/json"
+	"strconv"
+	"strings"
+)
+
+// part is a set of teams and some machines with one owner at a time.
+type part struct {
+	id     Part
+	home   NodeID
+	holder NodeID
+	term   Term
+	mark   Mark // of parts/<n> as last seen; the claim's mark while held
+	seen   bool // read from the store at least once
+
+	held     bool
+	ready    bool // the checkpoint has been read
+	claiming bool
+	broken   bool // its records make no sense; not claimed again by this process
+	offered  bool // the holder is willing to hand it back to us
+	since    Time
+	claim    Epoch
+	attempts uint64
+	rentals  map[string]*rental
+	refused  map[rentOption]Time
+
+	confirmQ    []func(bool)
+	confirming  bool
+	confirmedAt Time
+}
+
+type partRecord struct {
+	Holder NodeID `json:"holder"`
+	Term   Term   `json:"term"`
+	W      string `json:"w"`
+}
+
+func (p *part) key() string { return "parts/" + strconv.Itoa(int(p.id)) }
+
+func (p *part) nextAttempt() Attempt {
+	p.attempts++
+	return Attempt(uint64(p.claim)<<20 | p.attempts)
+}
+
+// loadParts reads who holds what and then follows the changes.
+func (c *Core) loadParts() {
+	c.list("parts/", func(r ListReply) {
+		if r.Out != OK {
+			c.after(second/2, c.loadParts)
+			return
+		}
+		for _, p := range c.parts {
+			p.seen = true
+		}
+		for _, kv := range r.Items {
+			c.learnPart(kv)
+		}
+		c.partsEpoch = r.Epoch
+		for _, p := range c.parts {
+			c.considerClaim(p)
+		}
+		c.watchParts()
+	})
+}
+
+func (c *Core) watchParts() {
+	c.emit(StoreWatch{Call: c.call(func(b any) {
+		r := b.(WatchReply)
+		switch r.Out {
+		case OK:
+			for _, kv := range r.Items {
+				c.learnPart(kv)
+			}
+			c.partsEpoch = max(c.partsEpoch, r.Epoch)
+			c.after(second/10, c.watchParts)
+		case Gone:
+			c.after(second/10, c.loadParts)
+		default:
+			c.after(second, c.watchParts)
+		}
+	}), Prefix: "parts/", Since: c.partsEpoch, Wait: 20 * second})
+}
+
+func (c *Core) learnPart(kv KV) {
+	n, err := strconv.Atoi(strings.TrimPrefix(kv.Key, "parts/"))
+	if err != nil || n < 0 || n >= len(c.parts) || kv.Value == nil {
+		return
+	}
+	p := c.parts[n]
+	var rec partRecord
+	if json.Unmarshal(kv.Value, &rec) != nil || rec.Holder == "" {
+		c.logf("error", "unreadable record", "key", kv.Key)
+		return
+	}
+	if kv.Mark <= p.mark {
+		return
+	}
+	if p.held && nonceBoot(rec.W) != c.cfg.Boot {
+		c.fenced(p.id)
+	}
+	if p.claiming && nonceBoot(rec.W) == c.cfg.Boot {
+		return // our own claim, seen before its answer
+	}
+	p.mark, p.holder, p.term, p.offered = kv.Mark, rec.Holder, rec.Term, false
+	p.since = c.now
+}
+
+func nonceBoot(w string) string {
+	if i := strings.LastIndexByte(w, '-'); i > 0 {
+		return w[:i]
+	}
+	return w
+}
+
+func (c *Core) rereadPart(p *part) {
+	c.get(p.key(), func(r GetReply) {
+		if r.Out == OK {
+			c.learnPart(r.KV)
+		}
+	})
+}
+
+// considerClaim decides whether this node should claim a part. Nothing here
+// is needed for safety: a wrong claim costs a pause, never a rule.
+func (c *Core) considerClaim(p *part) {
+	if p.held || p.claiming || p.broken || !p.seen || c.storeLost(second) {
+		return
+	}
+	self := c.cfg.Self
+	switch {
+	case p.holder == "" && p.home == self:
+	case p.holder == self: // from an earlier life of this node
+	case p.home == self && p.offered:
+	case p.holder == "":
+		if !c.lost(p.home) || !c.successor(p.home) {
+			return
+		}
+	default:
+		if !c.lost(p.holder) || !c.successor(p.holder) {
+			return
+		}
+	}
+	c.claimPart(p)
+}
+
+// successor tells whether this node is the first after the lost one that could serve.
+func (c *Core) successor(lost NodeID) bool {
+	n := len(c.cfg.Nodes)
+	at := 0
+	for i, id := range c.cfg.Nodes {
+		if id == lost {
+			at = i
+		}
+	}
+	for k := 1; k < n; k++ {
+		id := c.cfg.Nodes[(at+k)%n]
+		if id == c.cfg.Self {
+			return true
+		}
+		if !c.lost(id) {
+			return false
+		}
+	}
+	return false
+}
+
+func (c *Core) claimPart(p *part) {
+	p.claiming = true
+	prev, term := p.holder, p.term+1
+	c.w.add(prioClaim, &write{
+		part: p.id, keys: []string{p.key()},
+		build: func(nonce string) ([]TxnOp, []Mark) {
+			v, _ := json.Marshal(partRecord{c.cfg.Self, term, nonce})
+			return []TxnOp{{p.key(), v}}, []Mark{p.mark}
+		},
+		ok: func(e Epoch) {
+			p.claiming = false
+			if Mark(e) < p.mark {
+				return // overtaken already
+			}
+			p.held, p.ready, p.offered = true, false, false
+			p.holder, p.term, p.mark, p.claim, p.since = c.cfg.Self, term, Mark(e), e, c.now
+			p.attempts = 0
+			p.rentals = map[string]*rental{}
+			p.refused = map[rentOption]Time{}
+			c.logf("info", "claimed part", "part", int(p.id), "term", uint64(term), "from", string(prev))
+			c.loadPart(p)
+		},
+		conflict: func() {
+			p.claiming = false
+			c.rereadPart(p)
+		},
+	})
+}
+
+// fenced is called when another claim of the part is known: all that this node
+// believed of the part is worth nothing from now on.
+func (c *Core) fenced(id Part) {
+	p := c.parts[id]
+	if !p.held {
+		return
+	}
+	c.logf("info", "lost part", "part", int(id), "term", uint64(p.term))
+	p.held, p.ready, p.since = false, false, c.now
+	for _, mid := range sortedKeys(c.machines) {
+		if m := c.machines[mid]; m.part == id {
+			c.dropMachine(m)
+		}
+	}
+	for _, jid := range sortedKeys(c.jobs) {
+		if j := c.jobs[jid]; j.part == id {
+			c.dropJob(j)
+		}
+	}
+	for _, fn := range p.confirmQ {
+		fn(false)
+	}
+	p.confirmQ = nil
+	c.w.dropPart(id)
+	c.rereadPart(p)
+}
+
+// loadPart reads the checkpoint of a part just claimed: the records come
+// first, what the workers say is compared with them afterwards.
+func (c *Core) loadPart(p *part) {
+	claim := p.claim
+	var machines, rentals, jobs *ListReply
+	step := func() {
+		if !p.held || p.claim != claim || machines == nil || rentals == nil || jobs == nil {
+			return
+		}
+		for _, kv := range jobs.Items {
+			c.learnJob(kv, p)
+		}
+		for _, kv := range machines.Items {
+			c.learnMachine(kv, p)
+		}
+		for _, kv := range rentals.Items {
+			c.learnRental(kv, p)
+		}
+		if !p.held {
+			return
+		}
+		p.ready = true
+		c.placing = true
+		n := 0
+		for _, m := range c.machines {
+			if m.part == p.id {
+				n++
+			}
+		}
+		c.logf("info", "part ready", "part", int(p.id), "machines", n, "jobs", len(c.jobs), "took_ms", int((c.now-p.since)/milli))
+		c.machineSweep()
+	}
+	var read func(prefix string, to **ListReply)
+	read = func(prefix string, to **ListReply) {
+		c.list(prefix, func(r ListReply) {
+			if !p.held || p.claim != claim {
+				return
+			}
+			if r.Out != OK {
+				c.after(second/3, func() { read(prefix, to) })
+				return
+			}
+			*to = &r
+			step()
+		})
+	}
+	read("machines/", &machines)
+	read("rentals/", &rentals)
+	read("jobs/", &jobs)
+}
+
+// broken stops the use of a part whose records make no sense: the part is
+// left alone rather than guessed at.
+func (c *Core) broken(p *part, key, why string) {
+	c.logf("error", "impossible record", "key", key, "why", why)
+	p.broken = true
+	c.fenced(p.id)
+}
+
+// confirm calls fn after the store has shown that the part is still held,
+// with a read begun after this call. Without it a holder that lost its claim
+// unawares could answer with an older state than its successor.
+func (c *Core) confirm(p *part, fn func(bool)) {
+	if c.storeLost(second) {
+		fn(false)
+		return
+	}
+	p.confirmQ = append(p.confirmQ, fn)
+	if p.confirming {
+		return
+	}
+	p.confirming = true
+	c.after(max(0, p.confirmedAt+100*milli-c.now), func() {
+		q, mark := p.confirmQ, p.mark
+		p.confirmQ, p.confirmedAt = nil, c.now
+		if len(q) == 0 {
+			p.confirming = false
+			return
+		}
+		c.get(p.key(), func(r GetReply) {
+			p.confirming = false
+			if r.Out == OK {
+				c.learnPart(r.KV)
+			}
+			good := r.Out == OK && p.held && r.KV.Mark == mark && p.mark == mark
+			for _, fn := range q {
+				fn(good)
+			}
+			if rest := p.confirmQ; len(rest) > 0 {
+				p.confirmQ = nil
+				for _, fn := range rest {
+					c.confirm(p, fn)
+				}
+			}
+		})
+	})
+}
--- /dev/null
+++ b/internal/core/peers.go
@@ -0,0 +1,293 @@
+package core
+
+// peerVersion guards against frames of another release.
+const peerVersion = 1
+
+// peer is another controller as seen from here.
+type peer struct {
+	id       NodeID
+	boot     string
+	answered Time // when it last answered a call
+	heard    bool
+	prone    bool // marked failure-prone, being probed
+	failed   bool
+	ping     Ping
+	pingAt   Time
+	goodFrom Time // since when it has answered and had its store
+	tells    []KV
+	telling  bool
+	taken    map[MachineID]bool
+}
+
+// pingLoop is the design's detection: a call each second, then retries with
+// exponential back-off, then probes at a steady pace, then failure.
+func (c *Core) pingLoop(p *peer) {
+	t := c.cfg.Tuning
+	miss := 0
+	var send func()
+	send = func() {
+		timeout, pause := t.PingTimeout, t.PingEvery
+		switch {
+		case miss == 0:
+		case miss <= t.Retries:
+			timeout = t.RetryFirst << (miss - 1)
+		default:
+			timeout = t.ProbeEvery
+		}
+		begun := c.now
+		c.ask(p.id, timeout, PeerMsg{Ping: c.makePing(p)}, func(r PeerReply) {
+			if r.Out == OK && r.Msg.Ping != nil {
+				miss = 0
+				c.heardPing(p, *r.Msg.Ping)
+				c.after(pause, send)
+				return
+			}
+			miss++
+			if miss > t.Retries && !p.prone {
+				p.prone = true
+				c.logf("debug", "peer failure-prone", "peer", string(p.id))
+			}
+			if miss > t.Retries+t.Probes && !p.failed {
+				p.failed = true
+				c.logf("info", "peer failed", "peer", string(p.id))
+				c.livenessChanged()
+			}
+			if p.failed {
+				c.reviewParts()
+			}
+			// A refused connection comes back at once and proves nothing: it
+			// must not shorten the detection, so the full interval passes.
+			wait := begun + timeout - c.now
+			if miss > t.Retries+t.Probes {
+				wait = max(wait, t.ProbeEvery)
+			}
+			c.after(max(wait, 5*milli), send)
+		})
+	}
+	send()
+}
+
+func (c *Core) ask(to NodeID, timeout Time, m PeerMsg, fn func(PeerReply)) {
+	m.Version, m.From = peerVersion, c.cfg.Self
+	c.counters.PeerCalls++
+	c.emit(PeerCall{Call: c.call(func(b any) { fn(b.(PeerReply)) }), To: to, Timeout: timeout, Msg: m})
+}
+
+func (c *Core) livenessChanged() {
+	n := 1
+	for _, p := range c.peers {
+		if !p.failed {
+			n++
+		}
+	}
+	c.w.setShare(n)
+	c.cloudBucket.rate = c.cfg.CloudRPS * c.cfg.Tuning.BudgetShare / float64(n)
+}
+
+func (c *Core) makePing(to *peer) *Ping {
+	g := &Ping{Boot: c.cfg.Boot, StoreOK: !c.storeLost(2500*milli) && c.storeUp.lastOK > 0, WorkersOK: c.workersOK(), Heard: map[NodeID]int64{}}
+	for _, p := range c.parts {
+		if !p.held {
+			continue
+		}
+		g.Parts = append(g.Parts, PartTerm{p.id, p.term})
+		if to != nil && p.home == to.id && p.ready && !to.failed && to.goodFrom > 0 &&
+			c.now-to.goodFrom > c.cfg.Tuning.HandBackAfter && c.now-p.since > c.cfg.Tuning.HandBackAfter {
+			g.Offer = append(g.Offer, p.id)
+		}
+	}
+	for _, id := range c.cfg.Nodes {
+		if p := c.peers[id]; p != nil && p.heard {
+			g.Heard[id] = int64((c.now - p.answered) / milli)
+		}
+	}
+	g.Idle = c.idleMachines()
+	return g
+}
+
+// workersOK is false when this node has machines but no worker has reported
+// for several intervals, as when it is cut from the workers.
+func (c *Core) workersOK() bool {
+	if len(c.machines) == 0 {
+		return true
+	}
+	expect := false
+	for _, m := range c.machines {
+		if m.session > 0 || c.now-m.since > 3*c.cfg.ReportEvery {
+			if !m.booting {
+				expect = true
+			}
+		}
+	}
+	return !expect || c.now-c.lastReport < 3*c.cfg.ReportEvery
+}
+
+func (c *Core) heardPing(p *peer, g Ping) {
+	p.heard, p.answered, p.prone = true, c.now, false
+	if p.failed {
+		p.failed = false
+		c.logf("info", "peer is back", "peer", string(p.id))
+		c.livenessChanged()
+	}
+	c.takePing(p, g)
+}
+
+func (c *Core) takePing(p *peer, g Ping) {
+	if p.boot != g.Boot {
+		p.boot, p.goodFrom = g.Boot, 0
+	}
+	p.ping, p.pingAt = g, c.now
+	if !g.StoreOK || !g.WorkersOK {
+		p.goodFrom = 0
+	} else if p.goodFrom == 0 {
+		p.goodFrom = c.now
+	}
+	for id := range p.taken {
+		still := false
+		for _, m := range g.Idle {
+			still = still || m.ID == id
+		}
+		if !still {
+			delete(p.taken, id)
+		}
+	}
+	for _, pt := range g.Parts {
+		if int(pt.Part) < 0 || int(pt.Part) >= len(c.parts) {
+			continue
+		}
+		q := c.parts[pt.Part]
+		if pt.Term > q.term && !q.held && !q.claiming {
+			// The mark is not told, so a claim from here needs a read first.
+			q.holder, q.term = p.id, pt.Term
+			c.rereadPart(q)
+		}
+		q.offered = q.offered && q.holder != p.id
+	}
+	for _, id := range g.Offer {
+		if int(id) < 0 || int(id) >= len(c.parts) {
+			continue
+		}
+		if q := c.parts[id]; q.home == c.cfg.Self && q.holder == p.id {
+			q.offered = true
+		}
+	}
+	c.reviewParts()
+}
+
+func (c *Core) reviewParts() {
+	for _, p := range c.parts {
+		c.considerClaim(p)
+	}
+}
+
+// lost tells whether a node can't hold its parts: detected as failed and not
+// heard by a third node either, or by its own word unable to serve.
+func (c *Core) lost(id NodeID) bool {
+	p := c.peers[id]
+	if p == nil {
+		return false
+	}
+	if p.failed {
+		for _, o := range c.cfg.Nodes {
+			q := c.peers[o]
+			if q == nil || q == p || q.failed || c.now-q.pingAt > 3*second {
+				continue
+			}
+			if ms, ok := q.ping.Heard[id]; ok && ms < 3000 {
+				return false // only our own link to it is cut
+			}
+		}
+		return true
+	}
+	if !p.heard || c.now-p.pingAt > 3*second {
+		return false
+	}
+	return !p.ping.StoreOK && p.ping.Boot != "" && c.storeUp.lastOK > 0 && c.now-c.storeUp.lastOK < 2*second && p.age(c) ||
+		!p.ping.WorkersOK && c.workersOK() && c.now-c.lastReport < 2*c.cfg.ReportEvery
+}
+
+// age leaves a node that has only just started the time to reach its store.
+func (p *peer) age(c *Core) bool { return c.now > 5*second }
+
+func (c *Core) onPeer(e PeerAsk) {
+	m := e.Msg
+	p := c.peers[m.From]
+	if p == nil || m.Version != peerVersion {
+		c.refuse(e.Req, 400, 0, "unknown sender or version")
+		return
+	}
+	reply := func(r PeerMsg) {
+		r.Version, r.From = peerVersion, c.cfg.Self
+		c.emit(Respond{Req: e.Req, Status: 200, Peer: &r})
+	}
+	switch {
+	case m.Ping != nil:
+		c.takePing(p, *m.Ping)
+		reply(PeerMsg{Ping: c.makePing(p)})
+	case m.Tell != nil:
+		for _, kv := range m.Tell.Keys {
+			c.learnJob(kv, nil)
+		}
+		reply(PeerMsg{Status: 200})
+	case m.Ask != nil:
+		c.answerAsk(m.Ask.IDs, func(v []JobView) { reply(PeerMsg{Views: v}) })
+	case m.Cancel != "":
+		c.cancelHere(m.Cancel, func(status int, v *JobView) {
+			r := PeerMsg{Status: status}
+			if v != nil {
+				r.Views = []JobView{*v}
+			}
+			reply(r)
+		})
+	default:
+		c.refuse(e.Req, 400, 0, "empty message")
+	}
+}
+
+// tell passes a stored job to its owner; the owner's watch is the safety net.
+func (c *Core) tell(part Part, kv KV) {
+	p := c.peers[c.parts[part].holder]
+	if p == nil || p.failed {
+		return
+	}
+	p.tells = append(p.tells, kv)
+	if !p.telling {
+		p.telling = true
+		c.after(20*milli, func() { c.sendTells(p, 0) })
+	}
+}
+
+func (c *Core) sendTells(p *peer, tries int) {
+	batch := p.tells
+	if len(batch) > 50 {
+		batch = batch[:50]
+	}
+	c.ask(p.id, second, PeerMsg{Tell: &Tell{Keys: batch}}, func(r PeerReply) {
+		if r.Out != OK && tries < 3 && !p.failed {
+			c.sendTells(p, tries+1)
+			return
+		}
+		p.tells = append([]KV(nil), p.tells[len(batch):]...)
+		if len(p.tells) > 0 {
+			c.sendTells(p, 0)
+			return
+		}
+		p.telling = false
+	})
+}
+
+func (c *Core) onHealth(e Health) {
+	if c.storeUp.lastOK == 0 || len(c.types) == 0 && c.now < 10*second {
+		c.refuse(e.Req, 503, 0, "starting")
+		return
+	}
+	if c.storeLost(2500 * milli) {
+		for _, p := range c.peers {
+			if !p.failed && p.ping.StoreOK && c.now-p.pingAt < 3*second {
+				c.refuse(e.Req, 503, 0, "store out of reach")
+				return
+			}
+		}
+	}
+	c.emit(Respond{Req: e.Req, Status: 200})
+}
--- /dev/null
+++ b/internal/core/place.go
@@ -0,0 +1,242 @@
+package core
+
+import (
+	"sort"
+	"time"
+)
+
+// classStats is what is learned of a class: estimates are often wrong the
+// same way for a whole day.
+type classStats struct {
+	ratio float64 // run time over estimate, smoothed
+	n     int
+}
+
+func (c *Core) class(name string) *classStats {
+	s := c.classes[name]
+	if s == nil {
+		s = &classStats{ratio: 1}
+		c.classes[name] = s
+	}
+	return s
+}
+
+func (c *Core) learnRuntime(m *machine, a *assign) {
+	if a.runAt == 0 || a.j.spec.RuntimeS <= 0 {
+		return
+	}
+	took := time.Duration(c.now - a.runAt).Seconds()
+	s := c.class(a.j.spec.Class)
+	s.n++
+	w := max(0.05, 1/float64(s.n+1))
+	s.ratio += w * (min(took/a.j.spec.RuntimeS, 5) - s.ratio)
+}
+
+// expectedRun is a job's run time per task as far as is known.
+func (c *Core) expectedRun(j *job) float64 {
+	return j.spec.RuntimeS * c.class(j.spec.Class).ratio
+}
+
+func (c *Core) expectedRest(m *machine, a *assign) float64 {
+	run := c.expectedRun(a.j)
+	if a.runAt == 0 {
+		return run + 2
+	}
+	return max(run-time.Duration(c.now-a.runAt).Seconds(), run*0.1)
+}
+
+// due is when a job should be complete, as milliseconds of the time of day:
+// by its own deadline or by what the objectives say of its class.
+func (c *Core) due(j *job) float64 {
+	at := float64(j.spec.Submitted)
+	if j.spec.DeadlineS > 0 {
+		return at + j.spec.DeadlineS*1000
+	}
+	best := 0.0
+	for _, o := range c.cfg.Objectives {
+		if o.Class == j.spec.Class && o.Kind == "finished" && (best == 0 || o.WithinS < best) {
+			best = o.WithinS
+		}
+	}
+	if best == 0 {
+		best = 600
+	}
+	return at + best*1000
+}
+
+// queued lists a part's jobs with waiting tasks, most urgent first.
+func (c *Core) queued(p *part) []*job {
+	var q []*job
+	for _, id := range sortedKeys(c.jobs) {
+		j := c.jobs[id]
+		if j.part == p.id && j.active() && j.loading == 0 && j.pending() > 0 && c.now >= j.holdUntil {
+			q = append(q, j)
+		}
+	}
+	due := map[*job]float64{}
+	for _, j := range q {
+		due[j] = c.due(j)
+	}
+	sort.SliceStable(q, func(a, b int) bool {
+		if q[a].spec.Priority != q[b].spec.Priority {
+			return q[a].spec.Priority > q[b].spec.Priority
+		}
+		return due[q[a]] < due[q[b]]
+	})
+	return q
+}
+
+// teamUse sums what each team's tasks take, wherever they are or may be.
+func (c *Core) teamUse(p *part) map[string]Res {
+	use := map[string]Res{}
+	for _, m := range c.machines {
+		if m.part != p.id {
+			continue
+		}
+		for _, a := range m.assigns {
+			if a.live() {
+				use[a.j.spec.Team] = use[a.j.spec.Team].plus(a.need)
+			}
+		}
+	}
+	return use
+}
+
+// usable tells whether new starts may go to a machine.
+func (c *Core) usable(m *machine) bool {
+	return m.acked && !m.booting && !m.draining && !m.returning && !m.unsure && !m.bumping && c.now >= m.notBefore &&
+		c.now-m.heard < 2*c.cfg.ReportEvery+second
+}
+
+// maxTasks bounds a machine's record under the store's value limit.
+func (c *Core) maxTasks() int { return max(4, (c.cfg.ValueBytes-400)/32) }
+
+type slot struct {
+	m    *machine
+	free Res
+	n    int
+}
+
+// place starts waiting tasks of every part held here.
+func (c *Core) place() {
+	for _, p := range c.parts {
+		if p.held && p.ready {
+			c.placePart(p)
+		}
+	}
+}
+
+func (c *Core) slots(p *part) []*slot {
+	var l []*slot
+	for _, id := range sortedKeys(c.machines) {
+		m := c.machines[id]
+		if m.part != p.id || !c.usable(m) {
+			continue
+		}
+		t, ok := c.types[m.typ]
+		if !ok {
+			continue
+		}
+		l = append(l, &slot{m, t.Cap.minus(m.used()), len(m.assigns)})
+	}
+	return l
+}
+
+func (c *Core) placePart(p *part) {
+	jobs := c.queued(p)
+	if len(jobs) == 0 || c.storeLost(second) {
+		return
+	}
+	slots := c.slots(p)
+	use := c.teamUse(p)
+	for _, j := range jobs {
+		c.placeJob(p, j, slots, use)
+	}
+}
+
+func (c *Core) placeJob(p *part, j *job, slots []*slot, use map[string]Res) {
+	limit := c.teams[j.spec.Team].Limit
+	var fit []*slot
+	for _, s := range slots {
+		if j.spec.Need.fits(s.free) && c.allowedOn(j, s.m) {
+			fit = append(fit, s)
+		}
+	}
+	zones := map[string]int{}
+	if j.spec.SamePlace || j.spec.Scatter {
+		for _, a := range j.where {
+			if c.machines[a.mach] != nil {
+				zones[c.machines[a.mach].zone]++
+			}
+		}
+	}
+	for j.pending() > 0 && len(fit) > 0 {
+		u := use[j.spec.Team].plus(j.spec.Need)
+		if u.CPU > limit.CPU || u.GPU > limit.GPU {
+			return
+		}
+		best := c.bestSlot(j, fit, zones)
+		if best == nil {
+			return
+		}
+		i := j.nextPending()
+		if i < 0 {
+			return
+		}
+		task := TaskID{j.spec.ID, i}
+		a := &assign{task: task, j: j, attempt: p.nextAttempt(), need: j.spec.Need, placedAt: c.now, mach: best.m.id}
+		best.m.assigns[task] = a
+		j.setPlaced(i, a)
+		zones[best.m.zone]++
+		use[j.spec.Team] = u
+		best.free = best.free.minus(j.spec.Need)
+		best.n++
+		c.writeMachine(best.m, prioStart)
+		keep := fit[:0]
+		for _, s := range fit {
+			if j.spec.Need.fits(s.free) && s.n < c.maxTasks() {
+				keep = append(keep, s)
+			}
+		}
+		fit = keep
+	}
+}
+
+func (c *Core) allowedOn(j *job, m *machine) bool {
+	s := &j.spec
+	return (s.Spot || !m.spot) && c.allows(s, c.types[m.typ], m.zone) && !(j.failedOn[m.id] && len(j.failedOn) < 3)
+}
+
+// bestSlot: a machine that has the image, else one that is getting it, else
+// the one with most free room.
+func (c *Core) bestSlot(j *job, fit []*slot, zones map[string]int) *slot {
+	var best *slot
+	bestRank := -1
+	for _, s := range fit {
+		z := s.m.zone
+		if j.spec.SamePlace && len(zones) > 0 && zones[z] == 0 {
+			continue
+		}
+		if j.spec.Scatter && zones[z] >= (j.spec.Tasks+1)/2 {
+			continue
+		}
+		if _, old := s.m.assigns[TaskID{j.spec.ID, j.nextPending()}]; old {
+			continue // an earlier attempt is still being cleared away there
+		}
+		rank := 0
+		if s.m.hasImage(j.spec.Image) {
+			rank = 2
+		} else {
+			for _, a := range s.m.assigns {
+				if a.live() && a.j.spec.Image == j.spec.Image {
+					rank = 1
+					break
+				}
+			}
+		}
+		if best == nil || rank > bestRank || rank == bestRank && s.free.CPU > best.free.CPU {
+			best, bestRank = s, rank
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/core/types.go
@@ -0,0 +1,285 @@
+// Package core decides everything stairrelay does and performs none of it.
+//
+// A Core is a value driven by Step(now, event) -> effects. It has no clock, no
+// randomness, no goroutine and no input or output: whatever it needs from
+// outside arrives as an event, whatever it wants done leaves as an effect.
+// That makes every failure story replayable as a text trace.
+package core
+
+import (
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Small types of their own, so that a token can't be passed for an attempt.
+type (
+	// JobID is the id that a job's user chose.
+	JobID string
+	// MachineID is the cloud's name for a machine.
+	MachineID string
+	// NodeID names a controller.
+	NodeID string
+	// Part numbers a part: a set of teams and some machines with one owner.
+	Part int
+	// Epoch is the state service's change counter.
+	Epoch uint64
+	// Mark is the revision of a key's last change; 0 means the key is absent.
+	Mark uint64
+	// Token says to a worker who is entitled to command it.
+	Token uint64
+	// Attempt distinguishes the starts of one task.
+	Attempt uint64
+	// Session counts a worker's lives; it rises when its lease runs out.
+	Session uint64
+	// Stamp orders a worker's messages within a session.
+	Stamp uint64
+	// Term counts the claims of a part.
+	Term uint64
+	// ReqID names a request that waits for its Respond effect.
+	ReqID uint64
+	// CallID names an outgoing call that will be answered by an event.
+	CallID uint64
+	// Time is the steady clock, counted from the process's start.
+	Time time.Duration
+	// Wall is time of day in milliseconds; used for display and ordering only.
+	Wall int64
+	// Amount is a resource quantity in millionths, so that sums are exact.
+	Amount int64
+)
+
+// NoPart is for writes that no claim guards.
+const NoPart Part = -1
+
+// Priority of a job, higher is more important.
+type Priority int
+
+// The priorities, least first.
+const (
+	BestEffort Priority = iota
+	Normal
+	Urgent
+	Production
+)
+
+// Res is what a task takes or a machine has.
+type Res struct {
+	CPU, GPU, Mem Amount
+}
+
+func (r Res) plus(o Res) Res  { return Res{r.CPU + o.CPU, r.GPU + o.GPU, r.Mem + o.Mem} }
+func (r Res) minus(o Res) Res { return Res{r.CPU - o.CPU, r.GPU - o.GPU, r.Mem - o.Mem} }
+func (r Res) fits(in Res) bool {
+	return r.CPU <= in.CPU && r.GPU <= in.GPU && r.Mem <= in.Mem
+}
+
+// TaskID is one task of a job.
+type TaskID struct {
+	Job   JobID
+	Index int
+}
+
+func (t TaskID) String() string { return string(t.Job) + "/" + strconv.Itoa(t.Index) }
+
+// ParseTask reads the form that String writes.
+func ParseTask(s string) (TaskID, bool) {
+	i := strings.LastIndexByte(s, '/')
+	if i <= 0 {
+		return TaskID{}, false
+	}
+	n, err := strconv.Atoi(s[i+1:])
+	if err != nil || n < 0 {
+		return TaskID{}, false
+	}
+	return TaskID{JobID(s[:i]), n}, true
+}
+
+// JobSpec is what a user submitted, with the protocol's names gone. Its JSON
+// form is what jobs/<id> holds, hence the short names.
+type JobSpec struct {
+	ID        JobID    `json:"-"`
+	Class     string   `json:"c"`
+	Team      string   `json:"tm"`
+	Priority  Priority `json:"pr"`
+	Tasks     int      `json:"n"`
+	Need      Res      `json:"r"`
+	Types     []string `json:"ty,omitempty"`
+	Zone      string   `json:"z,omitempty"`
+	SamePlace bool     `json:"sp,omitempty"`
+	Scatter   bool     `json:"sc,omitempty"`
+	Spot      bool     `json:"so,omitempty"`
+	Image     string   `json:"im"`
+	ImageGB   float64  `json:"gb"`
+	RuntimeS  float64  `json:"rt"`
+	CheckpntS float64  `json:"ck,omitempty"`
+	SaveS     float64  `json:"sv,omitempty"`
+	DeadlineS float64  `json:"dl,omitempty"`
+	Submitted Wall     `json:"at"`
+}
+
+// Task states in a worker's report.
+type TaskState int
+
+const (
+	Fetching TaskState = iota
+	Running
+	Saving
+	Ended
+)
+
+// Cause says why a task ended.
+type Cause int
+
+const (
+	CauseNone Cause = iota
+	CauseDone
+	CauseStopped
+	CauseError
+	CauseFull
+	CauseBusy
+	CauseNoSuch
+)
+
+// TaskReport is one task in a worker's report.
+type TaskReport struct {
+	Task    TaskID
+	Attempt Attempt
+	State   TaskState
+	Cause   Cause
+	Saved   bool
+}
+
+// Report is a worker's account of itself.
+type Report struct {
+	Machine MachineID
+	Addr    string
+	Type    string
+	Zone    string
+	Spot    bool
+	Session Session
+	Stamp   Stamp
+	Token   Token
+	Notice  float64 // seconds until the cloud takes it; negative: none
+	Tasks   []TaskReport
+}
+
+// Verb is a command to a worker.
+type Verb int
+
+const (
+	Start Verb = iota
+	Stop
+	Forget
+)
+
+// Command is sent to a worker.
+type Command struct {
+	Verb    Verb
+	Task    TaskID
+	Attempt Attempt
+	Grace   float64
+}
+
+// MachineType is one kind of machine that the cloud rents.
+type MachineType struct {
+	Name      string
+	Cap       Res
+	CacheGB   float64
+	FetchGBs  float64
+	Price     float64
+	SpotPrice float64
+	BootS     float64
+	Zones     []string
+}
+
+// Listed is one line of the cloud's machine list.
+type Listed struct {
+	ID     MachineID
+	Addr   string
+	Type   string
+	Zone   string
+	Spot   bool
+	Status string
+	AgeS   float64
+}
+
+// Status is a job's state as users see it.
+type Status string
+
+const (
+	StPending   Status = "pending"
+	StRunning   Status = "running"
+	StDone      Status = "done"
+	StCancelled Status = "cancelled"
+)
+
+// JobView answers a question about a job.
+type JobView struct {
+	ID      JobID
+	Status  Status
+	Done    int
+	Running int
+}
+
+// Final tells whether the status can never change again.
+func (s Status) Final() bool { return s == StDone || s == StCancelled }
+
+// Team has a guarantee and a limit.
+type Team struct {
+	Name      string
+	Guarantee Res
+	Limit     Res
+}
+
+// Objective is an aim for a class.
+type Objective struct {
+	Kind, Class string
+	WithinS     float64
+	Times       float64
+}
+
+// Tuning is what operators may set.
+type Tuning struct {
+	Checkpoint    Time
+	PingEvery     Time
+	PingTimeout   Time
+	Retries       int
+	RetryFirst    Time
+	ProbeEvery    Time
+	Probes        int
+	IdleReturn    Time
+	RefusedWait   Time
+	BootPatience  float64
+	BudgetShare   float64
+	HandBackAfter Time
+}
+
+// Config is all that a Core knows from the start.
+type Config struct {
+	Self         NodeID
+	Zone         string
+	Nodes        []NodeID // all, sorted; Nodes[i] is the home of part i
+	Teams        []Team
+	Objectives   []Objective
+	ReportEvery  Time
+	Lease        Time
+	CancelWithin Time
+	StoreRPS     float64
+	WriteRPS     float64
+	ValueBytes   int
+	TxnOps       int
+	CloudRPS     float64
+	ListLag      Time
+	Boot         string // unique to this process
+	Tuning       Tuning
+}
+
+// DefaultTuning holds the design's starting values.
+func DefaultTuning() Tuning {
+	s := Time(time.Second)
+	return Tuning{
+		Checkpoint: 2 * s, PingEvery: s, PingTimeout: s, Retries: 5, RetryFirst: s / 10,
+		ProbeEvery: s / 2, Probes: 5, IdleReturn: 30 * s, RefusedWait: 15 * s,
+		BootPatience: 3, BudgetShare: 0.9, HandBackAfter: 4 * s,
+	}
+}
--- /dev/null
+++ b/internal/core/writer.go
@@ -0,0 +1,387 @@
+package core
+
+import (
+	"encoding/json"
+	"strconv"
+)
+
+// Write priorities, most urgent first: the store's write rate is spent in this order.
+const (
+	prioClaim = iota
+	prioAccept
+	prioStart
+	prioDone
+	prioLazy
+	prios
+)
+
+// write is a change that is built when its turn comes, so that everything that
+// happens to a record while it waits shares one put.
+type write struct {
+	part Part // its claim guards the write, or NoPart
+	keys []string
+	// build returns the changes and the marks their keys must have; nil: no longer wanted.
+	build func(nonce string) ([]TxnOp, []Mark)
+	ok    func(Epoch)
+	// conflict is called when another writer changed one of the keys.
+	conflict func()
+	// lost is called when the part's claim was lost.
+	lost func()
+}
+
+type txn struct {
+	writes []*write
+	prio   int
+	nonce  string
+	when   []Cond
+	then   []TxnOp
+	unsure bool // an earlier sending may have been, or may yet be, carried out
+	tries  int
+	part   Part
+	pmark  Mark // the claim that guards it
+}
+
+// writer spends the store's write budget. A transaction whose outcome is
+// unknown is sent again unchanged: its conditions on the marks of the keys it
+// sets make a late copy harmless, and its nonce shows whether it was applied.
+type writer struct {
+	c        *Core
+	queues   [prios][]*write
+	busy     map[string]bool
+	inflight int
+	seq      int
+	puts     bucket
+	reqs     bucket
+	wake     bool
+}
+
+type storeHealth struct {
+	lastOK  Time
+	failing bool
+	since   Time
+}
+
+func (w *writer) init(c *Core) {
+	w.c = c
+	w.busy = map[string]bool{}
+	w.setShare(len(c.cfg.Nodes))
+	w.puts.have, w.reqs.have = w.puts.cap, w.reqs.cap
+}
+
+// setShare divides the store's limits among the controllers that are alive.
+func (w *writer) setShare(live int) {
+	if live < 1 {
+		live = 1
+	}
+	f := w.c.cfg.Tuning.BudgetShare / float64(live)
+	w.puts.rate, w.puts.cap = w.c.cfg.WriteRPS*f, max(w.c.cfg.WriteRPS*f, float64(w.c.cfg.TxnOps))
+	w.reqs.rate, w.reqs.cap = w.c.cfg.StoreRPS*f, w.c.cfg.StoreRPS*f
+}
+
+func (w *writer) depth() int {
+	n := 0
+	for i := range w.queues {
+		n += len(w.queues[i])
+	}
+	return n
+}
+
+func (w *writer) add(prio int, x *write) { w.queues[prio] = append(w.queues[prio], x) }
+
+const maxInflight = 6
+
+// dropPart forgets the queued writes of a claim that was lost.
+func (w *writer) dropPart(p Part) {
+	for i, q := range w.queues {
+		var rest []*write
+		for _, x := range q {
+			if x.part != p {
+				rest = append(rest, x)
+			} else if x.lost != nil {
+				x.lost()
+			}
+		}
+		w.queues[i] = rest
+	}
+}
+
+// pump sends what the budget and the keys in flight allow.
+func (w *writer) pump() {
+	for w.inflight < maxInflight {
+		t := w.gather()
+		if t == nil {
+			return
+		}
+		w.send(t)
+	}
+}
+
+func (w *writer) gather() *txn {
+	c := w.c
+	w.puts.refill(c.now)
+	w.reqs.refill(c.now)
+	if w.depth() == 0 {
+		return nil
+	}
+	if w.reqs.have < 1 {
+		w.wakeIn(second / 20)
+		return nil
+	}
+	w.seq++
+	t := &txn{nonce: c.cfg.Boot + "-" + strconv.Itoa(w.seq), part: NoPart, prio: prios}
+	budget, bytes := w.puts.have, 0
+	used := map[string]bool{}
+	for prio := 0; prio < prios; prio++ {
+		// Checkpoint writes leave some of the budget to what may come next.
+		if prio == prioLazy && budget < w.puts.cap/3 {
+			if len(w.queues[prio]) > 0 {
+				w.wakeIn(second / 10)
+			}
+			break
+		}
+		q := w.queues[prio]
+		var rest []*write
+		for i, x := range q {
+			if len(t.then) >= c.cfg.TxnOps || t.prio != prios && prio > t.prio+1 {
+				rest = append(rest, q[i:]...)
+				break
+			}
+			if float64(len(x.keys)) > budget {
+				w.wakeIn(second / 10)
+				rest = append(rest, q[i:]...)
+				break
+			}
+			clash := x.part != NoPart && t.part != NoPart && x.part != t.part ||
+				len(t.then)+len(x.keys) > c.cfg.TxnOps
+			for _, k := range x.keys {
+				clash = clash || w.busy[k] || used[k]
+			}
+			if clash || bytes > 40_000 {
+				rest = append(rest, x)
+				continue
+			}
+			// Without the claim there is no mark of ours to make the write
+			// conditional on: the one in the books is the new holder's.
+			if x.part != NoPart && prio != prioClaim && !c.parts[x.part].held {
+				if x.lost != nil {
+					x.lost()
+				}
+				continue
+			}
+			ops, marks := x.build(t.nonce)
+			if ops == nil {
+				continue
+			}
+			for j, op := range ops {
+				t.when = append(t.when, Cond{op.Key, marks[j]})
+				used[op.Key] = true
+				bytes += len(op.Value) + len(op.Key) + 80
+			}
+			t.then = append(t.then, ops...)
+			t.writes = append(t.writes, x)
+			budget -= float64(len(ops))
+			if x.part != NoPart {
+				t.part = x.part
+			}
+			if prio < t.prio {
+				t.prio = prio
+			}
+		}
+		w.queues[prio] = rest
+	}
+	if len(t.writes) == 0 {
+		return nil
+	}
+	if t.part != NoPart && t.prio != prioClaim {
+		p := c.parts[t.part]
+		t.pmark = p.mark
+		t.when = append(t.when, Cond{p.key(), p.mark})
+	}
+	for k := range used {
+		w.busy[k] = true
+	}
+	return t
+}
+
+func (w *writer) wakeIn(d Time) {
+	if w.wake {
+		return
+	}
+	w.wake = true
+	w.c.after(d, func() { w.wake = false })
+}
+
+func (w *writer) send(t *txn) {
+	c := w.c
+	w.inflight++
+	w.puts.have -= float64(len(t.then))
+	w.reqs.have--
+	t.tries++
+	c.counters.Txns++
+	c.counters.Puts += len(t.then)
+	c.emit(StoreTxn{Call: c.call(func(b any) { w.answered(t, b.(TxnReply)) }), When: t.when, Then: t.then})
+}
+
+func (w *writer) finish(t *txn) {
+	w.inflight--
+	for _, o := range t.then {
+		delete(w.busy, o.Key)
+	}
+}
+
+func (w *writer) retry(t *txn) {
+	d := 100 * milli << min(t.tries, 4)
+	w.c.after(d, func() {
+		w.inflight--
+		w.send(t)
+	})
+}
+
+func (w *writer) answered(t *txn, r TxnReply) {
+	c := w.c
+	c.storeResult(r.Out)
+	switch r.Out {
+	case OK:
+		w.finish(t)
+		w.applied(t, r.Epoch)
+	case Conflict:
+		c.counters.Conflicts++
+		if t.unsure {
+			w.readBack(t, r.Failed)
+			return
+		}
+		w.finish(t)
+		w.failed(t, r.Failed)
+	case Throttled, NotDone:
+		w.retry(t)
+	case Invalid:
+		c.logf("error", "store calls our transaction malformed", "keys", len(t.then), "first", t.then[0].Key)
+		w.finish(t)
+		for _, x := range t.writes {
+			x.conflict()
+		}
+	default:
+		t.unsure = true
+		w.retry(t)
+	}
+}
+
+func (w *writer) applied(t *txn, e Epoch) {
+	for _, x := range t.writes {
+		x.ok(e)
+	}
+}
+
+// failed sorts the writes of a refused transaction into those whose own keys
+// were changed by another, those whose part is lost, and the innocent.
+func (w *writer) failed(t *txn, keys []string) {
+	c := w.c
+	bad := map[string]bool{}
+	for _, k := range keys {
+		bad[k] = true
+	}
+	fenced := t.pmark != 0 && bad[c.parts[t.part].key()]
+	// A transaction of an earlier claim may come back after a new one.
+	if p := t.part; fenced && c.parts[p].held && c.parts[p].mark == t.pmark {
+		c.fenced(p)
+	}
+	for _, x := range t.writes {
+		if fenced && x.part == t.part {
+			if x.lost != nil {
+				x.lost()
+			}
+			continue
+		}
+		hit := false
+		for _, k := range x.keys {
+			hit = hit || bad[k]
+		}
+		if hit {
+			x.conflict()
+		} else {
+			w.add(min(t.prio+1, prioLazy), x)
+		}
+	}
+}
+
+// readBack finds out whether a transaction that failed on its repetition had
+// been applied the first time. It is atomic, so any one of its keys tells.
+func (w *writer) readBack(t *txn, failed []string) {
+	c := w.c
+	key := ""
+	for _, o := range t.then {
+		if o.Value != nil {
+			key = o.Key
+			break
+		}
+	}
+	if key == "" { // only drops: they are conditional, and absent is what was wanted
+		w.finish(t)
+		w.failed(t, failed)
+		return
+	}
+	c.get(key, func(r GetReply) {
+		switch r.Out {
+		case OK, Missing:
+			w.finish(t)
+			if r.Out == OK && nonceOf(r.KV.Value) == t.nonce {
+				w.applied(t, Epoch(r.KV.Mark))
+				return
+			}
+			w.failed(t, failed)
+		default:
+			c.after(300*milli, func() { w.readBack(t, failed) })
+		}
+	})
+}
+
+func nonceOf(v []byte) string {
+	var x struct {
+		W string `json:"w"`
+	}
+	if json.Unmarshal(v, &x) != nil {
+		return ""
+	}
+	return x.W
+}
+
+// get reads a key through the request budget's books.
+func (c *Core) get(key string, fn func(GetReply)) {
+	c.w.reqs.refill(c.now)
+	c.w.reqs.have--
+	c.counters.Gets++
+	c.emit(StoreGet{Call: c.call(func(b any) {
+		r := b.(GetReply)
+		c.storeResult(r.Out)
+		fn(r)
+	}), Key: key})
+}
+
+func (c *Core) list(prefix string, fn func(ListReply)) {
+	c.w.reqs.have--
+	c.counters.Gets++
+	c.emit(StoreList{Call: c.call(func(b any) {
+		r := b.(ListReply)
+		c.storeResult(r.Out)
+		fn(r)
+	}), Prefix: prefix})
+}
+
+func (c *Core) storeResult(o Outcome) {
+	switch o {
+	case NotDone, Unknown:
+		if !c.storeUp.failing {
+			c.storeUp.failing, c.storeUp.since = true, c.now
+		}
+	case Throttled:
+		c.w.reqs.have = min(c.w.reqs.have, -1)
+	default:
+		c.storeUp.failing = false
+		c.storeUp.lastOK = c.now
+	}
+}
+
+// storeLost tells whether the store has not served this node for a while.
+func (c *Core) storeLost(d Time) bool {
+	return c.storeUp.failing && c.now-c.storeUp.since > d
+}
--- /dev/null
+++ b/internal/workers/workers.go
@@ -0,0 +1,110 @@
+// Package workers is the actor that sends commands straight to workers, and
+// the handler of their reports.
+package workers
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+
+	"stairrelay/internal/core"
+	"stairrelay/internal/wire"
+)
+
+// Asker hands a request to the core and waits for its answer.
+type Asker interface {
+	Ask(ctx context.Context, event func(core.ReqID) core.Event) (core.Respond, bool)
+}
+
+// Workers carries out the core's Orders effects.
+type Workers struct {
+	h       *http.Client
+	answer  func(core.CallID, any)
+	timeout time.Duration
+}
+
+// New makes the actor.
+func New(answer func(core.CallID, any)) *Workers {
+	return &Workers{h: wire.NewClient(1500*time.Millisecond, 1), answer: answer, timeout: 2500 * time.Millisecond}
+}
+
+// Do sends commands; the answer comes as a message.
+func (w *Workers) Do(e core.Orders) {
+	go func() { w.answer(e.Call, w.orders(e)) }()
+}
+
+func (w *Workers) orders(e core.Orders) core.OrdersReply {
+	ctx, cancel := context.WithTimeout(context.Background(), w.timeout)
+	defer cancel()
+	status, b, err := wire.Call(ctx, w.h, "POST", "http://"+e.Addr+"/orders", "application/json", wire.EncodeOrders(e))
+	switch {
+	case errors.Is(err, wire.ErrNotSent):
+		return core.OrdersReply{Out: core.NotDone}
+	case err != nil:
+		return core.OrdersReply{Out: core.Unknown}
+	case status != 200 && status != 409:
+		return core.OrdersReply{Out: core.Unknown}
+	}
+	r, err := wire.DecodeReport(b)
+	if err != nil {
+		return core.OrdersReply{Out: core.Unknown}
+	}
+	out := core.OK
+	if status == 409 {
+		out = core.Conflict
+	}
+	return core.OrdersReply{Out: out, Report: r}
+}
+
+// Handler answers POST /checkin.
+func Handler(a Asker, log *slog.Logger) http.Handler {
+	seen := &once{seen: map[string]bool{}}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, wire.MaxBody))
+		if err != nil {
+			http.Error(w, "body unreadable or too large", http.StatusBadRequest)
+			return
+		}
+		rep, err := wire.DecodeReport(body)
+		if err != nil {
+			if seen.first(r.RemoteAddr + err.Error()) {
+				log.Info("malformed report", "from", r.RemoteAddr, "error", err)
+			}
+			http.Error(w, "malformed report", http.StatusBadRequest)
+			return
+		}
+		res, ok := a.Ask(r.Context(), func(id core.ReqID) core.Event { return core.Checkin{Req: id, Report: rep} })
+		if !ok {
+			http.Error(w, "given up", http.StatusServiceUnavailable)
+			return
+		}
+		if res.Worker == nil {
+			http.Error(w, res.Error, res.Status)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		w.WriteHeader(res.Status)
+		_, _ = w.Write(wire.EncodeWorkerAnswer(res.Status, *res.Worker))
+	})
+}
+
+// once remembers what has been logged, so that a sender that repeats itself
+// fills no log.
+type once struct {
+	mu   sync.Mutex
+	seen map[string]bool
+}
+
+func (o *once) first(key string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.seen[key] || len(o.seen) > 1000 {
+		return false
+	}
+	o.seen[key] = true
+	return true
+}
