--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -365,7 +365,7 @@
 		if rec.Part != m.part {
 			for _, a := range m.sorted() {
 				if a.phase != aRecording && !a.gone {
-					c.broken(c.parts[m.part], machineKey(m.id), "moved while it listed tasks")
+					c.suspect(c.parts[m.part], machineKey(m.id), "moved while it listed tasks")
 					return
 				}
 			}
@@ -379,8 +379,8 @@
 			}
 			return
 		}
-		if r.KV.Mark != m.mark && !m.w {
-			c.broken(c.parts[m.part], machineKey(m.id), "changed by another writer")
+		if r.KV.Mark > m.mark && !m.w {
+			c.suspect(c.parts[m.part], machineKey(m.id), "changed by another writer")
 			return
 		}
 		// Still ours, yet the worker has seen a higher token: an owner that
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -281,6 +281,26 @@
 	c.fenced(p.id)
 }
 
+// suspect follows a record that another writer changed. Mostly the part has a
+// new holder of whom this one has not heard; only if it still is ours does the
+// record make no sense.
+func (c *Core) suspect(p *part, key, why string) {
+	claim := p.claim
+	c.get(p.key(), func(r GetReply) {
+		if !p.held || p.claim != claim {
+			return
+		}
+		if r.Out != OK {
+			c.after(second/2, func() { c.suspect(p, key, why) })
+			return
+		}
+		c.learnPart(r.KV)
+		if p.held && p.claim == claim {
+			c.broken(p, key, why)
+		}
+	})
+}
+
 // confirm calls fn after the store has shown that the part is still held,
 // with a read begun after this call. Without it a holder that lost its claim
 // unawares could answer with an older state than its successor.
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -202,13 +202,13 @@
 	if !p.heard || c.now-p.pingAt > 3*second {
 		return false
 	}
-	return !p.ping.StoreOK && p.ping.Boot != "" && c.storeUp.lastOK > 0 && c.now-c.storeUp.lastOK < 2*second && p.age(c) ||
+	// Its store counts as lost to it alone only if ours has served us all along:
+	// after an outage the first to be served would else take all the parts.
+	storeSteady := !c.storeUp.failing && c.storeUp.lastOK > 0 && c.now-c.storeUp.okSince > 4*second
+	return !p.ping.StoreOK && storeSteady ||
 		!p.ping.WorkersOK && c.workersOK() && c.now-c.lastReport < 2*c.cfg.ReportEvery
 }
 
-// age leaves a node that has only just started the time to reach its store.
-func (p *peer) age(c *Core) bool { return c.now > 5*second }
-
 func (c *Core) onPeer(e PeerAsk) {
 	m := e.Msg
 	p := c.peers[m.From]
--- /dev/null
+++ b/internal/core/random_test.go
@@ -0,0 +1,182 @@
+package core_test
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"stairrelay/internal/core"
+	"stairrelay/internal/standin"
+)
+
+const (
+	sec = core.Time(time.Second)
+	cpu = core.Amount(1_000_000)
+)
+
+func testConfig() core.Config {
+	return core.Config{
+		Nodes: []core.NodeID{"n0", "n1", "n2"},
+		Teams: []core.Team{
+			{Name: "red", Guarantee: core.Res{CPU: 8 * cpu}, Limit: core.Res{CPU: 14 * cpu}},
+			{Name: "green", Guarantee: core.Res{CPU: 8 * cpu}, Limit: core.Res{CPU: 16 * cpu}},
+			{Name: "blue", Guarantee: core.Res{CPU: 6 * cpu}, Limit: core.Res{CPU: 10 * cpu}},
+		},
+		ReportEvery: 2 * sec, Lease: 12 * sec, CancelWithin: 37 * sec,
+		StoreRPS: 150, WriteRPS: 40, ValueBytes: 4096, TxnOps: 12, CloudRPS: 6, ListLag: 3 * sec,
+		Tuning: core.DefaultTuning(),
+	}
+}
+
+func testCloud(w func() *standin.World) *standin.Cloud {
+	types := []core.MachineType{
+		{Name: "small", Cap: core.Res{CPU: 4 * cpu, Mem: 16 * cpu}, CacheGB: 20, FetchGBs: 0.3, Price: 0.2, SpotPrice: 0.07, BootS: 15, Zones: []string{"a", "b", "c"}},
+		{Name: "big", Cap: core.Res{CPU: 16 * cpu, Mem: 64 * cpu}, CacheGB: 20, FetchGBs: 0.3, Price: 0.9, SpotPrice: 0.3, BootS: 25, Zones: []string{"a", "b"}},
+	}
+	capacity := map[string]int{}
+	for _, z := range []string{"a", "b", "c"} {
+		capacity[standin.Slot("small", z, true)] = 3
+		capacity[standin.Slot("small", z, false)] = 2
+	}
+	capacity[standin.Slot("big", "a", true)] = 1
+	capacity[standin.Slot("big", "b", false)] = 1
+	return standin.NewCloud(types, capacity, func() core.Time {
+		if w().Chance(0.1) {
+			return w().Between(sec, 200*sec)
+		}
+		return w().Between(9*sec, 22*sec)
+	})
+}
+
+// TestRandomClusters plays seeded days with crashes, cuts, hangs, outages and
+// late messages, and checks the protocol's rules all along and that the work
+// gets done once the troubles are over.
+func TestRandomClusters(t *testing.T) {
+	from, to := 1, 25
+	if s := os.Getenv("STAIRRELAY_SEEDS"); s != "" { // "100-400": a hunt by hand
+		if _, err := fmt.Sscanf(s, "%d-%d", &from, &to); err != nil {
+			t.Fatalf("STAIRRELAY_SEEDS: %v", err)
+		}
+	}
+	for seed := from; seed <= to; seed++ {
+		t.Run(strconv.Itoa(seed), func(t *testing.T) {
+			t.Parallel()
+			playDay(t, uint64(seed))
+		})
+	}
+}
+
+func playDay(t *testing.T, seed uint64) {
+	var w *standin.World
+	w = standin.NewWorld(seed, testConfig(), testCloud(func() *standin.World { return w }))
+	w.Late = true
+	if os.Getenv("STAIRRELAY_LOG") != "" {
+		w.Log = func(s string) { t.Log(s) }
+	}
+	for _, z := range []string{"a", "b", "c"} {
+		w.AddMachine("small", z, false)
+	}
+	troubles := 240 * sec
+	plan(w, troubles)
+	w.Run(troubles + 420*sec)
+	for _, b := range w.Broken {
+		t.Error(b)
+	}
+	if n := w.Unfinished(); n > 0 && !t.Failed() {
+		for _, j := range w.Jobs {
+			if !j.Told.Final() {
+				t.Errorf("%s (%d tasks, spot %v, same %v, scatter %v) is still %q", j.Spec.ID, j.Spec.Tasks, j.Spec.Spot, j.Spec.SamePlace, j.Spec.Scatter, j.Told)
+			}
+		}
+	}
+	if len(w.Jobs) == 0 {
+		t.Error("no job was submitted: the day tests nothing")
+	}
+}
+
+func plan(w *standin.World, until core.Time) {
+	teams := []string{"red", "green", "blue"}
+	for i := 0; i < 45; i++ {
+		at := w.Between(0, until)
+		if i < 10 {
+			at = w.Between(0, 3*sec)
+		}
+		run := w.Between(3*sec, 30*sec)
+		s := core.JobSpec{ID: core.JobID(fmt.Sprintf("j-%06d", i)), Class: "c" + strconv.Itoa(i%3), Team: teams[w.Rand.IntN(3)],
+			Priority: core.Priority(w.Rand.IntN(4)), Tasks: 1 + w.Rand.IntN(9), Need: core.Res{CPU: cpu + core.Amount(w.Rand.IntN(2_000_000)), Mem: 2 * cpu},
+			Image: "img-" + strconv.Itoa(w.Rand.IntN(3)), ImageGB: 1, RuntimeS: float64(run) / 1e9 * 0.8, Spot: w.Chance(0.6)}
+		info := standin.JobInfo{Need: s.Need, Run: run, Tasks: s.Tasks, Image: s.Image}
+		if w.Chance(0.3) {
+			s.CheckpntS, s.SaveS, info.Checkpoint, info.Save = 10, 2, true, 2*sec
+		}
+		switch w.Rand.IntN(8) {
+		case 0:
+			s.SamePlace = true
+		case 1:
+			s.Scatter = true
+		case 2:
+			s.Zone = "b"
+		case 3:
+			s.Types = []string{"small"}
+		}
+		j := &standin.Job{Spec: s, Info: info}
+		w.After(at, func() { w.Submit(j) })
+		if w.Chance(0.2) {
+			w.After(at+w.Between(0, 30*sec), func() { w.Cancel(j) })
+		}
+		w.After(w.Between(0, until), func() { w.Unknown(core.JobID(fmt.Sprintf("j-9%05d", w.Rand.IntN(1000)))) })
+	}
+	for i := 0; i < 14; i++ {
+		at, d, kind := w.Between(5*sec, until-40*sec), w.Between(sec, 40*sec), w.Rand.IntN(12)
+		n := w.Nodes[w.Rand.IntN(3)]
+		w.After(at, func() {
+			w.Log(fmt.Sprintf("--- trouble %d on %s for %v at %v", kind, n.ID, time.Duration(d), time.Duration(w.Now)))
+			switch kind {
+			case 0, 1:
+				crash(w, n)
+			case 2:
+				for _, n := range w.Nodes {
+					crash(w, n)
+				}
+			case 3:
+				n.StoreCut = w.Now + d
+			case 4:
+				n.WorkerCut = w.Now + d
+			case 5:
+				n.PeerCut = w.Now + d
+			case 6:
+				n.Refused = w.Now + d
+			case 7:
+				n.StoreCut, n.WorkerCut, n.PeerCut = w.Now+d, w.Now+d, w.Now+d
+			case 8:
+				w.Down = w.Now + min(d, 20*sec)
+			case 9:
+				w.Hang(w.AnyMachine(), d)
+				w.Hang(w.AnyMachine(), d)
+			case 10:
+				w.Cut(w.AnyMachine(), d)
+				w.Cut(w.AnyMachine(), d)
+				w.CloudDn = w.Now + d
+			case 11:
+				for range 3 {
+					if w.Chance(0.5) {
+						w.SpotNotice(w.AnyMachine(), w.Between(5*sec, 25*sec))
+					} else {
+						w.Remove(w.AnyMachine())
+					}
+				}
+			}
+		})
+	}
+}
+
+func crash(w *standin.World, n *standin.Node) {
+	w.Kill(n)
+	gap := 6 * sec
+	if w.Chance(0.3) {
+		gap = w.Between(sec/10, sec)
+	}
+	w.After(gap, func() { w.Boot(n) })
+}
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -592,10 +592,10 @@
 			c.get(machineKey(m.id), func(r GetReply) {
 				switch {
 				case c.machines[m.id] != m:
-				case r.Out == Missing: // an earlier sending was carried out after all
+				case r.Out == Missing, r.Out == OK:
+					// An earlier sending was carried out after all; a stray's
+					// record may stand there by now. The cloud's word is final.
 					c.forgetMachine(m)
-				case r.Out == OK:
-					c.broken(c.parts[m.part], r.KV.Key, "changed while it was returned")
 				default:
 					m.w = false
 					c.after(second, func() {
--- a/internal/core/writer.go
+++ b/internal/core/writer.go
@@ -58,7 +58,8 @@
 type storeHealth struct {
 	lastOK  Time
 	failing bool
-	since   Time
+	since   Time // of the failing
+	okSince Time
 }
 
 func (w *writer) init(c *Core) {
@@ -376,6 +377,9 @@
 	case Throttled:
 		c.w.reqs.have = min(c.w.reqs.have, -1)
 	default:
+		if c.storeUp.failing || c.storeUp.lastOK == 0 {
+			c.storeUp.okSince = c.now
+		}
 		c.storeUp.failing = false
 		c.storeUp.lastOK = c.now
 	}
--- /dev/null
+++ b/internal/standin/state.go
@@ -0,0 +1,79 @@
+// Package standin holds models of everything around a controller: the state
+// service, the cloud, workers and users. Tests run the real core, or the real
+// program, against them.
+package standin
+
+import (
+	"sort"
+	"strings"
+
+	"stairrelay/internal/core"
+)
+
+// State is a model of the state service.
+type State struct {
+	Epoch core.Epoch
+	keys  map[string]core.KV
+	log   []core.KV
+}
+
+// NewState makes an empty one.
+func NewState() *State { return &State{keys: map[string]core.KV{}, Epoch: 1} }
+
+// Txn compares and changes atomically.
+func (s *State) Txn(when []core.Cond, then []core.TxnOp) core.TxnReply {
+	var failed []string
+	for _, w := range when {
+		if s.keys[w.Key].Mark != w.Mark {
+			failed = append(failed, w.Key)
+		}
+	}
+	if len(failed) > 0 {
+		return core.TxnReply{Out: core.Conflict, Epoch: s.Epoch, Failed: failed}
+	}
+	if len(then) > 0 {
+		s.Epoch++
+	}
+	for _, o := range then {
+		kv := core.KV{Key: o.Key, Value: o.Value, Mark: core.Mark(s.Epoch)}
+		if o.Value == nil {
+			delete(s.keys, o.Key)
+		} else {
+			s.keys[o.Key] = kv
+		}
+		s.log = append(s.log, kv)
+	}
+	return core.TxnReply{Out: core.OK, Epoch: s.Epoch}
+}
+
+// Get reads a key.
+func (s *State) Get(key string) core.GetReply {
+	kv, ok := s.keys[key]
+	if !ok {
+		return core.GetReply{Out: core.Missing}
+	}
+	return core.GetReply{Out: core.OK, KV: kv}
+}
+
+// List reads the keys with a prefix, in order.
+func (s *State) List(prefix string) core.ListReply {
+	r := core.ListReply{Out: core.OK, Epoch: s.Epoch}
+	for k, kv := range s.keys {
+		if strings.HasPrefix(k, prefix) {
+			r.Items = append(r.Items, kv)
+		}
+	}
+	sort.Slice(r.Items, func(i, j int) bool { return r.Items[i].Key < r.Items[j].Key })
+	return r
+}
+
+// Changes lists what changed after a revision.
+func (s *State) Changes(prefix string, since core.Epoch) core.WatchReply {
+	r := core.WatchReply{Out: core.OK, Epoch: s.Epoch}
+	for _, kv := range s.log {
+		if core.Epoch(kv.Mark) > since && strings.HasPrefix(kv.Key, prefix) {
+			r.Items = append(r.Items, kv)
+		}
+	}
+	return r
+}
--- /dev/null
+++ b/internal/standin/world.go
@@ -0,0 +1,767 @@
+package standin
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"stairrelay/internal/core"
+)
+
+const (
+	second = core.Time(time.Second)
+	milli  = core.Time(time.Millisecond)
+)
+
+// World runs several cores against the models in simulated time, with a
+// network that delays, loses and delivers late, and checks the rules.
+type World struct {
+	Now     core.Time
+	Rand    *rand.Rand
+	State   *State
+	Cloud   *Cloud
+	Nodes   []*Node
+	Workers map[core.MachineID]*Live
+	Jobs    map[core.JobID]*Job
+	Broken  []string
+	Late    bool      // messages over a cut may arrive minutes late
+	Down    core.Time // the state service is out until then
+	CloudDn core.Time
+	cfg     core.Config
+	done    map[core.TaskID]bool
+	events  events
+	seq     uint64
+	boots   int
+	Log     func(string)
+}
+
+// Node is one controller.
+type Node struct {
+	ID        core.NodeID
+	core      *core.Core
+	up        bool
+	gen       int // raised at every end: answers to an earlier life are lost
+	started   core.Time
+	waiting   map[core.ReqID]func(core.Respond)
+	nextReq   core.ReqID
+	wake      core.Time
+	StoreCut  core.Time // cut until then
+	WorkerCut core.Time
+	PeerCut   core.Time
+	Refused   core.Time // gets 503 from the store until then
+}
+
+// Live is a running worker with its habits.
+type Live struct {
+	*Worker
+	node    int
+	hang    core.Time
+	cut     core.Time
+	gone    bool
+	busy    bool
+	again   bool
+	lastRep core.Time
+	warned  core.Token
+}
+
+// Job is a submitted job with all that its user was told.
+type Job struct {
+	Spec        core.JobSpec
+	Info        JobInfo
+	Accepted    bool
+	Told        core.Status
+	AskedCancel bool
+	CancelTold  core.Time
+	LastAnswer  core.Time
+	finalAt     core.Time
+}
+
+type event struct {
+	at  core.Time
+	seq uint64
+	fn  func()
+}
+type events []event
+
+func (h events) Len() int { return len(h) }
+func (h events) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
+}
+func (h events) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *events) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *events) Pop() any {
+	o := *h
+	x := o[len(o)-1]
+	*h = o[:len(o)-1]
+	return x
+}
+
+// NewWorld makes a cluster whose controllers all start at once.
+func NewWorld(seed uint64, cfg core.Config, cloud *Cloud) *World {
+	w := &World{Rand: rand.New(rand.NewPCG(seed, 1)), State: NewState(), Cloud: cloud, Workers: map[core.MachineID]*Live{},
+		Jobs: map[core.JobID]*Job{}, done: map[core.TaskID]bool{}, cfg: cfg, Log: func(string) {}}
+	for _, id := range cfg.Nodes {
+		w.Nodes = append(w.Nodes, &Node{ID: id})
+	}
+	for _, n := range w.Nodes {
+		w.Boot(n)
+	}
+	w.every(500*milli, w.sweep)
+	return w
+}
+
+// After runs fn later.
+func (w *World) After(d core.Time, fn func()) {
+	w.seq++
+	heap.Push(&w.events, event{w.Now + max(d, 0), w.seq, fn})
+}
+
+func (w *World) every(d core.Time, fn func()) {
+	w.After(d, func() { fn(); w.every(d, fn) })
+}
+
+// Run plays until a time.
+func (w *World) Run(until core.Time) {
+	for len(w.events) > 0 && w.events[0].at <= until && len(w.Broken) == 0 {
+		e := heap.Pop(&w.events).(event)
+		w.Now = e.at
+		e.fn()
+	}
+}
+
+func (w *World) broke(format string, args ...any) {
+	w.Broken = append(w.Broken, fmt.Sprintf("%v: ", time.Duration(w.Now))+fmt.Sprintf(format, args...))
+}
+
+// Chance is true with probability p.
+func (w *World) Chance(p float64) bool { return w.Rand.Float64() < p }
+
+// Between draws a time.
+func (w *World) Between(a, b core.Time) core.Time { return a + core.Time(w.Rand.Int64N(int64(b-a)+1)) }
+
+// Boot starts a controller's process.
+func (w *World) Boot(n *Node) {
+	if n.up {
+		return
+	}
+	w.boots++
+	cfg := w.cfg
+	cfg.Self, cfg.Boot = n.ID, fmt.Sprintf("b%d", w.boots)
+	n.core, n.up, n.started = core.New(cfg), true, w.Now
+	n.waiting, n.wake = map[core.ReqID]func(core.Respond){}, 0
+	w.step(n, core.Tick{})
+}
+
+// Kill ends a controller's process without a signal.
+func (w *World) Kill(n *Node) {
+	n.up = false
+	n.gen++
+	for _, id := range sortedReqs(n.waiting) {
+		n.waiting[id](core.Respond{Status: 0})
+	}
+	n.waiting = nil
+}
+
+func sortedReqs(m map[core.ReqID]func(core.Respond)) []core.ReqID {
+	var l []core.ReqID
+	for k := range m {
+		l = append(l, k)
+	}
+	sort.Slice(l, func(i, j int) bool { return l[i] < l[j] })
+	return l
+}
+
+func (w *World) step(n *Node, ev core.Event) {
+	for _, f := range n.core.Step(w.Now-n.started, core.Wall(w.Now/milli), ev) {
+		w.effect(n, f)
+	}
+	if at, ok := n.core.NextWake(); ok {
+		at += n.started
+		if n.wake <= w.Now || at < n.wake {
+			n.wake = max(at, w.Now)
+			gen, when := n.gen, n.wake
+			w.After(at-w.Now+w.Between(0, milli), func() {
+				if n.gen == gen && n.up && n.wake == when {
+					n.wake = 0
+					w.step(n, core.Tick{})
+				}
+			})
+		}
+	}
+}
+
+// Ask sends a request to a controller; fn gets status 0 when it can't be reached.
+func (w *World) Ask(n *Node, ev func(core.ReqID) core.Event, fn func(core.Respond)) {
+	w.After(w.Between(milli, 5*milli), func() {
+		if !n.up {
+			fn(core.Respond{})
+			return
+		}
+		n.nextReq++
+		id := n.nextReq
+		n.waiting[id] = fn
+		w.step(n, ev(id))
+	})
+}
+
+func (w *World) reply(n *Node, id core.CallID, d core.Time, body any) {
+	gen := n.gen
+	w.After(d, func() {
+		if n.up && n.gen == gen {
+			w.step(n, core.Reply{Call: id, Body: body})
+		}
+	})
+}
+
+func (w *World) delay() core.Time {
+	if w.Chance(0.02) {
+		return w.Between(50*milli, 400*milli)
+	}
+	return w.Between(milli, 8*milli)
+}
+
+// lateBy says when something sent over a cut arrives, if at all.
+func (w *World) lateBy(until core.Time) (core.Time, bool) {
+	if !w.Late || w.Chance(0.4) {
+		return 0, false
+	}
+	return max(until-w.Now, 0) + w.Between(milli, 20*second), true
+}
+
+func (w *World) effect(n *Node, f core.Effect) {
+	switch f := f.(type) {
+	case core.Respond:
+		if fn := n.waiting[f.Req]; fn != nil {
+			delete(n.waiting, f.Req)
+			w.After(w.delay(), func() { fn(f) })
+		}
+	case core.StoreTxn:
+		w.store(n, f.Call, core.TxnReply{Out: core.NotDone}, core.TxnReply{Out: core.Unknown}, func() any { return w.State.Txn(f.When, f.Then) })
+	case core.StoreGet:
+		w.store(n, f.Call, core.GetReply{Out: core.NotDone}, core.GetReply{Out: core.Unknown}, func() any { return w.State.Get(f.Key) })
+	case core.StoreList:
+		w.store(n, f.Call, core.ListReply{Out: core.NotDone}, core.ListReply{Out: core.Unknown}, func() any { return w.State.List(f.Prefix) })
+	case core.StoreWatch:
+		w.watch(n, f, w.Now+f.Wait)
+	case core.CloudTypes:
+		w.reply(n, f.Call, w.delay(), core.TypesReply{Out: core.OK, Types: w.Cloud.Types})
+	case core.CloudRent:
+		if w.Now < w.CloudDn {
+			w.reply(n, f.Call, w.delay(), core.RentReply{Out: core.NotDone})
+			return
+		}
+		if w.Chance(0.05) { // carried out late, the answer lost
+			w.After(w.Between(second, 30*second), func() { w.Cloud.Rent(w.Now, f) })
+			w.reply(n, f.Call, 4*second, core.RentReply{Out: core.Unknown})
+			return
+		}
+		w.reply(n, f.Call, w.delay(), w.Cloud.Rent(w.Now, f))
+	case core.CloudReturn:
+		if w.Now < w.CloudDn {
+			w.reply(n, f.Call, w.delay(), core.ReturnReply{Out: core.Unknown})
+			return
+		}
+		for _, id := range f.IDs {
+			w.Remove(id)
+		}
+		w.reply(n, f.Call, w.delay(), core.ReturnReply{Out: core.OK})
+	case core.CloudList:
+		if w.Now < w.CloudDn {
+			w.reply(n, f.Call, w.delay(), core.CloudListReply{Out: core.NotDone})
+			return
+		}
+		items := w.Cloud.List(w.Now)
+		w.reply(n, f.Call, w.cfg.ListLag/2, core.CloudListReply{Out: core.OK, Items: items})
+	case core.Orders:
+		w.orders(n, f)
+	case core.PeerCall:
+		w.peerCall(n, f)
+	case core.Log:
+		w.Log(fmt.Sprintf("%v %s %s %s %v", time.Duration(w.Now), n.ID, f.Level, f.Text, f.Args))
+		if f.Level == "error" {
+			w.broke("%s logs an error: %s %v", n.ID, f.Text, f.Args)
+		}
+	}
+}
+
+func (w *World) store(n *Node, id core.CallID, refused, unknown any, do func() any) {
+	switch {
+	case w.Now < w.Down || w.Now < n.Refused:
+		w.reply(n, id, w.delay(), refused)
+	case w.Now < n.StoreCut:
+		if d, ok := w.lateBy(n.StoreCut); ok {
+			w.After(d, func() { do() })
+		}
+		w.reply(n, id, 1200*milli, unknown)
+	case w.Chance(0.01):
+		if d, ok := w.lateBy(w.Now); ok {
+			w.After(d, func() { do() })
+		}
+		w.reply(n, id, 1200*milli, unknown)
+	default:
+		w.After(w.delay(), func() {
+			body := do()
+			if w.Chance(0.005) { // carried out, the answer lost
+				w.reply(n, id, 1200*milli, unknown)
+				return
+			}
+			w.reply(n, id, w.delay(), body)
+		})
+	}
+}
+
+func (w *World) watch(n *Node, f core.StoreWatch, until core.Time) {
+	gen := n.gen
+	w.After(w.Between(10*milli, 200*milli), func() {
+		if !n.up || n.gen != gen {
+			return
+		}
+		if w.Now >= w.Down && w.Now >= n.StoreCut && w.Now >= n.Refused {
+			if r := w.State.Changes(f.Prefix, f.Since); len(r.Items) > 0 || w.Now > until {
+				w.reply(n, f.Call, 0, r)
+				return
+			}
+		}
+		w.watch(n, f, until)
+	})
+}
+
+func (w *World) peerCall(n *Node, f core.PeerCall) {
+	to := w.node(f.To)
+	lost := core.PeerReply{Out: core.Unknown}
+	if !to.up {
+		w.reply(n, f.Call, w.delay(), lost) // refused
+		return
+	}
+	if w.Now < n.PeerCut || w.Now < to.PeerCut {
+		w.reply(n, f.Call, f.Timeout, lost)
+		return
+	}
+	answered := false
+	w.Ask(to, func(id core.ReqID) core.Event { return core.PeerAsk{Req: id, Msg: f.Msg} }, func(r core.Respond) {
+		if answered {
+			return
+		}
+		answered = true
+		if r.Peer == nil {
+			w.reply(n, f.Call, 0, lost)
+			return
+		}
+		w.reply(n, f.Call, w.delay(), core.PeerReply{Out: core.OK, Msg: *r.Peer})
+	})
+	gen := n.gen
+	w.After(f.Timeout, func() {
+		if !answered {
+			answered = true
+			if n.up && n.gen == gen {
+				w.step(n, core.Reply{Call: f.Call, Body: lost})
+			}
+		}
+	})
+}
+
+func (w *World) node(id core.NodeID) *Node {
+	for _, n := range w.Nodes {
+		if n.ID == id {
+			return n
+		}
+	}
+	return nil
+}
+
+func (w *World) orders(n *Node, f core.Orders) {
+	l := w.Workers[core.MachineID(f.Addr)]
+	if l == nil || l.gone {
+		w.reply(n, f.Call, 1500*milli, core.OrdersReply{Out: core.NotDone})
+		return
+	}
+	cut := max(n.WorkerCut, l.cut, l.hang)
+	if w.Now < cut || w.Chance(0.01) {
+		if d, ok := w.lateBy(cut); ok {
+			w.After(d, func() { w.late(l, f) })
+		}
+		w.reply(n, f.Call, 2500*milli, core.OrdersReply{Out: core.Unknown})
+		return
+	}
+	w.After(w.delay(), func() {
+		if l.gone {
+			w.reply(n, f.Call, 2*second, core.OrdersReply{Out: core.Unknown})
+			return
+		}
+		r := l.Orders(f)
+		w.changed(l)
+		if w.Chance(0.01) {
+			w.reply(n, f.Call, 2*second, core.OrdersReply{Out: core.Unknown})
+			return
+		}
+		w.reply(n, f.Call, w.delay(), r)
+	})
+}
+
+func (w *World) late(l *Live, f core.Orders) {
+	if l.gone {
+		return
+	}
+	if w.Now < l.hang {
+		w.After(l.hang-w.Now+milli, func() { w.late(l, f) })
+		return
+	}
+	l.Orders(f)
+}
+
+// AddMachine puts a machine into the world that is up at once.
+func (w *World) AddMachine(typ, zone string, spot bool) {
+	w.Cloud.Capacity[Slot(typ, zone, spot)]++
+	r := w.Cloud.Rent(w.Now, core.CloudRent{Name: fmt.Sprint("initial-", w.seq), Type: typ, Zone: zone, Spot: spot, Count: 1})
+	w.seq++
+	w.Cloud.machines[r.IDs[0]].up = w.Now
+}
+
+func (w *World) sweep() {
+	for _, l := range w.Cloud.Up(w.Now) {
+		w.startWorker(l)
+	}
+	for _, id := range w.liveIDs() {
+		l := w.Workers[id]
+		if w.Now >= l.hang && l.Advance(w.Now) {
+			w.changed(l)
+		}
+	}
+	w.checkQuota()
+}
+
+func (w *World) liveIDs() []core.MachineID {
+	var ids []core.MachineID
+	for id, l := range w.Workers {
+		if !l.gone {
+			ids = append(ids, id)
+		}
+	}
+	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+	return ids
+}
+
+func (w *World) startWorker(m core.Listed) {
+	var cap core.Res
+	for _, t := range w.Cloud.Types {
+		if t.Name == m.Type {
+			cap = t.Cap
+		}
+	}
+	l := &Live{Worker: &Worker{ID: m.ID, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Cap: cap, Fetch: 3 * second, Lease: w.cfg.Lease,
+		Done: w.done, OnStart: w.onStart, Jobs: func(id core.JobID) (JobInfo, bool) {
+			j := w.Jobs[id]
+			if j == nil {
+				return JobInfo{}, false
+			}
+			return j.Info, true
+		}}, node: w.Rand.IntN(len(w.Nodes))}
+	l.Start(w.Now)
+	w.Workers[m.ID] = l
+	w.reportLoop(l)
+}
+
+// Remove ends a machine and all on it.
+func (w *World) Remove(id core.MachineID) {
+	w.Cloud.Take(id)
+	if l := w.Workers[id]; l != nil {
+		l.gone = true
+		l.Tasks = nil
+	}
+}
+
+func (w *World) reportLoop(l *Live) {
+	if l.gone {
+		return
+	}
+	w.After(w.Between(w.cfg.ReportEvery*3/4, w.cfg.ReportEvery*5/4), func() { w.reportLoop(l) })
+	w.report(l)
+}
+
+func (w *World) changed(l *Live) {
+	d := max(l.lastRep+second/2-w.Now, 0)
+	w.After(d, func() { w.report(l) })
+}
+
+func (w *World) report(l *Live) {
+	if l.gone || l.busy || w.Now < l.hang {
+		l.again = l.busy
+		return
+	}
+	l.busy, l.lastRep = true, w.Now
+	l.Advance(w.Now)
+	r := l.Report()
+	sent, over := w.Now, false
+	n := w.Nodes[l.node]
+	next := func(d core.Time) {
+		over = true
+		w.After(d, func() {
+			l.busy = false
+			if l.again {
+				l.again = false
+				w.changed(l)
+			}
+		})
+	}
+	move := func() {
+		l.node = (l.node + 1) % len(w.Nodes)
+		l.again = true
+		next(second)
+	}
+	w.After(4*second, func() {
+		if !over {
+			move()
+		}
+	})
+	if w.Now < max(n.WorkerCut, l.cut) {
+		if d, ok := w.lateBy(max(n.WorkerCut, l.cut)); ok { // a late report; nobody reads its answer
+			w.After(d, func() {
+				w.Ask(n, func(id core.ReqID) core.Event { return core.Checkin{Req: id, Report: r} }, func(core.Respond) {})
+			})
+		}
+		return
+	}
+	w.Ask(n, func(id core.ReqID) core.Event { return core.Checkin{Req: id, Report: r} }, func(a core.Respond) {
+		if over || l.gone {
+			return
+		}
+		if w.Now < l.hang { // answers wait in the machine; after 4 s they are dropped
+			return
+		}
+		switch {
+		case a.Status == 200 && a.Worker != nil:
+			before := l.Token
+			l.Answered(r.Session, sent, *a.Worker)
+			if l.Token > before || len(a.Worker.Commands) > 0 {
+				l.again = true
+			}
+			next(0)
+		case a.Status == 421 && a.Worker != nil && w.node(a.Worker.Redirect) != nil && a.Worker.Redirect != n.ID:
+			for i, x := range w.Nodes {
+				if x.ID == a.Worker.Redirect {
+					l.node = i
+				}
+			}
+			l.again = true
+			next(w.Between(0, second/2))
+		default:
+			move()
+		}
+	})
+}
+
+// --- the rules ---
+
+func (w *World) onStart(on *Worker, t *Task) {
+	j := w.Jobs[t.ID.Job]
+	if j == nil || !j.Accepted && j.Told == "" && false {
+		w.broke("%s started, no such job", t.ID)
+		return
+	}
+	for _, id := range w.liveIDs() {
+		l := w.Workers[id]
+		if o := l.Tasks[t.ID]; l.ID != on.ID && o != nil && o.State != core.Ended && o.State != core.Fetching {
+			w.broke("ran_twice: %s starts on %s (attempt %d) while on %s (attempt %d)", t.ID, on.ID, t.Attempt, l.ID, o.Attempt)
+		}
+	}
+	s := j.Spec
+	if s.Zone != "" && s.Zone != on.Zone || on.Spot && !s.Spot || len(s.Types) > 0 && !contains(s.Types, on.Type) {
+		w.broke("wrong_place: %s on %s", t.ID, on.ID)
+	}
+	zones, total := map[string]int{}, 0
+	for _, id := range w.liveIDs() {
+		l := w.Workers[id]
+		for _, o := range l.Tasks {
+			if o.ID.Job == t.ID.Job && (o.State == core.Running || o.State == core.Saving) {
+				zones[l.Zone]++
+				total++
+			}
+		}
+	}
+	if s.SamePlace && len(zones) > 1 {
+		w.broke("wrong_place: %s in more than one zone", t.ID)
+	}
+	if s.Scatter && zones[on.Zone] > (s.Tasks+1)/2 {
+		w.broke("wrong_place: %s has %d of %d tasks in %s", t.ID, zones[on.Zone], s.Tasks, on.Zone)
+	}
+	w.checkQuota()
+	if j.CancelTold > 0 && w.Now-j.CancelTold > w.cfg.CancelWithin {
+		w.broke("ran_cancelled: %s starts", t.ID)
+	}
+}
+
+func contains(l []string, s string) bool {
+	for _, x := range l {
+		if x == s {
+			return true
+		}
+	}
+	return false
+}
+
+func (w *World) checkQuota() {
+	use := map[string]core.Amount{}
+	for _, id := range w.liveIDs() {
+		for _, t := range w.Workers[id].Tasks {
+			j := w.Jobs[t.ID.Job]
+			if t.State != core.Running && t.State != core.Saving {
+				continue
+			}
+			use[j.Spec.Team] += j.Spec.Need.CPU
+			if j.CancelTold > 0 && w.Now-j.CancelTold > w.cfg.CancelWithin {
+				w.broke("ran_cancelled: %s is on %s", t.ID, id)
+			}
+		}
+	}
+	for _, t := range w.cfg.Teams {
+		if use[t.Name] > t.Limit.CPU {
+			w.broke("quota: %s uses %d", t.Name, use[t.Name])
+		}
+	}
+}
+
+// Told checks an answer that a user got.
+func (w *World) Told(j *Job, s core.Status) {
+	if s == core.StDone {
+		for i := range j.Spec.Tasks {
+			if !w.done[core.TaskID{Job: j.Spec.ID, Index: i}] {
+				w.broke("not_done: %s is called done before task %d is", j.Spec.ID, i)
+				return
+			}
+		}
+	}
+	if j.Told.Final() && s != j.Told {
+		w.broke("went_back: %s was %s, now %s", j.Spec.ID, j.Told, s)
+	}
+	if s == core.StCancelled {
+		if !j.AskedCancel {
+			w.broke("went_back: %s called cancelled unasked", j.Spec.ID)
+		}
+		if j.CancelTold == 0 {
+			j.CancelTold = w.Now
+		}
+	}
+	if s.Final() && !j.Told.Final() {
+		j.finalAt = w.Now
+	}
+	j.Told = s
+	j.LastAnswer = w.Now
+}
+
+// Submit hands in a job until it is accepted.
+func (w *World) Submit(j *Job) {
+	w.Jobs[j.Spec.ID] = j
+	w.resubmit(j)
+}
+
+func (w *World) resubmit(j *Job) {
+	asked := w.Now
+	w.Ask(w.any(), func(id core.ReqID) core.Event { return core.Submit{Req: id, Job: j.Spec} }, func(r core.Respond) {
+		switch r.Status {
+		case 200, 201:
+			j.Accepted = true
+			if asked >= j.finalAt {
+				w.Told(j, r.View.Status)
+			}
+			w.poll(j)
+		case 400, 422:
+			w.broke("%s refused with %d", j.Spec.ID, r.Status)
+		default:
+			w.After(max(second, core.Time(r.RetryAfter)*second), func() { w.resubmit(j) })
+		}
+	})
+}
+
+func (w *World) any() *Node { return w.Nodes[w.Rand.IntN(len(w.Nodes))] }
+
+func (w *World) poll(j *Job) {
+	if j.Told.Final() && w.Chance(0.8) {
+		return
+	}
+	w.After(w.Between(2*second, 6*second), func() {
+		asked := w.Now
+		w.Ask(w.any(), func(id core.ReqID) core.Event { return core.Query{Req: id, ID: j.Spec.ID} }, func(r core.Respond) {
+			switch {
+			case w.Now-asked > 2*second: // the user has given up
+			case r.Status == 200 && asked < j.finalAt: // may have been answered before the end was
+			case r.Status == 200:
+				w.Told(j, r.View.Status)
+			case r.Status == 404:
+				w.broke("forgotten: %s", j.Spec.ID)
+			}
+			w.poll(j)
+		})
+	})
+}
+
+// Cancel asks until it is answered.
+func (w *World) Cancel(j *Job) {
+	j.AskedCancel = true
+	accepted := j.Accepted
+	w.Ask(w.any(), func(id core.ReqID) core.Event { return core.Cancel{Req: id, ID: j.Spec.ID} }, func(r core.Respond) {
+		switch {
+		case r.Status == 200:
+			w.Told(j, r.View.Status)
+		case r.Status == 404 && accepted:
+			w.broke("forgotten: %s at its cancellation", j.Spec.ID)
+		default:
+			w.After(second, func() { w.Cancel(j) })
+		}
+	})
+}
+
+// Unknown polls for a job that nobody has submitted.
+func (w *World) Unknown(id core.JobID) {
+	w.Ask(w.any(), func(r core.ReqID) core.Event { return core.Query{Req: r, ID: id} }, func(r core.Respond) {
+		if r.Status == 200 {
+			w.broke("invented: %s", id)
+		}
+	})
+}
+
+// Unfinished counts the jobs whose users wait.
+func (w *World) Unfinished() int {
+	n := 0
+	for _, j := range w.Jobs {
+		if !j.Told.Final() {
+			n++
+		}
+	}
+	return n
+}
+
+// Hang stops a machine for a while; Cut takes its network away.
+func (w *World) Hang(id core.MachineID, d core.Time) {
+	if l := w.Workers[id]; l != nil {
+		l.hang = w.Now + d
+	}
+}
+
+// Cut takes a machine's network away for a while.
+func (w *World) Cut(id core.MachineID, d core.Time) {
+	if l := w.Workers[id]; l != nil {
+		l.cut = w.Now + d
+	}
+}
+
+// SpotNotice warns a spot machine, then takes it.
+func (w *World) SpotNotice(id core.MachineID, d core.Time) {
+	l := w.Workers[id]
+	if l == nil || l.gone || !l.Spot {
+		return
+	}
+	l.Notice = float64(d) / 1e9
+	w.changed(l)
+	w.After(d, func() { w.Remove(id) })
+}
+
+// AnyMachine draws a running machine, or none.
+func (w *World) AnyMachine() core.MachineID {
+	ids := w.liveIDs()
+	if len(ids) == 0 {
+		return ""
+	}
+	return ids[w.Rand.IntN(len(ids))]
+}
