--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -47,6 +47,8 @@
 	nextList    Time
 	cloudBucket bucket
 	lastReport  Time
+	workersLost bool
+	lastAddr    string // of a worker, to find out whether workers can be reached
 	heldReports []*machine
 	pokes       []*machine
 	placing     bool
@@ -283,6 +285,7 @@
 	c.every(fixed(t.Checkpoint), c.checkpoint)
 	c.every(fixed(second/2), c.machineSweep)
 	c.every(fixed(second), c.rentSweep)
+	c.every(fixed(2*second), c.inspectWorker)
 	c.every(fixed(second/4), func() { c.placing = true })
 	c.every(fixed(30*second), c.stats)
 }
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -182,6 +182,11 @@
 		Session  Session
 		Commands []Command
 	}
+	// Inspect asks a worker for its report; answered by an OrdersReply.
+	Inspect struct {
+		Call CallID
+		Addr string
+	}
 	// OrdersReply answers Orders; Report is set for OK and Conflict.
 	OrdersReply struct {
 		Out    Outcome
@@ -232,6 +237,7 @@
 func (CloudReturn) isEffect() {}
 func (CloudList) isEffect()   {}
 func (Orders) isEffect()      {}
+func (Inspect) isEffect()     {}
 func (PeerCall) isEffect()    {}
 func (Respond) isEffect()     {}
 func (Log) isEffect()         {}
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -327,6 +327,7 @@
 		switch r.Out {
 		case OK:
 			for _, kv := range r.Items {
+				c.signOfLife(kv)
 				c.learnJob(kv, nil)
 			}
 			c.jobsEpoch = max(c.jobsEpoch, r.Epoch)
@@ -339,6 +340,19 @@
 	}), Prefix: "jobs/", Since: c.jobsEpoch, Wait: 20 * second})
 }
 
+// signOfLife notes which controller wrote a record that has just changed.
+func (c *Core) signOfLife(kv KV) {
+	if kv.Value == nil {
+		return
+	}
+	boot := nonceBoot(nonceOf(kv.Value))
+	for _, p := range c.peers {
+		if p.boot == boot {
+			p.wroteAt = c.now
+		}
+	}
+}
+
 func (c *Core) dropJob(j *job) {
 	delete(c.jobs, j.spec.ID)
 	for _, fn := range j.waiters {
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -41,6 +41,15 @@
 	runAt     Time
 }
 
+// start is one start of a task. A worker may hold two at once: it refuses a
+// second attempt as busy and reports both.
+type start struct {
+	task    TaskID
+	attempt Attempt
+}
+
+func (a *assign) start() start { return start{a.task, a.attempt} }
+
 func (a *assign) live() bool { return a.phase != aEnded && !a.gone }
 
 type image struct {
@@ -66,9 +75,9 @@
 	stamp   Stamp
 	heard   Time
 	assigns map[TaskID]*assign
-	reap    map[TaskID]Attempt // ended, the record no longer lists it
-	kill    map[TaskID]Attempt // running without being listed
-	stored  int                // tasks in the stored record
+	reap    map[start]bool // ended, the record no longer lists it
+	kill    map[start]bool // running without being listed
+	stored  int            // tasks in the stored record
 
 	w, again bool
 	bumping  bool // a higher token is to be stored
@@ -110,7 +119,7 @@
 func (c *Core) addMachine(id MachineID, p *part, rec machineRecord, mark Mark) *machine {
 	m := &machine{id: id, part: p.id, addr: rec.Addr, typ: rec.Type, zone: rec.Zone, spot: rec.Spot, mark: mark,
 		token: Token(max(uint64(p.claim), uint64(mark))), since: c.now, heard: c.now, idleSince: c.now,
-		assigns: map[TaskID]*assign{}, reap: map[TaskID]Attempt{}, kill: map[TaskID]Attempt{}, failedJobs: map[JobID]bool{}}
+		assigns: map[TaskID]*assign{}, reap: map[start]bool{}, kill: map[start]bool{}, failedJobs: map[JobID]bool{}}
 	c.machines[id] = m
 	delete(c.owners, id)
 	return m
@@ -128,6 +137,14 @@
 		c.owners[id] = ownerNote{rec.Part, c.now}
 		return
 	}
+	if old := c.machines[id]; old != nil {
+		// Two parts are held here and the machine moved between them: the
+		// reading may be older than the move.
+		if old.mark >= kv.Mark || old.part == p.id {
+			return
+		}
+		c.movedAway(old, p.id)
+	}
 	m := c.addMachine(id, p, rec, kv.Mark)
 	// The claim is later than every move of a machine of the part.
 	m.token = Token(p.claim)
@@ -307,7 +324,7 @@
 	}
 	delete(m.assigns, a.task)
 	if a.phase == aEnded {
-		m.reap[a.task] = a.attempt
+		m.reap[a.start()] = true
 	}
 	c.freeTask(a)
 	if len(m.assigns) == 0 {
@@ -369,14 +386,7 @@
 					return
 				}
 			}
-			c.logf("debug", "machine moved away", "machine", string(m.id), "to", int(rec.Part))
-			for _, a := range m.sorted() {
-				c.freeTask(a)
-			}
-			c.dropMachine(m)
-			if rec.Part >= 0 && int(rec.Part) < len(c.parts) {
-				c.owners[m.id] = ownerNote{rec.Part, c.now}
-			}
+			c.movedAway(m, rec.Part)
 			return
 		}
 		if r.KV.Mark > m.mark && !m.w {
@@ -390,6 +400,19 @@
 	})
 }
 
+// movedAway forgets a machine that another part has taken. Its record listed
+// no task, so what was planned for it was never sent.
+func (c *Core) movedAway(m *machine, to Part) {
+	c.logf("debug", "machine moved away", "machine", string(m.id), "to", int(to))
+	c.dropMachine(m)
+	for _, a := range m.sorted() {
+		c.freeTask(a)
+	}
+	if to >= 0 && int(to) < len(c.parts) {
+		c.owners[m.id] = ownerNote{to, c.now}
+	}
+}
+
 // bump raises a machine's token. Whatever was sent under the lower one can't
 // be executed any more once the worker has acknowledged the new one.
 func (c *Core) bump(m *machine) {
@@ -499,10 +522,7 @@
 			}
 			out = append(out, Command{Verb: Stop, Task: a.task, Attempt: a.attempt, Grace: g})
 		case a.phase == aReady && !m.unsure && !m.returning && c.now >= m.notBefore && a.j.active():
-			if _, reaping := m.reap[a.task]; reaping {
-				continue
-			}
-			if _, killing := m.kill[a.task]; killing {
+			if m.holds(a.task) {
 				continue
 			}
 			starts = append(starts, Command{Verb: Start, Task: a.task, Attempt: a.attempt})
@@ -511,12 +531,12 @@
 		}
 	}
 	if !urgentOnly {
-		for _, t := range sortedTasks(m.kill) {
-			out = append(out, Command{Verb: Stop, Task: t, Attempt: m.kill[t]})
+		for _, t := range sortedStarts(m.kill) {
+			out = append(out, Command{Verb: Stop, Task: t.task, Attempt: t.attempt})
 		}
 		if !m.unsure {
-			for _, t := range sortedTasks(m.reap) {
-				out = append(out, Command{Verb: Forget, Task: t, Attempt: m.reap[t]})
+			for _, t := range sortedStarts(m.reap) {
+				out = append(out, Command{Verb: Forget, Task: t.task, Attempt: t.attempt})
 			}
 		}
 	}
@@ -531,13 +551,32 @@
 	return a.j.final != "" || a.j.state[a.task.Index] == tStored
 }
 
-func sortedTasks(m map[TaskID]Attempt) []TaskID {
-	l := make([]TaskID, 0, len(m))
+// holds tells whether an earlier start of a task is still being cleared away.
+func (m *machine) holds(t TaskID) bool {
+	for s := range m.reap {
+		if s.task == t {
+			return true
+		}
+	}
+	for s := range m.kill {
+		if s.task == t {
+			return true
+		}
+	}
+	return false
+}
+
+func sortedStarts(m map[start]bool) []start {
+	l := make([]start, 0, len(m))
 	for t := range m {
 		l = append(l, t)
 	}
 	sort.Slice(l, func(i, k int) bool {
-		return l[i].Job < l[k].Job || l[i].Job == l[k].Job && l[i].Index < l[k].Index
+		a, b := l[i], l[k]
+		if a.task != b.task {
+			return a.task.Job < b.task.Job || a.task.Job == b.task.Job && a.task.Index < b.task.Index
+		}
+		return a.attempt < b.attempt
 	})
 	return l
 }
@@ -567,10 +606,12 @@
 	if r.Notice >= 0 {
 		c.onNotice(m, r.Notice)
 	}
-	present := make(map[TaskID]bool, len(r.Tasks))
+	// By start, not by task: an old report may show an earlier attempt of a
+	// task that runs here now, and must not make that one look gone.
+	present := make(map[start]bool, len(r.Tasks))
 	for i := range r.Tasks {
 		t := &r.Tasks[i]
-		present[t.Task] = true
+		present[start{t.Task, t.Attempt}] = true
 		a := m.assigns[t.Task]
 		if a == nil || a.attempt != t.Attempt {
 			c.strayTask(m, t)
@@ -579,16 +620,14 @@
 		c.seen(m, a, t)
 	}
 	for _, a := range m.sorted() {
-		if present[a.task] && m.kill[a.task] == 0 && m.reap[a.task] == 0 || a.gone {
+		// Only under our token is absence proof: the report may be minutes
+		// old, or an earlier holder's late start may still be executed.
+		if present[a.start()] || a.gone || !m.acked {
 			continue
 		}
 		switch a.phase {
 		case aDoubt:
-			// Only under our token is its absence proof: before, a late
-			// start of the earlier holder could still be executed.
-			if m.acked {
-				c.setGone(m, a)
-			}
+			c.setGone(m, a)
 		case aSent:
 			switch {
 			case fresh,
@@ -643,15 +682,16 @@
 
 // strayTask is a task that the machine's record does not list.
 func (c *Core) strayTask(m *machine, t *TaskReport) {
+	s := start{t.Task, t.Attempt}
 	if t.State == Ended {
-		delete(m.kill, t.Task)
-		m.reap[t.Task] = t.Attempt
+		delete(m.kill, s)
+		m.reap[s] = true
 		return
 	}
-	if m.kill[t.Task] != t.Attempt {
+	if !m.kill[s] {
 		c.logf("info", "stray task", "machine", string(m.id), "task", t.Task.String(), "attempt", uint64(t.Attempt))
 	}
-	m.kill[t.Task] = t.Attempt
+	m.kill[s] = true
 }
 
 // seen takes in one listed task's state.
@@ -722,7 +762,7 @@
 	}
 	c.setGone(m, a)
 	if !j.active() {
-		m.reap[a.task] = a.attempt
+		m.reap[a.start()] = true
 	}
 }
 
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -21,6 +21,7 @@
 	broken   bool // its records make no sense; not claimed again by this process
 	offered  bool // the holder is willing to hand it back to us
 	since    Time
+	changes  []Time // when it changed hands, the last minute's
 	claim    Epoch
 	attempts uint64
 	rentals  map[string]*rental
@@ -39,6 +40,34 @@
 
 func (p *part) key() string { return "parts/" + strconv.Itoa(int(p.id)) }
 
+// changed notes that the part has a new holder.
+func (p *part) changed(now Time) {
+	p.since = now
+	keep := p.changes[:0]
+	for _, t := range p.changes {
+		if now-t < 60*second {
+			keep = append(keep, t)
+		}
+	}
+	p.changes = append(keep, now)
+}
+
+// settled damps quarrels: nodes that each believe the other to be lost would
+// else claim a part from one another several times a second. Every change of
+// hands within a minute doubles the pause before the next.
+func (p *part) settled(now Time) bool {
+	n := 0
+	for _, t := range p.changes {
+		if now-t < 60*second {
+			n++
+		}
+	}
+	if n <= 1 {
+		return now-p.since > 2*second || n == 0
+	}
+	return now-p.since > min(second<<n, 30*second)
+}
+
 func (p *part) nextAttempt() Attempt {
 	p.attempts++
 	return Attempt(uint64(p.claim)<<20 | p.attempts)
@@ -104,7 +133,7 @@
 		return // our own claim, seen before its answer
 	}
 	p.mark, p.holder, p.term, p.offered = kv.Mark, rec.Holder, rec.Term, false
-	p.since = c.now
+	p.changed(c.now)
 }
 
 func nonceBoot(w string) string {
@@ -132,13 +161,13 @@
 	switch {
 	case p.holder == "" && p.home == self:
 	case p.holder == self: // from an earlier life of this node
-	case p.home == self && p.offered:
+	case p.home == self && p.offered && p.settled(c.now):
 	case p.holder == "":
 		if !c.lost(p.home) || !c.successor(p.home) {
 			return
 		}
 	default:
-		if !c.lost(p.holder) || !c.successor(p.holder) {
+		if !p.settled(c.now) || !c.lost(p.holder) || !c.successor(p.holder) {
 			return
 		}
 	}
@@ -182,6 +211,7 @@
 			}
 			p.held, p.ready, p.offered = true, false, false
 			p.holder, p.term, p.mark, p.claim, p.since = c.cfg.Self, term, Mark(e), e, c.now
+			p.changed(c.now)
 			p.attempts = 0
 			p.rentals = map[string]*rental{}
 			p.refused = map[rentOption]Time{}
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -17,6 +17,8 @@
 	tells    []KV
 	telling  bool
 	taken    map[MachineID]bool
+	failedAt Time
+	wroteAt  Time // when a record it wrote was last seen
 }
 
 // pingLoop is the design's detection: a call each second, then retries with
@@ -48,7 +50,7 @@
 				c.logf("debug", "peer failure-prone", "peer", string(p.id))
 			}
 			if miss > t.Retries+t.Probes && !p.failed {
-				p.failed = true
+				p.failed, p.failedAt = true, c.now
 				c.logf("info", "peer failed", "peer", string(p.id))
 				c.livenessChanged()
 			}
@@ -106,20 +108,38 @@
 }
 
 // workersOK is false when this node has machines but no worker has reported
-// for several intervals, as when it is cut from the workers.
+// for several intervals, as when it is cut from the workers. It stays false
+// until a worker has been reached again, also after the parts are given up.
 func (c *Core) workersOK() bool {
-	if len(c.machines) == 0 {
+	if c.now-c.lastReport < 3*c.cfg.ReportEvery {
+		c.workersLost = false
 		return true
 	}
-	expect := false
-	for _, m := range c.machines {
-		if m.session > 0 || c.now-m.since > 3*c.cfg.ReportEvery {
-			if !m.booting {
-				expect = true
-			}
+	silent := 0
+	addr := ""
+	for _, id := range sortedKeys(c.machines) {
+		if m := c.machines[id]; !m.booting && c.now-m.since > 3*c.cfg.ReportEvery {
+			silent++
+			addr = m.addr
 		}
 	}
-	return !expect || c.now-c.lastReport < 3*c.cfg.ReportEvery
+	if silent > 1 { // a single one may just hang
+		c.workersLost, c.lastAddr = true, addr
+	}
+	return !c.workersLost
+}
+
+// inspectWorker asks a worker for its state while the workers seem lost.
+func (c *Core) inspectWorker() {
+	if !c.workersLost || c.lastAddr == "" {
+		return
+	}
+	c.emit(Inspect{Addr: c.lastAddr, Call: c.call(func(b any) {
+		if b.(OrdersReply).Out == OK {
+			c.workersLost = false
+			c.lastReport = c.now
+		}
+	})})
 }
 
 func (c *Core) heardPing(p *peer, g Ping) {
@@ -188,16 +208,20 @@
 		return false
 	}
 	if p.failed {
+		alone := len(c.peers) > 1
 		for _, o := range c.cfg.Nodes {
 			q := c.peers[o]
 			if q == nil || q == p || q.failed || c.now-q.pingAt > 3*second {
 				continue
 			}
+			alone = false
 			if ms, ok := q.ping.Heard[id]; ok && ms < 3000 {
 				return false // only our own link to it is cut
 			}
 		}
-		return true
+		// A node that hears nobody is more likely cut off than alone in the
+		// world: it waits longer and takes records being written as a sign of life.
+		return !alone || c.now-p.failedAt > 6*second && c.now-p.wroteAt > 6*second
 	}
 	if !p.heard || c.now-p.pingAt > 3*second {
 		return false
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -492,6 +492,10 @@
 			if t.BootS > 0 && c.now-m.since > patience {
 				c.returnMachine(m, "never came up")
 			}
+		case c.holdsCancelled(m) && (silent > c.cfg.Lease+2*second || silent > 5*second && m.session == 0):
+			// A machine that hangs with a cancelled job's tasks must be gone
+			// before its cancellation's time is up.
+			c.returnMachine(m, "silent with cancelled tasks")
 		case silent > c.cfg.Lease+5*second && (reporting || silent > 3*c.cfg.Lease) && c.now-m.since > c.cfg.Lease:
 			c.returnMachine(m, "silent")
 		case m.draining && len(m.assigns) == 0 && c.now > m.noticeAt:
@@ -504,6 +508,15 @@
 	}
 }
 
+func (c *Core) holdsCancelled(m *machine) bool {
+	for _, a := range m.assigns {
+		if a.live() && a.j.final == StCancelled {
+			return true
+		}
+	}
+	return false
+}
+
 // lastUse tells whether nothing waits that an idle machine could take.
 func (c *Core) lastUse(m *machine) bool {
 	for _, w := range c.unplaced(c.parts[m.part]) {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -12,9 +12,8 @@
 
 // Actors carry out effects.
 type Actors struct {
-	Store, Cloud func(core.Effect)
-	Workers      func(core.Orders)
-	Peers        func(core.PeerCall)
+	Store, Cloud, Workers func(core.Effect)
+	Peers                 func(core.PeerCall)
 }
 
 // Engine runs a core.
@@ -101,7 +100,7 @@
 		e.actors.Store(f)
 	case core.CloudTypes, core.CloudRent, core.CloudReturn, core.CloudList:
 		e.actors.Cloud(f)
-	case core.Orders:
+	case core.Orders, core.Inspect:
 		e.actors.Workers(f)
 	case core.PeerCall:
 		e.actors.Peers(f)
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -238,7 +238,13 @@
 			w.After(w.delay(), func() { fn(f) })
 		}
 	case core.StoreTxn:
-		w.store(n, f.Call, core.TxnReply{Out: core.NotDone}, core.TxnReply{Out: core.Unknown}, func() any { return w.State.Txn(f.When, f.Then) })
+		w.store(n, f.Call, core.TxnReply{Out: core.NotDone}, core.TxnReply{Out: core.Unknown}, func() any {
+			r := w.State.Txn(f.When, f.Then)
+			for _, o := range f.Then {
+				w.Log(fmt.Sprintf("%v store %s %v@%d %s %s", time.Duration(w.Now), n.ID, r.Out, r.Epoch, o.Key, o.Value))
+			}
+			return r
+		})
 	case core.StoreGet:
 		w.store(n, f.Call, core.GetReply{Out: core.NotDone}, core.GetReply{Out: core.Unknown}, func() any { return w.State.Get(f.Key) })
 	case core.StoreList:
@@ -276,6 +282,13 @@
 		w.reply(n, f.Call, w.cfg.ListLag/2, core.CloudListReply{Out: core.OK, Items: items})
 	case core.Orders:
 		w.orders(n, f)
+	case core.Inspect:
+		l := w.Workers[core.MachineID(f.Addr)]
+		if l == nil || l.gone || w.Now < max(n.WorkerCut, l.cut, l.hang) {
+			w.reply(n, f.Call, 2500*milli, core.OrdersReply{Out: core.Unknown})
+			return
+		}
+		w.reply(n, f.Call, w.delay(), core.OrdersReply{Out: core.OK, Report: l.Report()})
 	case core.PeerCall:
 		w.peerCall(n, f)
 	case core.Log:
@@ -555,6 +568,7 @@
 // --- the rules ---
 
 func (w *World) onStart(on *Worker, t *Task) {
+	w.Log(fmt.Sprintf("%v starts %s attempt %d on %s token %d", time.Duration(w.Now), t.ID, t.Attempt, on.ID, on.Token))
 	j := w.Jobs[t.ID.Job]
 	if j == nil || !j.Accepted && j.Told == "" && false {
 		w.broke("%s started, no such job", t.ID)
@@ -617,7 +631,15 @@
 	}
 	for _, t := range w.cfg.Teams {
 		if use[t.Name] > t.Limit.CPU {
-			w.broke("quota: %s uses %d", t.Name, use[t.Name])
+			on := ""
+			for _, id := range w.liveIDs() {
+				for _, x := range w.Workers[id].sorted() {
+					if (x.State == core.Running || x.State == core.Saving) && w.Jobs[x.ID.Job].Spec.Team == t.Name {
+						on += fmt.Sprintf(" %s(%d)@%s", x.ID, x.Attempt, id)
+					}
+				}
+			}
+			w.broke("quota: %s uses %d:%s", t.Name, use[t.Name], on)
 		}
 	}
 }
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -32,15 +32,20 @@
 	return &Workers{h: wire.NewClient(1500*time.Millisecond, 1), answer: answer, timeout: 2500 * time.Millisecond}
 }
 
-// Do sends commands; the answer comes as a message.
-func (w *Workers) Do(e core.Orders) {
-	go func() { w.answer(e.Call, w.orders(e)) }()
+// Do sends commands, or asks for a report; the answer comes as a message.
+func (w *Workers) Do(e core.Effect) {
+	switch e := e.(type) {
+	case core.Orders:
+		go func() { w.answer(e.Call, w.send("POST", e.Addr, "/orders", wire.EncodeOrders(e))) }()
+	case core.Inspect:
+		go func() { w.answer(e.Call, w.send("GET", e.Addr, "/inspect", nil)) }()
+	}
 }
 
-func (w *Workers) orders(e core.Orders) core.OrdersReply {
+func (w *Workers) send(method, addr, path string, body []byte) core.OrdersReply {
 	ctx, cancel := context.WithTimeout(context.Background(), w.timeout)
 	defer cancel()
-	status, b, err := wire.Call(ctx, w.h, "POST", "http://"+e.Addr+"/orders", "application/json", wire.EncodeOrders(e))
+	status, b, err := wire.Call(ctx, w.h, method, "http://"+addr+path, "application/json", body)
 	switch {
 	case errors.Is(err, wire.ErrNotSent):
 		return core.OrdersReply{Out: core.NotDone}
