--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -162,14 +162,7 @@
 			fit = append(fit, s)
 		}
 	}
-	zones := map[string]int{}
-	if j.spec.SamePlace || j.spec.Scatter {
-		for _, a := range j.where {
-			if c.machines[a.mach] != nil {
-				zones[c.machines[a.mach].zone]++
-			}
-		}
-	}
+	zones := c.zonesOf(j)
 	for j.pending() > 0 && len(fit) > 0 {
 		u := use[j.spec.Team].plus(j.spec.Need)
 		if u.CPU > limit.CPU || u.GPU > limit.GPU {
@@ -202,6 +195,29 @@
 	}
 }
 
+// zonesOf counts a job's tasks by zone, where its rules ask for that. Those
+// proven gone don't count, though their records still have to say so.
+func (c *Core) zonesOf(j *job) map[string]int {
+	zones := map[string]int{}
+	if j.spec.SamePlace || j.spec.Scatter {
+		for _, a := range j.where {
+			if m := c.machines[a.mach]; m != nil && a.live() {
+				zones[m.zone]++
+			}
+		}
+	}
+	return zones
+}
+
+func onlyZone(zones map[string]int, z string) bool {
+	for other, n := range zones {
+		if n > 0 && other != z {
+			return false
+		}
+	}
+	return true
+}
+
 func (c *Core) allowedOn(j *job, m *machine) bool {
 	s := &j.spec
 	return (s.Spot || !m.spot) && c.allows(s, c.types[m.typ], m.zone) && !(j.failedOn[m.id] && len(j.failedOn) < 3)
@@ -214,7 +230,7 @@
 	bestRank := -1
 	for _, s := range fit {
 		z := s.m.zone
-		if j.spec.SamePlace && len(zones) > 0 && zones[z] == 0 {
+		if j.spec.SamePlace && !onlyZone(zones, z) {
 			continue
 		}
 		if j.spec.Scatter && zones[z] >= (j.spec.Tasks+1)/2 {
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -155,6 +155,9 @@
 }
 
 func (c *Core) optionAllowed(j *job, o rentOption) bool {
+	if j.spec.SamePlace && !onlyZone(c.zonesOf(j), o.Zone) {
+		return false
+	}
 	return (j.spec.Spot || !o.Spot) && c.allows(&j.spec, c.types[o.Type], o.Zone)
 }
 
@@ -337,7 +340,7 @@
 			r.mark = Mark(e)
 			c.callRent(p, r)
 		},
-		conflict: func() { c.broken(p, rentalKey(r.name), "name in use") },
+		conflict: func() { c.suspect(p, rentalKey(r.name), "name in use") },
 	})
 }
 
--- a/internal/core/writer.go
+++ b/internal/core/writer.go
@@ -306,34 +306,37 @@
 }
 
 // readBack finds out whether a transaction that failed on its repetition had
-// been applied the first time. It is atomic, so any one of its keys tells.
+// been applied the first time. It is atomic, so any key that still shows its
+// nonce tells; one alone may have been changed since, as a new job's record is
+// by the job's owner.
 func (w *writer) readBack(t *txn, failed []string) {
 	c := w.c
-	key := ""
+	var keys []string
 	for _, o := range t.then {
 		if o.Value != nil {
-			key = o.Key
-			break
+			keys = append(keys, o.Key)
 		}
 	}
-	if key == "" { // only drops: they are conditional, and absent is what was wanted
-		w.finish(t)
-		w.failed(t, failed)
-		return
-	}
-	c.get(key, func(r GetReply) {
-		switch r.Out {
-		case OK, Missing:
+	var next func(i int)
+	next = func(i int) {
+		if i == len(keys) {
 			w.finish(t)
-			if r.Out == OK && nonceOf(r.KV.Value) == t.nonce {
-				w.applied(t, Epoch(r.KV.Mark))
-				return
-			}
 			w.failed(t, failed)
-		default:
-			c.after(300*milli, func() { w.readBack(t, failed) })
+			return
 		}
-	})
+		c.get(keys[i], func(r GetReply) {
+			switch {
+			case r.Out == OK && nonceOf(r.KV.Value) == t.nonce:
+				w.finish(t)
+				w.applied(t, Epoch(r.KV.Mark))
+			case r.Out == OK || r.Out == Missing:
+				next(i + 1)
+			default:
+				c.after(300*milli, func() { next(i) })
+			}
+		})
+	}
+	next(0)
 }
 
 func nonceOf(v []byte) string {
