--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -45,6 +45,7 @@
 	classes     map[string]*classStats
 	rentSeq     int
 	nextList    Time
+	strays      map[MachineID]Time // listed without a record, since when
 	cloudBucket bucket
 	lastReport  Time
 	workersLost bool
@@ -83,7 +84,7 @@
 		cfg: cfg, calls: map[CallID]func(any){}, jobs: map[JobID]*job{}, known: map[JobID]*knownJob{},
 		machines: map[MachineID]*machine{}, owners: map[MachineID]ownerNote{}, peers: map[NodeID]*peer{},
 		teams: map[string]*team{}, types: map[string]MachineType{}, askQueue: map[NodeID][]waitingView{},
-		askPending: map[NodeID]bool{}, classes: map[string]*classStats{},
+		askPending: map[NodeID]bool{}, strays: map[MachineID]Time{}, classes: map[string]*classStats{},
 	}
 	c.w.init(c)
 	for i := range cfg.Nodes {
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -263,6 +263,14 @@
 	Heard     map[NodeID]int64 // ms since each other node last answered
 	Offer     []Part           // parts that their home may claim back now
 	Idle      []IdleMachine
+	Loads     []PartLoad
+}
+
+// PartLoad is what a part has and what its jobs could use, by priority.
+type PartLoad struct {
+	Part   Part
+	Have   Amount
+	Demand [4]Amount
 }
 
 // PartTerm says that the sender holds a part.
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -42,6 +42,7 @@
 	errors    int
 	failedOn  map[MachineID]bool
 	holdUntil Time
+	preemptAt Time // not before then again
 	arrived   Time
 }
 
@@ -417,7 +418,6 @@
 				ops = append(ops, TxnOp{j.key(k), v})
 				marks = append(marks, j.marks[k])
 				wrote = append(wrote, k)
-				j.dirty[k] = false
 			}
 			if len(ops) == 0 {
 				j.w = false
@@ -438,6 +438,18 @@
 			for _, i := range snapshot {
 				j.state[i] = tStored
 			}
+			// Only now: a build whose transaction failed must be built again.
+			for k := range j.dirty {
+				j.dirty[k] = false
+			}
+			for i, s := range j.state {
+				if s == tDone {
+					j.dirty[i/chunkTasks] = true
+				}
+			}
+			if c.jobs[j.spec.ID] == j {
+				c.releaseDone(j)
+			}
 			if end != "" {
 				c.jobEnded(j, end)
 			} else if j.again {
@@ -454,6 +466,23 @@
 	})
 }
 
+// releaseDone lets machine records forget the tasks whose outcome is stored:
+// they have exited, whoever owns the machine may reap them.
+func (c *Core) releaseDone(j *job) {
+	for _, id := range sortedKeys(c.machines) {
+		m := c.machines[id]
+		if m.part != j.part || m.unsure {
+			continue
+		}
+		for _, a := range m.assigns {
+			if a.j == j && a.phase == aEnded && a.cause == CauseDone && !a.gone && c.storedDone(a) {
+				a.gone = true
+				m.reap[a.start()] = true
+			}
+		}
+	}
+}
+
 // promote moves a queued write to a more urgent class.
 func (w *writer) promote(key string, prio int) {
 	for q := prio + 1; q < prios; q++ {
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -101,6 +101,7 @@
 	ordersAt     Time
 	poked        bool
 	idleSince    Time
+	yield        bool // gets nothing new: another part needs it more
 }
 
 type machineRecord struct {
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -26,6 +26,7 @@
 	attempts uint64
 	rentals  map[string]*rental
 	refused  map[rentOption]Time
+	rentedAt Time
 
 	confirmQ    []func(bool)
 	confirming  bool
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -104,6 +104,7 @@
 		}
 	}
 	g.Idle = c.idleMachines()
+	g.Loads = c.loads()
 	return g
 }
 
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -130,7 +130,7 @@
 	var l []*slot
 	for _, id := range sortedKeys(c.machines) {
 		m := c.machines[id]
-		if m.part != p.id || !c.usable(m) {
+		if m.part != p.id || !c.usable(m) || m.yield {
 			continue
 		}
 		t, ok := c.types[m.typ]
@@ -152,6 +152,7 @@
 	for _, j := range jobs {
 		c.placeJob(p, j, slots, use)
 	}
+	c.preempt(p, jobs, use)
 }
 
 func (c *Core) placeJob(p *part, j *job, slots []*slot, use map[string]Res) {
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -119,6 +119,7 @@
 // already, then other parts' idle machines, then the cloud's.
 func (c *Core) rentSweep() {
 	c.listCloud()
+	c.yieldMachines()
 	for _, p := range c.parts {
 		if p.held && p.ready && len(c.types) > 0 && !c.storeLost(second) {
 			c.rentFor(p)
@@ -151,7 +152,9 @@
 		}
 	}
 	c.takeIdle(p, work)
-	c.rentMore(p, work)
+	if c.mayRent(p) {
+		c.rentMore(p, work)
+	}
 }
 
 func (c *Core) optionAllowed(j *job, o rentOption) bool {
@@ -219,7 +222,7 @@
 	for _, id := range sortedKeys(c.machines) {
 		m := c.machines[id]
 		if m.part == p.id && c.usable(m) && len(m.assigns) == 0 && m.stored == 0 && !m.w && m.addr != "" &&
-			len(m.kill) == 0 && c.now-m.idleSince > second {
+			len(m.kill) == 0 && c.now-m.idleSince > second/2 {
 			l = append(l, m)
 		}
 	}
@@ -239,7 +242,7 @@
 		}
 		work := c.unplaced(p)
 		for _, m := range l {
-			if c.fill(work, c.types[m.typ].Cap, func(j *job) bool { return c.allowedOn(j, m) }) > 0 {
+			if !m.yield && c.fill(work, c.types[m.typ].Cap, func(j *job) bool { return c.allowedOn(j, m) }) > 0 {
 				continue // its own part is about to use it
 			}
 			out = append(out, IdleMachine{m.id, m.mark, m.typ, m.zone, m.spot, m.addr})
@@ -656,9 +659,16 @@
 		if r.Out != OK {
 			return
 		}
+		listed := make(map[MachineID]bool, len(r.Items))
 		for _, l := range r.Items {
+			listed[l.ID] = true
 			c.heardOf(l)
 		}
+		for id := range c.strays {
+			if !listed[id] || c.machines[id] != nil {
+				delete(c.strays, id)
+			}
+		}
 	})})
 }
 
@@ -685,6 +695,13 @@
 	if !p.held || !p.ready || c.storeLost(second) {
 		return
 	}
+	// The list still shows for a while what has been returned.
+	if first, ok := c.strays[l.ID]; !ok {
+		c.strays[l.ID] = c.now
+		return
+	} else if c.now-first < 3*c.cfg.ListLag+5*second {
+		return
+	}
 	c.owners[l.ID] = ownerNote{p.id, c.now}
 	c.get(machineKey(l.ID), func(g GetReply) {
 		if g.Out == OK {
--- /dev/null
+++ b/internal/core/share.go
@@ -0,0 +1,242 @@
+package core
+
+import "sort"
+
+// Machines are split among the parts, but the need for them is not split
+// evenly: this file says how much of all machines each part should have, lets
+// a part that has more give machines up, and stops less important work.
+
+// loads describes the parts held here.
+func (c *Core) loads() []PartLoad {
+	var out []PartLoad
+	for _, p := range c.parts {
+		if p.held && p.ready {
+			out = append(out, c.load(p))
+		}
+	}
+	return out
+}
+
+func (c *Core) load(p *part) PartLoad {
+	l := PartLoad{Part: p.id}
+	for _, id := range sortedKeys(c.machines) {
+		m := c.machines[id]
+		if m.part != p.id || m.returning || m.draining {
+			continue
+		}
+		l.Have += c.types[m.typ].Cap.CPU
+		for _, a := range m.assigns {
+			if a.live() && a.j.active() {
+				l.Demand[a.j.spec.Priority] += a.need.CPU
+			}
+		}
+	}
+	for _, w := range c.unplaced(p) {
+		l.Demand[w.j.spec.Priority] += w.j.spec.Need.CPU * Amount(w.n)
+	}
+	return l
+}
+
+// allLoads is every part's load as far as it is known, by number.
+func (c *Core) allLoads() map[Part]PartLoad {
+	out := map[Part]PartLoad{}
+	for _, id := range c.cfg.Nodes {
+		if p := c.peers[id]; p != nil && !p.failed && c.now-p.pingAt < 3*second {
+			for _, l := range p.ping.Loads {
+				if int(l.Part) >= 0 && int(l.Part) < len(c.parts) && c.parts[l.Part].holder == id {
+					out[l.Part] = l
+				}
+			}
+		}
+	}
+	for _, l := range c.loads() {
+		out[l.Part] = l
+	}
+	return out
+}
+
+// targets divides all the machines there are: more important work first, and
+// within a priority the least served part first.
+func targets(loads map[Part]PartLoad) map[Part]Amount {
+	var parts []Part
+	var rest Amount
+	for p, l := range loads {
+		parts = append(parts, p)
+		rest += l.Have
+	}
+	sort.Slice(parts, func(i, j int) bool { return parts[i] < parts[j] })
+	got := map[Part]Amount{}
+	for prio := Production; prio >= BestEffort; prio-- {
+		open := append([]Part(nil), parts...)
+		sort.SliceStable(open, func(i, j int) bool { return loads[open[i]].Demand[prio] < loads[open[j]].Demand[prio] })
+		for i, p := range open {
+			give := min(loads[p].Demand[prio], rest/Amount(len(open)-i))
+			got[p] += give
+			rest -= give
+		}
+	}
+	return got
+}
+
+// yieldMachines picks the machines that the parts held here give up. They get
+// nothing new; once empty they are offered as idle machines.
+func (c *Core) yieldMachines() {
+	loads := c.allLoads()
+	want := targets(loads)
+	var lack Amount
+	for p, l := range loads {
+		if want[p] > l.Have {
+			lack += want[p] - l.Have
+		}
+	}
+	for _, p := range c.parts {
+		l, ok := loads[p.id]
+		if !p.held || !p.ready || !ok {
+			continue
+		}
+		spare := min(l.Have-want[p.id], lack)
+		var ms []*machine
+		for _, id := range sortedKeys(c.machines) {
+			if m := c.machines[id]; m.part == p.id {
+				if m.yield && spare <= 0 {
+					c.placing = true
+				}
+				m.yield = false
+				if c.usable(m) {
+					ms = append(ms, m)
+				}
+			}
+		}
+		rest := map[*machine]float64{}
+		for _, m := range ms {
+			for _, a := range m.assigns {
+				if a.live() {
+					rest[m] = max(rest[m], c.expectedRest(m, a))
+				}
+			}
+		}
+		sort.SliceStable(ms, func(i, j int) bool { return rest[ms[i]] < rest[ms[j]] })
+		for _, m := range ms {
+			size := c.types[m.typ].Cap.CPU
+			if spare < size || size == 0 {
+				continue
+			}
+			spare -= size
+			m.yield = true
+			c.clearFor(m, loads, want)
+		}
+	}
+}
+
+// clearFor empties a yielded machine of work that can save, when what other
+// parts lack it for is more important.
+func (c *Core) clearFor(m *machine, loads map[Part]PartLoad, want map[Part]Amount) {
+	top := BestEffort
+	for p, l := range loads {
+		if p == m.part || want[p] <= l.Have {
+			continue
+		}
+		for prio := Production; prio > top; prio-- {
+			if l.Demand[prio] > 0 {
+				top = prio
+				break
+			}
+		}
+	}
+	for _, a := range m.assigns {
+		if a.live() && (a.j.spec.Priority >= top || a.j.spec.CheckpntS == 0) {
+			return
+		}
+	}
+	for _, a := range m.sorted() {
+		if a.live() && a.phase == aSeen {
+			c.stopTask(m, a, a.j.spec.SaveS+1)
+		}
+	}
+}
+
+// preempt stops less important tasks that can save, on one machine a job, when
+// a more important job found no room.
+func (c *Core) preempt(p *part, jobs []*job, use map[string]Res) {
+	for _, j := range jobs {
+		if j.pending() == 0 || j.spec.Priority <= BestEffort || c.now < j.preemptAt {
+			continue
+		}
+		limit := c.teams[j.spec.Team].Limit
+		room := limit.minus(use[j.spec.Team])
+		n := 0
+		for _, id := range sortedKeys(c.machines) {
+			m := c.machines[id]
+			if m.part != p.id || !c.usable(m) || !c.allowedOn(j, m) {
+				continue
+			}
+			if j.spec.SamePlace && !onlyZone(c.zonesOf(j), m.zone) {
+				continue
+			}
+			free := c.types[m.typ].Cap.minus(m.used())
+			var stop []*assign
+			for _, a := range m.sorted() {
+				if j.spec.Need.fits(free) {
+					break
+				}
+				if a.phase != aSeen || a.gone || a.j.spec.Priority >= j.spec.Priority || a.j.spec.CheckpntS == 0 {
+					continue
+				}
+				if a.stop { // already on its way out
+					free = free.plus(a.need)
+					continue
+				}
+				stop = append(stop, a)
+				free = free.plus(a.need)
+			}
+			if !j.spec.Need.fits(free) {
+				continue
+			}
+			for n < j.pending() && j.spec.Need.fits(free) {
+				room = room.minus(j.spec.Need)
+				if room.CPU < 0 || room.GPU < 0 {
+					return
+				}
+				free = free.minus(j.spec.Need)
+				n++
+			}
+			for _, a := range stop {
+				c.stopTask(m, a, a.j.spec.SaveS+1)
+			}
+			if n >= j.pending() {
+				break
+			}
+		}
+		if n > 0 {
+			j.preemptAt = c.now + Time(8*second)
+		}
+	}
+}
+
+// mayRent holds back a part that has its share already while others lack
+// theirs: what the cloud still has should go to them first.
+func (c *Core) mayRent(p *part) bool {
+	loads := c.allLoads()
+	mine := loads[p.id]
+	least := true
+	for q, l := range loads {
+		if q == p.id {
+			continue
+		}
+		var need Amount
+		for _, d := range l.Demand {
+			need += d
+		}
+		if need > l.Have && l.Have+16_000_000 < mine.Have {
+			least = false
+		}
+	}
+	if least {
+		return true
+	}
+	if c.now-p.rentedAt < 4*second {
+		return false
+	}
+	p.rentedAt = c.now
+	return true
+}
