--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -16,7 +16,7 @@
 	goodFrom Time // since when it has answered and had its store
 	tells    []KV
 	telling  bool
-	taken    map[MachineID]bool
+	taken    map[MachineID]Mark // idle machines of its that we have tried to take, at which mark
 	failedAt Time
 	wroteAt  Time // when a record it wrote was last seen
 }
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -173,7 +173,7 @@
 			continue
 		}
 		for _, im := range q.ping.Idle {
-			if q.taken[im.ID] || c.machines[im.ID] != nil {
+			if q.taken[im.ID] == im.Mark || c.machines[im.ID] != nil {
 				continue
 			}
 			o := rentOption{im.Type, im.Zone, im.Spot}
@@ -181,9 +181,9 @@
 				continue
 			}
 			if q.taken == nil {
-				q.taken = map[MachineID]bool{}
+				q.taken = map[MachineID]Mark{}
 			}
-			q.taken[im.ID] = true
+			q.taken[im.ID] = im.Mark
 			c.createMachine(im.ID, p, machineRecord{Addr: im.Addr, Type: im.Type, Zone: im.Zone, Spot: im.Spot}, im.Mark, func(m *machine) {
 				if m != nil {
 					c.logf("debug", "took idle machine", "machine", string(m.id), "part", int(p.id))
@@ -508,7 +508,7 @@
 			c.returnMachine(m, "drained")
 		case m.draining && m.noticeAt > 0 && m.liveTasks() == 0:
 			c.returnMachine(m, "notice")
-		case m.liveTasks() == 0 && c.now-m.idleSince > c.cfg.Tuning.IdleReturn && c.lastUse(m) && silent < 3*c.cfg.ReportEvery:
+		case m.liveTasks() == 0 && c.now-m.idleSince > c.cfg.Tuning.IdleReturn && !c.wantedElsewhere(m) && c.lastUse(m) && silent < 3*c.cfg.ReportEvery:
 			c.returnMachine(m, "idle")
 		}
 	}
@@ -523,6 +523,21 @@
 	return false
 }
 
+// wantedElsewhere tells whether another part has too few machines: then an
+// idle one is better offered than returned and rented again.
+func (c *Core) wantedElsewhere(m *machine) bool {
+	for q, l := range c.allLoads() {
+		var need Amount
+		for _, d := range l.Demand {
+			need += d
+		}
+		if q != m.part && need > l.Have {
+			return true
+		}
+	}
+	return false
+}
+
 // lastUse tells whether nothing waits that an idle machine could take.
 func (c *Core) lastUse(m *machine) bool {
 	for _, w := range c.unplaced(c.parts[m.part]) {
--- a/internal/core/share.go
+++ b/internal/core/share.go
@@ -165,6 +165,10 @@
 		limit := c.teams[j.spec.Team].Limit
 		room := limit.minus(use[j.spec.Team])
 		n := 0
+		if room.CPU < j.spec.Need.CPU || room.GPU < j.spec.Need.GPU {
+			c.preemptOwn(p, j, room)
+			continue
+		}
 		for _, id := range sortedKeys(c.machines) {
 			m := c.machines[id]
 			if m.part != p.id || !c.usable(m) || !c.allowedOn(j, m) {
@@ -213,6 +217,31 @@
 	}
 }
 
+// preemptOwn makes room under a team's limit: its own less important work that
+// can save gives way.
+func (c *Core) preemptOwn(p *part, j *job, room Res) {
+	need := Res{CPU: j.spec.Need.CPU * Amount(j.pending()), GPU: j.spec.Need.GPU * Amount(j.pending())}
+	for _, id := range sortedKeys(c.machines) {
+		m := c.machines[id]
+		if m.part != p.id || !c.usable(m) || !c.allowedOn(j, m) {
+			continue
+		}
+		for _, a := range m.sorted() {
+			if need.CPU <= room.CPU && need.GPU <= room.GPU {
+				return
+			}
+			if a.phase != aSeen || a.gone || a.j.spec.Team != j.spec.Team || a.j.spec.Priority >= j.spec.Priority || a.j.spec.CheckpntS == 0 {
+				continue
+			}
+			room = room.plus(a.need)
+			if !a.stop {
+				c.stopTask(m, a, a.j.spec.SaveS+1)
+				j.preemptAt = c.now + 8*second
+			}
+		}
+	}
+}
+
 // mayRent holds back a part that has its share already while others lack
 // theirs: what the cloud still has should go to them first.
 func (c *Core) mayRent(p *part) bool {
