--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -316,7 +316,7 @@
 				if spot {
 					price = t.SpotPrice
 				}
-				l = append(l, priced{o, price / float64(t.Cap.CPU)})
+				l = append(l, priced{o, price / float64(slotsFor(t.Cap, j.spec.Need))})
 			}
 		}
 	}
@@ -328,6 +328,21 @@
 	return out
 }
 
+// slotsFor counts how many tasks of a need fit into a machine.
+func slotsFor(room, need Res) int {
+	n := 1 << 20
+	if need.CPU > 0 {
+		n = min(n, int(room.CPU/need.CPU))
+	}
+	if need.GPU > 0 {
+		n = min(n, int(room.GPU/need.GPU))
+	}
+	if need.Mem > 0 {
+		n = min(n, int(room.Mem/need.Mem))
+	}
+	return max(n, 1)
+}
+
 func (c *Core) startRental(p *part, o rentOption, n int) {
 	c.rentSeq++
 	r := &rental{name: "r-" + c.cfg.Boot + "-" + strconv.FormatUint(uint64(p.claim), 10) + "-" + strconv.Itoa(c.rentSeq), opt: o, count: n, at: c.now}
@@ -508,6 +523,8 @@
 			c.returnMachine(m, "drained")
 		case m.draining && m.noticeAt > 0 && m.liveTasks() == 0:
 			c.returnMachine(m, "notice")
+		case m.yield && m.liveTasks() == 0 && c.now-m.idleSince > 4*second && c.lastUse(m) && !c.wantedElsewhere(m):
+			c.returnMachine(m, "retired")
 		case m.liveTasks() == 0 && c.now-m.idleSince > c.cfg.Tuning.IdleReturn && !c.wantedElsewhere(m) && c.lastUse(m) && silent < 3*c.cfg.ReportEvery:
 			c.returnMachine(m, "idle")
 		}
--- a/internal/core/share.go
+++ b/internal/core/share.go
@@ -95,6 +95,9 @@
 			continue
 		}
 		spare := min(l.Have-want[p.id], lack)
+		if lack <= 0 {
+			spare = 0
+		}
 		var ms []*machine
 		for _, id := range sortedKeys(c.machines) {
 			if m := c.machines[id]; m.part == p.id {
@@ -125,7 +128,42 @@
 			m.yield = true
 			c.clearFor(m, loads, want)
 		}
+		if lack <= 0 {
+			c.retire(ms, l)
+		}
+	}
+}
+
+// retire picks the machines that a part can do without, dearest first. They
+// run empty and are returned, so that the work gathers on the cheaper ones.
+func (c *Core) retire(ms []*machine, l PartLoad) {
+	var need Amount
+	for _, d := range l.Demand {
+		need += d
+	}
+	spare := l.Have - need - Amount(float64(need)*c.cfg.Tuning.SpareShare) - 8_000_000
+	sort.SliceStable(ms, func(i, j int) bool { return c.dearness(ms[i]) > c.dearness(ms[j]) })
+	for _, m := range ms {
+		size := c.types[m.typ].Cap.CPU
+		if size > spare || size == 0 {
+			continue
+		}
+		spare -= size
+		m.yield = true
+	}
+}
+
+// dearness is a machine's price per CPU.
+func (c *Core) dearness(m *machine) float64 {
+	t := c.types[m.typ]
+	if t.Cap.CPU == 0 {
+		return 0
+	}
+	price := t.Price
+	if m.spot {
+		price = t.SpotPrice
 	}
+	return price / float64(t.Cap.CPU)
 }
 
 // clearFor empties a yielded machine of work that can save, when what other
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -252,6 +252,7 @@
 	BootPatience  float64
 	BudgetShare   float64
 	HandBackAfter Time
+	SpareShare    float64 // room kept beyond the present need
 }
 
 // Config is all that a Core knows from the start.
@@ -280,6 +281,6 @@
 	return Tuning{
 		Checkpoint: 2 * s, PingEvery: s, PingTimeout: s, Retries: 5, RetryFirst: s / 10,
 		ProbeEvery: s / 2, Probes: 5, IdleReturn: 30 * s, RefusedWait: 15 * s,
-		BootPatience: 3, BudgetShare: 0.9, HandBackAfter: 4 * s,
+		BootPatience: 3, BudgetShare: 0.9, HandBackAfter: 4 * s, SpareShare: 0.5,
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -207,6 +207,7 @@
 	BootPatience *float64 `json:"boot_patience"`
 	BudgetShare  *float64 `json:"budget_share"`
 	HandBackS    *float64 `json:"hand_back_s"`
+	SpareShare   *float64 `json:"spare_share"`
 }
 
 func tune(t *core.Tuning, text []byte) error {
@@ -260,6 +261,9 @@
 	if f.BootPatience != nil {
 		t.BootPatience = *f.BootPatience
 	}
+	if f.SpareShare != nil {
+		t.SpareShare = *f.SpareShare
+	}
 	if f.BudgetShare != nil {
 		t.BudgetShare = *f.BudgetShare
 	}
