--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -269,7 +269,8 @@
 // PartLoad is what a part has and what its jobs could use, by priority.
 type PartLoad struct {
 	Part   Part
-	Have   Amount
+	Have   Amount // usable now
+	Coming Amount // booting
 	Demand [4]Amount
 }
 
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -44,6 +44,8 @@
 	holdUntil Time
 	preemptAt Time // not before then again
 	arrived   Time
+	firstRun  Time
+	lastRun   Time
 }
 
 type jobRecord struct {
@@ -508,7 +510,9 @@
 	if c.jobs[j.spec.ID] != j {
 		return
 	}
-	c.logf("debug", "job over", "job", string(j.spec.ID), "status", string(end))
+	c.logf("debug", "job over", "job", string(j.spec.ID), "status", string(end), "class", j.spec.Class, "team", j.spec.Team,
+		"tasks", j.spec.Tasks, "first_run_s", int((j.firstRun-j.arrived)/second), "all_run_s", int((j.lastRun-j.arrived)/second),
+		"took_s", int((c.now-j.arrived)/second), "run_s", int(j.spec.RuntimeS), "due_s", int(j.spec.DeadlineS))
 	if end == StCancelled {
 		c.stopAll(j)
 	}
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -708,6 +708,10 @@
 	case Running:
 		if a.runAt == 0 {
 			a.runAt = c.now
+			if a.j.firstRun == 0 {
+				a.j.firstRun = c.now
+			}
+			a.j.lastRun = c.now
 			m.addImage(a.j, c.types[m.typ].CacheGB)
 		}
 	case Ended:
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -136,12 +136,19 @@
 	for _, s := range c.slots(p) {
 		c.fill(work, s.free, func(j *job) bool { return c.allowedOn(j, s.m) })
 	}
+	for _, id := range sortedKeys(c.machines) {
+		if m := c.machines[id]; m.part == p.id && !m.booting && !m.acked && !m.returning && c.now-m.since < 5*second {
+			c.fill(work, c.types[m.typ].Cap.minus(m.used()), func(j *job) bool { return c.allowedOn(j, m) })
+		}
+	}
+	// Another part's idle machine serves at once, a booting one much later.
+	c.takeIdle(p, work)
 	for _, id := range sortedKeys(c.machines) {
 		m := c.machines[id]
 		if m.part != p.id || m.returning || m.draining || c.usable(m) {
 			continue
 		}
-		if m.booting || !m.acked {
+		if m.booting {
 			c.fill(work, c.types[m.typ].Cap.minus(m.used()), func(j *job) bool { return c.allowedOn(j, m) })
 		}
 	}
@@ -151,7 +158,6 @@
 			c.fill(work, c.types[r.opt.Type].Cap, func(j *job) bool { return c.optionAllowed(j, r.opt) })
 		}
 	}
-	c.takeIdle(p, work)
 	if c.mayRent(p) {
 		c.rentMore(p, work)
 	}
@@ -480,6 +486,7 @@
 
 func (c *Core) booted(m *machine) {
 	c.logf("debug", "machine up", "machine", string(m.id), "type", m.typ, "after_s", int((c.now-m.since)/second))
+	m.idleSince = c.now // it has not been idle while it booted
 	c.placing = true
 }
 
@@ -548,7 +555,7 @@
 		for _, d := range l.Demand {
 			need += d
 		}
-		if q != m.part && need > l.Have {
+		if q != m.part && need > l.Have+l.Coming {
 			return true
 		}
 	}
--- a/internal/core/share.go
+++ b/internal/core/share.go
@@ -24,6 +24,10 @@
 		if m.part != p.id || m.returning || m.draining {
 			continue
 		}
+		if m.booting {
+			l.Coming += c.types[m.typ].Cap.CPU
+			continue
+		}
 		l.Have += c.types[m.typ].Cap.CPU
 		for _, a := range m.assigns {
 			if a.live() && a.j.active() {
@@ -294,7 +298,7 @@
 		for _, d := range l.Demand {
 			need += d
 		}
-		if need > l.Have && l.Have+16_000_000 < mine.Have {
+		if need > l.Have+l.Coming && l.Have+l.Coming+16_000_000 < mine.Have+mine.Coming {
 			least = false
 		}
 	}
