--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -222,7 +222,8 @@
 		}
 		// A node that hears nobody is more likely cut off than alone in the
 		// world: it waits longer and takes records being written as a sign of life.
-		return !alone || c.now-p.failedAt > 6*second && c.now-p.wroteAt > 6*second
+		// After its own cut it must have had the store for a while to see those.
+		return !alone || c.now-p.failedAt > 6*second && c.now-p.wroteAt > 6*second && c.now-c.storeUp.okSince > 8*second
 	}
 	if !p.heard || c.now-p.pingAt > 3*second {
 		return false
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -45,45 +45,83 @@
 	return max(run-time.Duration(c.now-a.runAt).Seconds(), run*0.1)
 }
 
-// due is when a job should be complete, as milliseconds of the time of day:
-// by its own deadline or by what the objectives say of its class.
-func (c *Core) due(j *job) float64 {
-	at := float64(j.spec.Submitted)
-	if j.spec.DeadlineS > 0 {
-		return at + j.spec.DeadlineS*1000
+// never is the latest start of a job that can't meet any aim any more.
+const never = 1e18
+
+// latestStart is when a job's waiting tasks must start to meet the first of
+// its aims that can still be met, as milliseconds of the time of day: its own
+// deadline, or what the objectives say of its class.
+func (c *Core) latestStart(j *job) float64 {
+	at, run := float64(j.spec.Submitted), c.expectedRun(j)*1000
+	best, known := float64(never), false
+	consider := func(start float64) {
+		known = true
+		if start >= float64(c.wall)-500 {
+			best = min(best, start)
+		}
 	}
-	best := 0.0
 	for _, o := range c.cfg.Objectives {
-		if o.Class == j.spec.Class && o.Kind == "finished" && (best == 0 || o.WithinS < best) {
-			best = o.WithinS
+		if o.Class != j.spec.Class {
+			continue
+		}
+		switch o.Kind {
+		case "deadline":
+			if j.spec.DeadlineS > 0 {
+				consider(at + j.spec.DeadlineS*1000*max(o.Times, 0.1) - run)
+			}
+		case "finished":
+			consider(at + o.WithinS*1000 - run)
+		case "wait":
+			consider(at + o.WithinS*1000)
 		}
 	}
-	if best == 0 {
-		best = 600
+	if !known {
+		consider(at + max(j.spec.DeadlineS, 600)*1000 - run)
 	}
-	return at + best*1000
+	return best
 }
 
-// queued lists a part's jobs with waiting tasks, most urgent first.
+// queued lists a part's jobs with waiting tasks in the order in which they are
+// served: urgent ones first, then by their latest start, so that less
+// important work gets its turn before its time is up. What is late for good
+// waits behind what can still be in time.
 func (c *Core) queued(p *part) []*job {
-	var q []*job
+	type ranked struct {
+		j     *job
+		late  bool
+		tier  int
+		start float64
+	}
+	var q []ranked
 	for _, id := range sortedKeys(c.jobs) {
 		j := c.jobs[id]
-		if j.part == p.id && j.active() && j.loading == 0 && j.pending() > 0 && c.now >= j.holdUntil {
-			q = append(q, j)
+		if j.part != p.id || !j.active() || j.loading > 0 || j.pending() == 0 || c.now < j.holdUntil {
+			continue
 		}
-	}
-	due := map[*job]float64{}
-	for _, j := range q {
-		due[j] = c.due(j)
+		r := ranked{j: j, start: c.latestStart(j)}
+		if r.late = r.start == never; r.late {
+			r.start = float64(j.spec.Submitted)
+		}
+		if j.spec.Priority >= Urgent {
+			r.tier = int(j.spec.Priority)
+		}
+		q = append(q, r)
 	}
 	sort.SliceStable(q, func(a, b int) bool {
-		if q[a].spec.Priority != q[b].spec.Priority {
-			return q[a].spec.Priority > q[b].spec.Priority
+		switch x, y := q[a], q[b]; {
+		case x.tier != y.tier:
+			return x.tier > y.tier
+		case x.late != y.late:
+			return y.late
+		default:
+			return x.start < y.start
 		}
-		return due[q[a]] < due[q[b]]
 	})
-	return q
+	out := make([]*job, len(q))
+	for i := range q {
+		out[i] = q[i].j
+	}
+	return out
 }
 
 // teamUse sums what each team's tasks take, wherever they are or may be.
--- a/internal/core/share.go
+++ b/internal/core/share.go
@@ -185,6 +185,9 @@
 			}
 		}
 	}
+	if top < Urgent {
+		return
+	}
 	for _, a := range m.assigns {
 		if a.live() && (a.j.spec.Priority >= top || a.j.spec.CheckpntS == 0) {
 			return
@@ -197,11 +200,12 @@
 	}
 }
 
-// preempt stops less important tasks that can save, on one machine a job, when
-// a more important job found no room.
+// preempt stops less important tasks that can save when an urgent job found no
+// room. Only jobs of a tier that is always served first may do so: one that
+// ranks behind its victim would see the room go to the victim again, for ever.
 func (c *Core) preempt(p *part, jobs []*job, use map[string]Res) {
 	for _, j := range jobs {
-		if j.pending() == 0 || j.spec.Priority <= BestEffort || c.now < j.preemptAt {
+		if j.pending() == 0 || j.spec.Priority < Urgent || c.now < j.preemptAt {
 			continue
 		}
 		limit := c.teams[j.spec.Team].Limit
