--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -67,8 +67,9 @@
 	spot    bool
 	mark    Mark
 	token   Token
-	acked   bool // the worker's highest token is ours
-	since   Time // when this node began to own it
+	acked   bool  // the worker's highest token is ours
+	first   Token // of a machine that only this claim has ever owned: its token; else 0
+	since   Time  // when this node began to own it
 	booting bool
 
 	session Session
@@ -597,7 +598,9 @@
 	if m.addr != r.Addr && r.Addr != "" {
 		m.addr = r.Addr
 	}
-	m.acked = r.Token == m.token
+	// A worker that has seen no token at all, on a machine that nobody but this
+	// claim has ever owned, can have no older command on its way to it.
+	m.acked = r.Token == m.token || r.Token == 0 && m.token == m.first && !m.unsure && !m.bumping
 	if m.acked && !m.bumping {
 		m.unsure = false
 	}
@@ -1068,6 +1071,9 @@
 			}
 			m := c.addMachine(id, p, rec, Mark(e))
 			m.booting = rec.Addr == ""
+			if mark == 0 {
+				m.first = m.token
+			}
 			c.placing = true
 			fn(m)
 		},
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -282,12 +282,22 @@
 		if s.m.hasImage(j.spec.Image) {
 			rank = 2
 		} else {
+			other := false
 			for _, a := range s.m.assigns {
-				if a.live() && a.j.spec.Image == j.spec.Image {
+				if !a.live() || a.runAt > 0 {
+					continue
+				}
+				if a.j.spec.Image == j.spec.Image {
 					rank = 1
-					break
+				} else if !s.m.hasImage(a.j.spec.Image) && a.j.spec.Priority >= min(j.spec.Priority, Urgent) {
+					other = true
 				}
 			}
+			// Two fetches share the machine's rate: one after the other lets
+			// the first start sooner and the second no later.
+			if other && rank == 0 {
+				continue
+			}
 		}
 		if best == nil || rank > bestRank || rank == bestRank && s.free.CPU > best.free.CPU {
 			best, bestRank = s, rank
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -443,7 +443,7 @@
 				for _, id := range made {
 					if c.machines[id] == nil {
 						m := c.addMachine(id, p, machineRecord{Part: p.id, Type: r.opt.Type, Zone: r.opt.Zone, Spot: r.opt.Spot}, Mark(e))
-						m.booting = true
+						m.booting, m.first = true, m.token
 					}
 				}
 			},
