Serve small remaining work first among jobs that can still be in time

Cause: the cloud's whole capacity is in use from 60 s on (report windows), so order decides which jobs are late; by latest start alone all progress together and miss together.

--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -102,6 +102,9 @@
 		if r.late = r.start == never; r.late {
 			r.start = float64(j.spec.Submitted)
 		}
+		if !r.late {
+			r.start += c.cfg.Tuning.SmallFirst * 1000 * float64(j.pending()) * float64(j.spec.Need.CPU) / 1e6 * c.expectedRun(j)
+		}
 		if j.spec.Priority >= Urgent {
 			r.tier = int(j.spec.Priority)
 		}
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -252,6 +252,7 @@
 	BootPatience  float64
 	BudgetShare   float64
 	HandBackAfter Time
+	SmallFirst    float64 // seconds that a CPU second of remaining work moves a job back
 	SpareShare    float64 // room kept beyond the present need
 }
 
@@ -281,6 +282,6 @@
 	return Tuning{
 		Checkpoint: 2 * s, PingEvery: s, PingTimeout: s, Retries: 5, RetryFirst: s / 10,
 		ProbeEvery: s / 2, Probes: 5, IdleReturn: 30 * s, RefusedWait: 15 * s,
-		BootPatience: 3, BudgetShare: 0.9, HandBackAfter: 4 * s, SpareShare: 0.5,
+		BootPatience: 3, BudgetShare: 0.9, HandBackAfter: 4 * s, SpareShare: 0.5, SmallFirst: 0.5,
 	}
 }
