--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -44,6 +44,7 @@
 	counters    Counters
 	classes     map[string]*classStats
 	rentSeq     int
+	rentAsked   bool
 	nextList    Time
 	strays      map[MachineID]Time // listed without a record, since when
 	cloudBucket bucket
@@ -100,7 +101,9 @@
 			}
 		}
 	}
-	c.cloudBucket = bucket{rate: cfg.CloudRPS * cfg.Tuning.BudgetShare / float64(len(cfg.Nodes)), cap: 2}
+	share := cfg.CloudRPS * cfg.Tuning.BudgetShare / float64(len(cfg.Nodes))
+	// The cloud allows bursts worth two seconds.
+	c.cloudBucket = bucket{rate: share, cap: max(2*share, 1), have: max(2*share, 1)}
 	c.after(0, c.boot)
 	return c
 }
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -262,6 +262,7 @@
 	}
 	c.jobs[id] = j
 	c.placing = true
+	c.rentSoon()
 	for n := 1; n < len(j.marks); n++ {
 		j.loading++
 		c.loadChunk(j, n)
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -115,6 +115,19 @@
 	return took
 }
 
+// rentSoon looks for machines before the next regular sweep: boots take long,
+// and every second that a request waits is added to them.
+func (c *Core) rentSoon() {
+	if c.rentAsked {
+		return
+	}
+	c.rentAsked = true
+	c.after(100*milli, func() {
+		c.rentAsked = false
+		c.rentSweep()
+	})
+}
+
 // rentSweep finds machines for work that has none: first what is coming
 // already, then other parts' idle machines, then the cloud's.
 func (c *Core) rentSweep() {
@@ -265,7 +278,7 @@
 			flying++
 		}
 	}
-	for flying < 2 {
+	for flying < 4 {
 		var first *job
 		for _, w := range work {
 			if w.n > 0 {
@@ -353,7 +366,7 @@
 	c.rentSeq++
 	r := &rental{name: "r-" + c.cfg.Boot + "-" + strconv.FormatUint(uint64(p.claim), 10) + "-" + strconv.Itoa(c.rentSeq), opt: o, count: n, at: c.now}
 	p.rentals[r.name] = r
-	p.refused[o] = c.now + second // one request at a time for an option
+	p.refused[o] = c.now + 2*second // one request at a time for an option
 	c.w.add(prioStart, &write{
 		part: p.id, keys: []string{rentalKey(r.name)},
 		build: func(nonce string) ([]TxnOp, []Mark) {
@@ -388,10 +401,12 @@
 			}
 			r.over = true
 			c.settleRental(p, r, a.IDs)
+			c.rentSoon()
 		case Missing:
 			p.refused[r.opt] = c.now + c.cfg.Tuning.RefusedWait
 			r.over = true
 			c.settleRental(p, r, nil)
+			c.rentSoon()
 		case Invalid:
 			p.refused[r.opt] = c.now + 300*second
 			r.over = true
@@ -738,7 +753,7 @@
 	if first, ok := c.strays[l.ID]; !ok {
 		c.strays[l.ID] = c.now
 		return
-	} else if c.now-first < 3*c.cfg.ListLag+5*second {
+	} else if c.now-first < 3*c.cfg.ListLag+45*second { // the dead stay listed a while too
 		return
 	}
 	c.owners[l.ID] = ownerNote{p.id, c.now}
