--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -45,6 +45,8 @@
 	classes     map[string]*classStats
 	rentSeq     int
 	rentAsked   bool
+	beating     bool
+	beatMark    Mark
 	nextList    Time
 	strays      map[MachineID]Time // listed without a record, since when
 	cloudBucket bucket
@@ -290,6 +292,7 @@
 	c.every(fixed(second/2), c.machineSweep)
 	c.every(fixed(second), c.rentSweep)
 	c.every(fixed(2*second), c.inspectWorker)
+	c.every(fixed(2*second), c.beat)
 	c.every(fixed(second/4), func() { c.placing = true })
 	c.every(fixed(30*second), c.stats)
 }
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -119,6 +119,9 @@
 		return
 	}
 	p := c.parts[n]
+	if kv.Mark > p.mark {
+		c.signOfLife(kv)
+	}
 	var rec partRecord
 	if json.Unmarshal(kv.Value, &rec) != nil || rec.Holder == "" {
 		c.logf("error", "unreadable record", "key", kv.Key)
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -1,5 +1,7 @@
 package core
 
+import "encoding/json"
+
 // peerVersion guards against frames of another release.
 const peerVersion = 1
 
@@ -19,6 +21,7 @@
 	taken    map[MachineID]Mark // idle machines of its that we have tried to take, at which mark
 	failedAt Time
 	wroteAt  Time // when a record it wrote was last seen
+	beat     Mark // of its nodes/<id>
 }
 
 // pingLoop is the design's detection: a call each second, then retries with
@@ -201,6 +204,52 @@
 	}
 }
 
+func nodeKey(id NodeID) string { return "nodes/" + string(id) }
+
+// beat shows signs of life through the store while a peer seems to have
+// failed: where only the links between controllers are cut, both sides see the
+// other's and leave its part alone. In ordinary times nothing is written.
+func (c *Core) beat() {
+	any := false
+	for _, id := range c.cfg.Nodes {
+		p := c.peers[id]
+		if p == nil || !p.failed {
+			continue
+		}
+		any = true
+		c.get(nodeKey(id), func(r GetReply) {
+			if r.Out == OK && r.KV.Mark != p.beat {
+				if p.beat != 0 || nonceBoot(nonceOf(r.KV.Value)) == p.boot {
+					p.wroteAt = c.now
+				}
+				p.beat = r.KV.Mark
+			}
+		})
+	}
+	if !any || c.beating || c.storeLost(second) {
+		return
+	}
+	c.beating = true
+	c.w.add(prioDone, &write{
+		part: NoPart, keys: []string{nodeKey(c.cfg.Self)},
+		build: func(nonce string) ([]TxnOp, []Mark) {
+			v, _ := json.Marshal(struct {
+				W string `json:"w"`
+			}{nonce})
+			return []TxnOp{{nodeKey(c.cfg.Self), v}}, []Mark{c.beatMark}
+		},
+		ok: func(e Epoch) { c.beating, c.beatMark = false, Mark(e) },
+		conflict: func() { // an earlier life's, or a late one
+			c.get(nodeKey(c.cfg.Self), func(r GetReply) {
+				c.beating = false
+				if r.Out == OK {
+					c.beatMark = r.KV.Mark
+				}
+			})
+		},
+	})
+}
+
 // lost tells whether a node can't hold its parts: detected as failed and not
 // heard by a third node either, or by its own word unable to serve.
 func (c *Core) lost(id NodeID) bool {
--- a/internal/core/random_test.go
+++ b/internal/core/random_test.go
@@ -73,7 +73,7 @@
 	w = standin.NewWorld(seed, testConfig(), testCloud(func() *standin.World { return w }))
 	w.Late = true
 	if os.Getenv("STAIRRELAY_LOG") != "" {
-		w.Log = func(s string) { t.Log(s) }
+		w.Log = func(s string) { t.Log(time.Duration(w.Now), s) }
 	}
 	for _, z := range []string{"a", "b", "c"} {
 		w.AddMachine("small", z, false)
--- /dev/null
+++ b/internal/core/story_test.go
@@ -0,0 +1,198 @@
+package core_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"stairrelay/internal/core"
+	"stairrelay/internal/standin"
+)
+
+var update = flag.Bool("update", false, "write the traces of testdata/stories anew")
+
+// TestStories replays the kept traces. A story is a text file: lines that
+// begin with # tell it, lines that begin with > are what happens, the others
+// are what the controllers and workers did about it. With -update the last are
+// written anew: read the difference before it is committed.
+func TestStories(t *testing.T) {
+	files, err := filepath.Glob("testdata/stories/*.txt")
+	if err != nil || len(files) < 8 {
+		t.Fatalf("only %d stories: %v", len(files), err)
+	}
+	for _, f := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(f), ".txt"), func(t *testing.T) {
+			text, err := os.ReadFile(f)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got := tell(t, string(text))
+			if *update {
+				if err := os.WriteFile(f, []byte(got), 0o644); err != nil {
+					t.Fatal(err)
+				}
+				return
+			}
+			if got != string(text) {
+				want, have := strings.Split(string(text), "\n"), strings.Split(got, "\n")
+				for i := range want {
+					if i >= len(have) || want[i] != have[i] {
+						t.Fatalf("line %d of %s\nwant %s\ngot  %s", i+1, f, want[i], append(have, "")[min(i, len(have))])
+					}
+				}
+				t.Fatalf("%s: %d lines more than kept", f, len(have)-len(want))
+			}
+		})
+	}
+}
+
+// tell plays a story's script and returns the story with what came of it.
+func tell(t *testing.T, text string) string {
+	t.Helper()
+	var out strings.Builder
+	var w *standin.World
+	jobs := map[string]*standin.Job{}
+	cfg := testConfig()
+	cloud := testCloud(func() *standin.World { return w })
+	cloud.Capacity = map[string]int{}
+	cloud.Boot = func() core.Time { return 10 * sec }
+	say := func(s string) { fmt.Fprintf(&out, "%8.3f %s\n", time.Duration(w.Now).Seconds(), s) }
+	for i, line := range strings.Split(text, "\n") {
+		if strings.HasPrefix(line, "#") {
+			out.WriteString(line + "\n")
+		}
+		if !strings.HasPrefix(line, ">") {
+			continue
+		}
+		out.WriteString(line + "\n")
+		if w == nil {
+			w = standin.NewWorld(1, cfg, cloud)
+			w.Calm = true
+			w.Log = say
+		}
+		if err := act(w, cloud, jobs, strings.Fields(line[1:]), say); err != nil {
+			t.Fatalf("line %d: %v", i+1, err)
+		}
+	}
+	if w == nil {
+		t.Fatal("the story has no script")
+	}
+	for _, b := range w.Broken {
+		t.Errorf("rule broken: %s", b)
+	}
+	return out.String()
+}
+
+func act(w *standin.World, cloud *standin.Cloud, jobs map[string]*standin.Job, f []string, say func(string)) error {
+	opt := map[string]string{}
+	var arg []string
+	for _, x := range f[1:] {
+		if k, v, ok := strings.Cut(x, "="); ok {
+			opt[k] = v
+		} else {
+			arg = append(arg, x)
+		}
+	}
+	num := func(k string, or float64) float64 {
+		if v, err := strconv.ParseFloat(opt[k], 64); err == nil {
+			return v
+		}
+		return or
+	}
+	dur := func(s string) core.Time {
+		d, err := time.ParseDuration(s)
+		if err != nil {
+			panic(err)
+		}
+		return core.Time(d)
+	}
+	node := func(id string) *standin.Node {
+		for _, n := range w.Nodes {
+			if string(n.ID) == id {
+				return n
+			}
+		}
+		panic("no node " + id)
+	}
+	answered := func(what, id string) func(core.Respond) {
+		return func(r core.Respond) {
+			switch {
+			case r.View != nil:
+				say(fmt.Sprintf("user %s %s: %d %s done %d running %d", what, id, r.Status, r.View.Status, r.View.Done, r.View.Running))
+			case r.Status == 0:
+				say(fmt.Sprintf("user %s %s: no answer", what, id))
+			default:
+				say(fmt.Sprintf("user %s %s: %d, again after %d s", what, id, r.Status, r.RetryAfter))
+			}
+			if r.View != nil && jobs[id] != nil {
+				jobs[id].Accepted = true
+				w.Told(jobs[id], r.View.Status)
+			}
+		}
+	}
+	switch f[0] {
+	case "machines": // machines small a 2 [spot=1]
+		n, _ := strconv.Atoi(arg[2])
+		for range n {
+			w.AddMachine(arg[0], arg[1], opt["spot"] != "")
+		}
+	case "capacity": // capacity small a 2 [spot=1]
+		n, _ := strconv.Atoi(arg[2])
+		cloud.Capacity[standin.Slot(arg[0], arg[1], opt["spot"] != "")] = n
+	case "submit": // submit j-000001 red via n0 tasks=3 run=10 cpu=1
+		run := num("run", 10)
+		s := core.JobSpec{ID: core.JobID(arg[0]), Class: "c", Team: arg[1], Priority: core.Priority(num("priority", 1)), Tasks: int(num("tasks", 1)),
+			Need: core.Res{CPU: core.Amount(num("cpu", 1) * 1e6), Mem: cpu}, Image: "img", ImageGB: 1, RuntimeS: run, Spot: opt["spot"] != ""}
+		info := standin.JobInfo{Need: s.Need, Run: core.Time(run * 1e9), Tasks: s.Tasks, Image: s.Image}
+		if v := num("save", 0); v > 0 {
+			s.CheckpntS, s.SaveS, info.Checkpoint, info.Save = 5, v, true, core.Time(v*1e9)
+		}
+		if w.Jobs[s.ID] == nil {
+			jobs[arg[0]] = &standin.Job{Spec: s, Info: info}
+			w.Jobs[s.ID] = jobs[arg[0]]
+		}
+		w.Ask(node(arg[3]), func(id core.ReqID) core.Event { return core.Submit{Req: id, Job: s} }, answered("submits", arg[0]))
+	case "query":
+		w.Ask(node(arg[2]), func(id core.ReqID) core.Event { return core.Query{Req: id, ID: core.JobID(arg[0])} }, answered("asks for", arg[0]))
+	case "cancel":
+		if j := jobs[arg[0]]; j != nil {
+			j.AskedCancel = true
+		}
+		w.Ask(node(arg[2]), func(id core.ReqID) core.Event { return core.Cancel{Req: id, ID: core.JobID(arg[0])} }, answered("cancels", arg[0]))
+	case "crash":
+		w.Kill(node(arg[0]))
+	case "boot":
+		w.Boot(node(arg[0]))
+	case "cut": // cut n0 store 10s
+		n, until := node(arg[0]), w.Now+dur(arg[2])
+		switch arg[1] {
+		case "store":
+			n.StoreCut = until
+		case "workers":
+			n.WorkerCut = until
+		case "peers":
+			n.PeerCut = until
+		case "all":
+			n.StoreCut, n.WorkerCut, n.PeerCut = until, until, until
+		default:
+			return fmt.Errorf("cut from %q", arg[1])
+		}
+	case "outage":
+		w.Down = w.Now + dur(arg[0])
+	case "hang":
+		w.Hang(core.MachineID(arg[0]), dur(arg[1]))
+	case "notice":
+		w.SpotNotice(core.MachineID(arg[0]), dur(arg[1]))
+	case "run":
+		w.Run(w.Now + dur(arg[0]))
+		w.Now = max(w.Now, 0)
+	default:
+		return fmt.Errorf("unknown line %q", f)
+	}
+	return nil
+}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -27,6 +27,7 @@
 	Jobs    map[core.JobID]*Job
 	Broken  []string
 	Late    bool      // messages over a cut may arrive minutes late
+	Calm    bool      // nothing is lost or slow but what a test asks for
 	Down    core.Time // the state service is out until then
 	CloudDn core.Time
 	cfg     core.Config
@@ -136,7 +137,7 @@
 }
 
 // Chance is true with probability p.
-func (w *World) Chance(p float64) bool { return w.Rand.Float64() < p }
+func (w *World) Chance(p float64) bool { return !w.Calm && w.Rand.Float64() < p }
 
 // Between draws a time.
 func (w *World) Between(a, b core.Time) core.Time { return a + core.Time(w.Rand.Int64N(int64(b-a)+1)) }
@@ -240,8 +241,16 @@
 	case core.StoreTxn:
 		w.store(n, f.Call, core.TxnReply{Out: core.NotDone}, core.TxnReply{Out: core.Unknown}, func() any {
 			r := w.State.Txn(f.When, f.Then)
+			what := "writes"
+			if r.Out != core.OK {
+				what = "may not write"
+			}
 			for _, o := range f.Then {
-				w.Log(fmt.Sprintf("%v store %s %v@%d %s %s", time.Duration(w.Now), n.ID, r.Out, r.Epoch, o.Key, o.Value))
+				v := string(o.Value)
+				if o.Value == nil {
+					v = "(dropped)"
+				}
+				w.Log(fmt.Sprintf("%s %s %s@%d %s", n.ID, what, o.Key, r.Epoch, v))
 			}
 			return r
 		})
@@ -292,7 +301,9 @@
 	case core.PeerCall:
 		w.peerCall(n, f)
 	case core.Log:
-		w.Log(fmt.Sprintf("%v %s %s %s %v", time.Duration(w.Now), n.ID, f.Level, f.Text, f.Args))
+		if f.Text != "stats" {
+			w.Log(fmt.Sprintf("%s logs %s: %s %v", n.ID, f.Level, f.Text, f.Args))
+		}
 		if f.Level == "error" {
 			w.broke("%s logs an error: %s %v", n.ID, f.Text, f.Args)
 		}
@@ -308,7 +319,7 @@
 			w.After(d, func() { do() })
 		}
 		w.reply(n, id, 1200*milli, unknown)
-	case w.Chance(0.01):
+	case w.Chance(0.01): // lost on the way, or delivered late
 		if d, ok := w.lateBy(w.Now); ok {
 			w.After(d, func() { do() })
 		}
@@ -404,6 +415,7 @@
 			return
 		}
 		r := l.Orders(f)
+		w.logCommands(n, l, f.Token, f.Commands)
 		w.changed(l)
 		if w.Chance(0.01) {
 			w.reply(n, f.Call, 2*second, core.OrdersReply{Out: core.Unknown})
@@ -424,6 +436,13 @@
 	l.Orders(f)
 }
 
+func (w *World) logCommands(n *Node, l *Live, token core.Token, cmds []core.Command) {
+	for _, c := range cmds {
+		verb := [...]string{"start", "stop", "forget"}[c.Verb]
+		w.Log(fmt.Sprintf("%s -> %s token %d: %s %s attempt %d", n.ID, l.ID, token, verb, c.Task, c.Attempt))
+	}
+}
+
 // AddMachine puts a machine into the world that is up at once.
 func (w *World) AddMachine(typ, zone string, spot bool) {
 	w.Cloud.Capacity[Slot(typ, zone, spot)]++
@@ -547,6 +566,7 @@
 		case a.Status == 200 && a.Worker != nil:
 			before := l.Token
 			l.Answered(r.Session, sent, *a.Worker)
+			w.logCommands(n, l, a.Worker.Token, a.Worker.Commands)
 			if l.Token > before || len(a.Worker.Commands) > 0 {
 				l.again = true
 			}
@@ -568,7 +588,7 @@
 // --- the rules ---
 
 func (w *World) onStart(on *Worker, t *Task) {
-	w.Log(fmt.Sprintf("%v starts %s attempt %d on %s token %d", time.Duration(w.Now), t.ID, t.Attempt, on.ID, on.Token))
+	w.Log(fmt.Sprintf("%s runs %s attempt %d", on.ID, t.ID, t.Attempt))
 	j := w.Jobs[t.ID.Job]
 	if j == nil || !j.Accepted && j.Told == "" && false {
 		w.broke("%s started, no such job", t.ID)
