--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,118 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"stairrelay/internal/core"
+)
+
+const good = `
+host_name = "n0"
+domain = "a"
+listen = "127.0.0.1:1"
+back = "127.0.0.1:2"
+unknown_field = 3
+[[peers]]
+host_name = "n1"
+endpoint = "127.0.0.1:3"
+[external]
+cloud = "127.0.0.1:4"
+state = "127.0.0.1:5"
+[cluster]
+count = 2
+[[cluster.teams]]
+name = "red"
+cpus = 4.0
+cpus_max = 8.5
+[cluster.workers]
+report_s = 2.0
+lease_s = 12.0
+cancel_s = 37.0
+[cluster.state]
+rps = 150.0
+write_rps = 25.0
+value_kb = 4.0
+txn_ops = 12
+[cluster.cloud]
+rps = 6.0
+list_lag_s = 3.0
+`
+
+func write(t *testing.T, name, text string) string {
+	t.Helper()
+	p := filepath.Join(t.TempDir(), name)
+	if err := os.WriteFile(p, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+func TestLoad(t *testing.T) {
+	s, err := Load(write(t, "s.toml", good), "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Core.Self != "n0" || len(s.Core.Nodes) != 2 || s.Peers["n1"] != "127.0.0.1:3" || s.Core.ValueBytes != 4096 {
+		t.Errorf("read %+v", s)
+	}
+	if s.Core.Teams[0].Limit.CPU != 8_500_000 || s.Core.Lease != core.Time(12*time.Second) {
+		t.Errorf("read %+v", s.Core)
+	}
+	if s.Core.Tuning != core.DefaultTuning() {
+		t.Errorf("defaults changed: %+v", s.Core.Tuning)
+	}
+}
+
+// TestBadSettings: each breach gives one line that names file and field.
+func TestBadSettings(t *testing.T) {
+	for name, c := range map[string]struct{ from, to, want string }{
+		"not TOML":     {"[cluster]", "[cluster", "line"},
+		"wrong type":   {"lease_s = 12.0", `lease_s = "x"`, "lease_s"},
+		"missing":      {"report_s = 2.0", "", "cluster.workers.report_s"},
+		"bad address":  {"127.0.0.1:5", "nowhere", "external.state"},
+		"own name":     {`host_name = "n1"`, `host_name = "n0"`, "peers.host_name"},
+		"count":        {"count = 2", "count = 3", "cluster.count"},
+		"no team name": {`name = "red"`, "", "cluster.teams.name"},
+		"too small":    {"txn_ops = 12", "txn_ops = 2", "txn_ops"},
+		"negative":     {"cpus = 4.0", "cpus = -4.0", "below 0"},
+	} {
+		p := write(t, "s.toml", strings.Replace(good, c.from, c.to, 1))
+		_, err := Load(p, "")
+		if err == nil || !strings.Contains(err.Error(), c.want) || !strings.Contains(err.Error(), p) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	if _, err := Load(filepath.Join(t.TempDir(), "none.toml"), ""); err == nil || !strings.Contains(err.Error(), "none.toml") {
+		t.Errorf("missing file: %v", err)
+	}
+}
+
+func TestOperatorsFile(t *testing.T) {
+	p := write(t, "s.toml", good)
+	s, err := Load(p, write(t, "o.json", `{"checkpoint_s": 3, "probes": 7, "spare_share": 0}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Core.Tuning.Checkpoint != core.Time(3*time.Second) || s.Core.Tuning.Probes != 7 || s.Core.Tuning.SpareShare != 0 {
+		t.Errorf("read %+v", s.Core.Tuning)
+	}
+	for text, want := range map[string]string{
+		`{"checkpoint_s": 0}`:     "/checkpoint_s",
+		`{"probes": 2.5}`:         "/probes",
+		`{"no_such_setting": 1}`:  "no_such_setting",
+		`[]`:                      "object",
+		`{"checkpoint_s": 3`:      "not JSON",
+		`{"retries": "many"}`:     "/retries",
+		`{"budget_share": 1.5}`:   "/budget_share",
+		`{"boot_patience": null}`: "/boot_patience",
+	} {
+		_, err := Load(p, write(t, "o.json", text))
+		if err == nil || !strings.Contains(err.Error(), want) || !strings.Contains(err.Error(), "o.json") || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v", text, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,122 @@
+package wire
+
+import (
+	"strings"
+	"testing"
+
+	"stairrelay/internal/core"
+)
+
+const job = `{"id":"j-000412","route":"train","crew":"vision","shape":"sweep","urgency":"urgent","legs":16,
+ "vcpus":8.0,"accelerators":1.0,"memoryGb":64.0,"bundle":"img-07","sizeGb":6.2,"fleets":["g8"],"yard":null,
+ "samePlace":true,"scatter":false,"standby":true,"runtimeS":240.0,"waypointS":30.0,"stowS":4.0,"dueS":900.0,"later":1}`
+
+func TestDecodeSubmission(t *testing.T) {
+	s, err := DecodeSubmission([]byte(job))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := core.Res{CPU: 8_000_000, GPU: 1_000_000, Mem: 64_000_000}
+	if s.ID != "j-000412" || s.Team != "vision" || s.Priority != core.Urgent || s.Tasks != 16 || s.Need != want ||
+		!s.SamePlace || s.Scatter || !s.Spot || s.Zone != "" || s.DeadlineS != 900 || s.Types[0] != "g8" {
+		t.Errorf("read %+v", s)
+	}
+}
+
+// TestBadSubmissions: each is refused; where the body names a well-formed id
+// the caller still gets it, since it may be a known job's.
+func TestBadSubmissions(t *testing.T) {
+	for name, c := range map[string]struct {
+		from, to string
+		id       bool
+	}{
+		"not JSON":      {`{"id"`, `"id"`, false},
+		"array":         {job, `[1]`, false},
+		"null":          {job, `null`, false},
+		"bad id":        {"j-000412", "j-0004x2", false},
+		"id a number":   {`"j-000412"`, "412", false},
+		"other shape":   {"sweep", "gang", true},
+		"no urgency":    {`"urgency":"urgent",`, "", true},
+		"bad urgency":   {`"urgent"`, `"now"`, true},
+		"no legs":       {`"legs":16,`, "", true},
+		"legs 0":        {`"legs":16`, `"legs":0`, true},
+		"legs fraction": {`"legs":16`, `"legs":1.5`, true},
+		"legs too many": {`"legs":16`, `"legs":100001`, true},
+		"text for cpus": {`"vcpus":8.0`, `"vcpus":"8"`, true},
+		"cpus below 0":  {`"vcpus":8.0`, `"vcpus":-1`, true},
+		"null bool":     {`"samePlace":true`, `"samePlace":null`, true},
+		"no run time":   {`"runtimeS":240.0,`, "", true},
+		"due 0":         {`"dueS":900.0`, `"dueS":0`, true},
+		"long image":    {"img-07", strings.Repeat("x", 300), true},
+		"types a text":  {`["g8"]`, `"g8"`, true},
+	} {
+		body := strings.Replace(job, c.from, c.to, 1)
+		s, err := DecodeSubmission([]byte(body))
+		if err == nil {
+			t.Errorf("%s: accepted", name)
+		}
+		if (s.ID != "") != c.id {
+			t.Errorf("%s: id %q", name, s.ID)
+		}
+	}
+}
+
+func TestReportsAndAnswers(t *testing.T) {
+	r, err := DecodeReport([]byte(`{"coach":"m-000231","addr":"10.1.0.232:9000","fleet":"g8","yard":"a","standby":true,
+	 "shift":1,"stamp":88,"baton":41,"recallS":12.5,"legs":[{"leg":"j-000412/3","boarding":2,"status":"running"},
+	 {"leg":"j-000398/0","boarding":1,"status":"ended","cause":"stopped","stored":true},
+	 {"leg":"j-000398/1","boarding":1,"status":"ended","cause":"melted"}]}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.Machine != "m-000231" || r.Notice != 12.5 || r.Token != 41 || len(r.Tasks) != 3 ||
+		r.Tasks[0].Task != (core.TaskID{Job: "j-000412", Index: 3}) || !r.Tasks[1].Saved || r.Tasks[2].Cause != core.CauseError {
+		t.Errorf("read %+v", r)
+	}
+	for _, bad := range []string{`{}`, `[]`, `{"coach":"m-1","shift":0}`, `{"coach":"m/1","shift":1}`,
+		`{"coach":"m-1","shift":1,"legs":[{"leg":"j-1","boarding":1,"status":"running"}]}`,
+		`{"coach":"m-1","shift":1,"legs":[{"leg":"j-1/0","boarding":1,"status":"flying"}]}`} {
+		if _, err := DecodeReport([]byte(bad)); err == nil {
+			t.Errorf("%s: accepted", bad)
+		}
+	}
+	a := core.WorkerAnswer{Token: 41, Commands: []core.Command{
+		{Verb: core.Start, Task: core.TaskID{Job: "j-000412", Index: 4}, Attempt: 2},
+		{Verb: core.Stop, Task: core.TaskID{Job: "j-000377", Index: 1}, Attempt: 1, Grace: 10},
+		{Verb: core.Forget, Task: core.TaskID{Job: "j-000398"}, Attempt: 1}}}
+	want := `{"baton":41,"dispatches":[{"verb":"start","leg":"j-000412/4","boarding":2},` +
+		`{"verb":"halt","leg":"j-000377/1","boarding":1,"layoverS":10},{"verb":"reap","leg":"j-000398/0","boarding":1}]}`
+	if got := string(EncodeWorkerAnswer(200, a)); got != want {
+		t.Errorf("wrote %s", got)
+	}
+	if got := string(EncodeWorkerAnswer(421, core.WorkerAnswer{Redirect: "landing-2"})); got != `{"dispatcher":"landing-2"}` {
+		t.Errorf("wrote %s", got)
+	}
+	if got := string(EncodeWorkerAnswer(421, core.WorkerAnswer{})); got != `{}` {
+		t.Errorf("wrote %s", got)
+	}
+}
+
+// TestTruncatedAnswers: a cloud's or store's answer that makes no sense is an
+// error, never an empty success.
+func TestTruncatedAnswers(t *testing.T) {
+	if _, err := DecodeRental([]byte(`{}`)); err == nil {
+		t.Error("a rental without machines passed")
+	}
+	if _, _, err := DecodeTxn([]byte(`{"failed":["a"]}`)); err == nil {
+		t.Error("a transaction without epoch passed")
+	}
+	if _, err := DecodeGet([]byte(`{"key":"a","mark":3}`)); err == nil {
+		t.Error("a key without value passed")
+	}
+	if _, _, _, err := DecodeItems([]byte(`{"items":[]}`)); err == nil {
+		t.Error("a page without epoch passed")
+	}
+	if _, err := DecodeTypes([]byte(`{"fleets":[{"name":"x","vcpus":0}]}`)); err == nil {
+		t.Error("a machine type without CPUs passed")
+	}
+	items, _, epoch, err := DecodeItems([]byte(`{"epoch":433,"events":[{"set":"c/9","value":{"a":1},"mark":433},{"drop":"c/d","mark":432}]}`))
+	if err != nil || epoch != 433 || len(items) != 2 || items[0].Key != "c/9" || items[1].Key != "c/d" || items[1].Value != nil {
+		t.Errorf("read %+v %v", items, err)
+	}
+}
