--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -60,6 +60,7 @@
 
 // Counters are for the periodic log line.
 type Counters struct {
+	Kinds                                                                                          [prios]int // puts: claims, accepts, starts, outcomes, the rest
 	Reports, Submits, Queries, Cancels, Orders, Txns, Puts, Conflicts, Gets, PeerCalls, CloudCalls int
 }
 
@@ -307,7 +308,8 @@
 		}
 	}
 	c.logf("info", "stats", "reports", k.Reports, "submits", k.Submits, "queries", k.Queries, "cancels", k.Cancels,
-		"orders", k.Orders, "txns", k.Txns, "puts", k.Puts, "conflicts", k.Conflicts, "gets", k.Gets,
+		"orders", k.Orders, "txns", k.Txns, "puts", k.Puts, "claims", k.Kinds[prioClaim], "accepts", k.Kinds[prioAccept], "starts", k.Kinds[prioStart],
+		"outcomes", k.Kinds[prioDone], "lazy", k.Kinds[prioLazy], "conflicts", k.Conflicts, "gets", k.Gets,
 		"peer_calls", k.PeerCalls, "cloud_calls", k.CloudCalls, "parts", held, "jobs", len(c.jobs),
 		"machines", len(c.machines), "queue", c.w.depth(), "inflight", c.w.inflight)
 }
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -44,6 +44,9 @@
 	holdUntil Time
 	preemptAt Time // not before then again
 	arrived   Time
+	restarted map[int]bool // tasks that did not end at their first start
+	runs      int          // tasks that ran to their end here, and their time in all
+	runSum    float64
 	firstRun  Time
 	lastRun   Time
 }
@@ -70,7 +73,7 @@
 func newJob(spec JobSpec, part Part, mark Mark, now Time) *job {
 	n := chunks(spec.Tasks)
 	j := &job{spec: spec, part: part, marks: make([]Mark, n), dirty: make([]bool, n), state: make([]uint8, spec.Tasks),
-		where: map[int]*assign{}, failedOn: map[MachineID]bool{}, arrived: now}
+		where: map[int]*assign{}, failedOn: map[MachineID]bool{}, restarted: map[int]bool{}, arrived: now}
 	j.marks[0] = mark
 	return j
 }
@@ -101,6 +104,7 @@
 		return
 	}
 	j.state[i] = tPending
+	j.restarted[i] = true
 	j.placed--
 	delete(j.where, i)
 	j.next = min(j.next, i)
@@ -754,8 +758,8 @@
 		})
 		return
 	}
-	if wait := float64(len(c.w.queues[prioAccept])) / max(c.w.puts.rate, 1); wait > 3 {
-		c.refuse(e.Req, 429, min(30, 2+int(wait)), "too many submissions")
+	if after := c.overloaded(e.Job.Priority); after > 0 {
+		c.refuse(e.Req, 429, after, "too many submissions of this priority")
 		return
 	}
 	spec := e.Job
@@ -801,6 +805,18 @@
 	})
 }
 
+// overloaded decides for all jobs of a priority alike whether submissions can
+// be taken: the longer those accepted wait for the write budget, the more
+// priorities are refused, least important first. It returns when to come back.
+func (c *Core) overloaded(prio Priority) int {
+	wait := float64(len(c.w.queues[prioAccept])) / max(c.w.puts.rate, 1)
+	limit := [...]float64{BestEffort: 1, Normal: 1.5, Urgent: 2.5, Production: 3}[prio]
+	if wait <= limit {
+		return 0
+	}
+	return min(30, 1+int(2*wait))
+}
+
 // repeat answers a submission of a job that is known already.
 func (c *Core) repeat(req ReqID, id JobID) {
 	c.lookUp(id, func(status int, v JobView) {
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -39,6 +39,7 @@
 	stops     int
 	placedAt  Time
 	runAt     Time
+	partial   bool // its start was not seen
 }
 
 // start is one start of a task. A worker may hold two at once: it refuses a
@@ -94,6 +95,9 @@
 	errors     int
 	failedJobs map[JobID]bool
 	images     []image
+	timed      int     // tasks whose pace was compared with their job's others
+	pace       float64 // smoothed run time over theirs
+	lateHits   int
 
 	pending      ReqID
 	pendingStamp Stamp
@@ -703,9 +707,8 @@
 	if a.phase == aEnded {
 		return
 	}
-	if a.phase != aSeen {
-		a.phase = aSeen
-	}
+	a.partial = a.partial || a.phase == aDoubt
+	a.phase = aSeen
 	a.state = t.State
 	switch t.State {
 	case Running:
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -22,16 +22,68 @@
 }
 
 func (c *Core) learnRuntime(m *machine, a *assign) {
-	if a.runAt == 0 || a.j.spec.RuntimeS <= 0 {
+	// Only whole runs seen from their start tell anything: a resumed task has
+	// less to do, and after a take-over the start was not seen.
+	if a.runAt == 0 || a.j.spec.RuntimeS <= 0 || a.partial || a.j.restarted[a.task.Index] {
 		return
 	}
 	took := time.Duration(c.now - a.runAt).Seconds()
+	j := a.j
+	if j.runs >= 2 {
+		// Against its own job's other tasks a machine's speed shows best.
+		w := max(0.3, 1/float64(m.timed+1))
+		m.pace += w * (min(took/(j.runSum/float64(j.runs)), 10) - m.pace)
+		m.timed++
+	}
+	j.runs++
+	j.runSum += took
 	s := c.class(a.j.spec.Class)
 	s.n++
 	w := max(0.05, 1/float64(s.n+1))
 	s.ratio += w * (min(took/a.j.spec.RuntimeS, 5) - s.ratio)
 }
 
+// slowPace is how many times slower than its like a machine may be. Machines
+// of a type differ by a tenth; faulty ones by factors.
+const slowPace = 2.2
+
+// checkPace drains a machine that is much slower than its like, and starts
+// anew elsewhere what has already taken far longer than the job's other tasks.
+func (c *Core) checkPace(m *machine) {
+	if m.draining || m.returning {
+		return
+	}
+	slow := m.timed >= 3 && m.pace > slowPace
+	var late []*assign
+	for _, a := range m.sorted() {
+		if a.phase != aSeen || a.gone || a.runAt == 0 || a.state != Running || a.j.runs < 3 || a.j.restarted[a.task.Index] {
+			continue
+		}
+		if like := a.j.runSum / float64(a.j.runs); time.Duration(c.now-a.runAt).Seconds() > 2.5*like+5 {
+			late = append(late, a)
+		}
+	}
+	if !slow && len(late) == 0 {
+		return
+	}
+	if !slow {
+		m.lateHits++
+		if m.lateHits < 4 { // some seconds' patience: reports may be late, not the tasks
+			return
+		}
+	}
+	c.logf("info", "machine is slow", "machine", string(m.id), "pace", m.pace, "late_tasks", len(late))
+	c.drain(m)
+	for _, a := range m.sorted() {
+		if a.phase == aSeen && !a.gone && a.j.spec.CheckpntS > 0 {
+			late = append(late, a)
+		}
+	}
+	for _, a := range late {
+		c.stopTask(m, a, a.j.spec.SaveS*4+1)
+	}
+}
+
 // expectedRun is a job's run time per task as far as is known.
 func (c *Core) expectedRun(j *job) float64 {
 	return j.spec.RuntimeS * c.class(j.spec.Class).ratio
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -527,6 +527,7 @@
 		if c.storeLost(second) {
 			continue
 		}
+		c.checkPace(m)
 		silent := c.now - m.heard
 		t := c.types[m.typ]
 		switch {
--- a/internal/core/story_test.go
+++ b/internal/core/story_test.go
@@ -157,6 +157,18 @@
 			w.Jobs[s.ID] = jobs[arg[0]]
 		}
 		w.Ask(node(arg[3]), func(id core.ReqID) core.Event { return core.Submit{Req: id, Job: s} }, answered("submits", arg[0]))
+	case "flood": // flood 50 red via n0 priority=1
+		n, _ := strconv.Atoi(arg[0])
+		count := map[string]int{}
+		for i := range n {
+			s := core.JobSpec{ID: core.JobID(fmt.Sprintf("j-%v%05d", num("priority", 1), i)), Class: "c", Team: arg[1], Priority: core.Priority(num("priority", 1)),
+				Tasks: 1, Need: core.Res{CPU: cpu, Mem: cpu}, Image: "img", ImageGB: 1, RuntimeS: 500}
+			w.Jobs[s.ID] = &standin.Job{Spec: s, Info: standin.JobInfo{Need: s.Need, Run: 500 * sec, Tasks: 1, Image: "img"}}
+			w.Ask(node(arg[3]), func(id core.ReqID) core.Event { return core.Submit{Req: id, Job: s} }, func(r core.Respond) {
+				count[fmt.Sprint(r.Status)]++
+			})
+		}
+		w.After(3500*sec/1000, func() { say(fmt.Sprintf("users of priority %v: %v", num("priority", 1), count)) })
 	case "query":
 		w.Ask(node(arg[2]), func(id core.ReqID) core.Event { return core.Query{Req: id, ID: core.JobID(arg[0])} }, answered("asks for", arg[0]))
 	case "cancel":
--- a/internal/core/writer.go
+++ b/internal/core/writer.go
@@ -37,6 +37,7 @@
 	then   []TxnOp
 	unsure bool // an earlier sending may have been, or may yet be, carried out
 	tries  int
+	kinds  [prios]int // puts by priority
 	part   Part
 	pmark  Mark // the claim that guards it
 }
@@ -179,6 +180,7 @@
 				bytes += len(op.Value) + len(op.Key) + 80
 			}
 			t.then = append(t.then, ops...)
+			t.kinds[prio] += len(ops)
 			t.writes = append(t.writes, x)
 			budget -= float64(len(ops))
 			if x.part != NoPart {
@@ -220,6 +222,9 @@
 	t.tries++
 	c.counters.Txns++
 	c.counters.Puts += len(t.then)
+	for i, n := range t.kinds {
+		c.counters.Kinds[i] += n
+	}
 	c.emit(StoreTxn{Call: c.call(func(b any) { w.answered(t, b.(TxnReply)) }), When: t.when, Then: t.then})
 }
 
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"log/slog"
+	"runtime/metrics"
+	"syscall"
 	"time"
 
 	"stairrelay/internal/core"
@@ -23,6 +25,8 @@
 	log    *slog.Logger
 	actors Actors
 	start  time.Time
+	cpu    time.Duration
+	steps  int
 }
 
 type message struct {
@@ -76,6 +80,7 @@
 				waiting[next] = m.reply
 			}
 		}
+		e.steps++
 		for _, f := range e.core.Step(e.now(), core.Wall(time.Now().UnixMilli()), ev) {
 			if r, ok := f.(core.Respond); ok {
 				if ch := waiting[r.Req]; ch != nil {
@@ -92,6 +97,22 @@
 	}
 }
 
+// cost is what the process has used since the last time, so that a day can be
+// judged from its log.
+func (e *Engine) cost() []any {
+	var u syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
+		return nil
+	}
+	cpu := time.Duration(u.Utime.Nano() + u.Stime.Nano())
+	used, steps := cpu-e.cpu, e.steps
+	e.cpu, e.steps = cpu, 0
+	sample := []metrics.Sample{{Name: "/memory/classes/total:bytes"}}
+	metrics.Read(sample)
+	return []any{"cpu_ms", used.Milliseconds(), "events", steps, "cpu_us_per_event", used.Microseconds() / int64(max(steps, 1)),
+		"memory_kb", sample[0].Value.Uint64() / 1024}
+}
+
 func (e *Engine) now() core.Time { return core.Time(time.Since(e.start)) }
 
 func (e *Engine) carryOut(f core.Effect) {
@@ -112,6 +133,9 @@
 		case "error":
 			level = slog.LevelError
 		}
+		if f.Text == "stats" {
+			f.Args = append(f.Args, e.cost()...)
+		}
 		e.log.Log(context.Background(), level, f.Text, f.Args...)
 	}
 }
