--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -208,6 +208,7 @@
 	BudgetShare  *float64 `json:"budget_share"`
 	HandBackS    *float64 `json:"hand_back_s"`
 	SpareShare   *float64 `json:"spare_share"`
+	SmallFirstS  *float64 `json:"small_first_s"`
 }
 
 func tune(t *core.Tuning, text []byte) error {
@@ -264,6 +265,9 @@
 	if f.SpareShare != nil {
 		t.SpareShare = *f.SpareShare
 	}
+	if f.SmallFirstS != nil {
+		t.SmallFirst = *f.SmallFirstS
+	}
 	if f.BudgetShare != nil {
 		t.BudgetShare = *f.BudgetShare
 	}
