--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -532,7 +532,7 @@
 		t := c.types[m.typ]
 		switch {
 		case m.booting:
-			patience := Time((t.BootS*c.cfg.Tuning.BootPatience + 20) * float64(second))
+			patience := Time((t.BootS*c.cfg.Tuning.BootPatience + 5) * float64(second))
 			if t.BootS > 0 && c.now-m.since > patience {
 				c.returnMachine(m, "never came up")
 			}
--- a/internal/core/share.go
+++ b/internal/core/share.go
@@ -133,20 +133,21 @@
 			c.clearFor(m, loads, want)
 		}
 		if lack <= 0 {
-			c.retire(ms, l)
+			c.retire(p, ms, l)
 		}
 	}
 }
 
 // retire picks the machines that a part can do without, dearest first. They
 // run empty and are returned, so that the work gathers on the cheaper ones.
-func (c *Core) retire(ms []*machine, l PartLoad) {
+func (c *Core) retire(p *part, ms []*machine, l PartLoad) {
 	var need Amount
 	for _, d := range l.Demand {
 		need += d
 	}
 	spare := l.Have - need - Amount(float64(need)*c.cfg.Tuning.SpareShare) - 8_000_000
-	sort.SliceStable(ms, func(i, j int) bool { return c.dearness(ms[i]) > c.dearness(ms[j]) })
+	typical := c.typicalNeed(p)
+	sort.SliceStable(ms, func(i, j int) bool { return c.dearness(ms[i], typical) > c.dearness(ms[j], typical) })
 	for _, m := range ms {
 		size := c.types[m.typ].Cap.CPU
 		if size > spare || size == 0 {
@@ -157,8 +158,9 @@
 	}
 }
 
-// dearness is a machine's price per CPU.
-func (c *Core) dearness(m *machine) float64 {
+// dearness is a machine's price per CPU that work of the present kind can use:
+// a small machine wastes what is left beside tasks that don't divide it.
+func (c *Core) dearness(m *machine, need Res) float64 {
 	t := c.types[m.typ]
 	if t.Cap.CPU == 0 {
 		return 0
@@ -167,7 +169,27 @@
 	if m.spot {
 		price = t.SpotPrice
 	}
-	return price / float64(t.Cap.CPU)
+	if need.CPU == 0 {
+		return price / float64(t.Cap.CPU)
+	}
+	return price / float64(need.CPU*Amount(slotsFor(t.Cap, need)))
+}
+
+// typicalNeed is what a somewhat larger than average task of a part takes.
+func (c *Core) typicalNeed(p *part) Res {
+	var sum Res
+	var n Amount
+	for _, id := range sortedKeys(c.jobs) {
+		j := c.jobs[id]
+		if k := Amount(j.pending() + j.placed); j.part == p.id && j.active() && k > 0 {
+			sum = sum.plus(Res{j.spec.Need.CPU * k, j.spec.Need.GPU * k, j.spec.Need.Mem * k})
+			n += k
+		}
+	}
+	if n == 0 {
+		return Res{}
+	}
+	return Res{sum.CPU / n * 115 / 100, sum.GPU / n, sum.Mem / n * 115 / 100}
 }
 
 // clearFor empties a yielded machine of work that can save, when what other
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -282,6 +282,6 @@
 	return Tuning{
 		Checkpoint: 2 * s, PingEvery: s, PingTimeout: s, Retries: 5, RetryFirst: s / 10,
 		ProbeEvery: s / 2, Probes: 5, IdleReturn: 30 * s, RefusedWait: 15 * s,
-		BootPatience: 3, BudgetShare: 0.9, HandBackAfter: 4 * s, SpareShare: 0.5, SmallFirst: 0.5,
+		BootPatience: 1.8, BudgetShare: 0.9, HandBackAfter: 4 * s, SpareShare: 0.5, SmallFirst: 0.5,
 	}
 }
