--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -290,6 +290,9 @@
 			return
 		}
 		opts := c.options(p, first)
+		if len(opts) > 0 && first.spec.Spot && !opts[0].Spot && !c.worthOrdinary(p, work, opts[0]) {
+			opts = nil
+		}
 		if len(opts) == 0 {
 			for i := range work { // nothing to be had for it now
 				if work[i].j == first {
@@ -317,6 +320,24 @@
 	}
 }
 
+// worthOrdinary tells whether work that may use spot machines, of which there
+// are none now, should have an ordinary one at several times the price: only
+// if what is there and coming would not be through with it by the time that
+// the machine is up.
+func (c *Core) worthOrdinary(p *part, work []waitingWork, o rentOption) bool {
+	t := c.types[o.Type]
+	if t.Price < 1.5*t.SpotPrice {
+		return true
+	}
+	l := c.load(p)
+	have := float64(l.Have+l.Coming) / 1e6
+	rest := 0.0
+	for _, w := range work {
+		rest += float64(w.n) * float64(w.j.spec.Need.CPU) / 1e6 * c.expectedRun(w.j)
+	}
+	return rest > have*t.BootS
+}
+
 func (c *Core) options(p *part, j *job) []rentOption {
 	type priced struct {
 		o    rentOption
