--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -39,7 +39,6 @@
 	askQueue    map[NodeID][]waitingView
 	askPending  map[NodeID]bool
 	jobsEpoch   Epoch
-	watching    bool
 	partsEpoch  Epoch
 	counters    Counters
 	classes     map[string]*classStats
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -1008,7 +1008,7 @@
 	})
 }
 
-// machineNumber spreads unknown machines over the parts.
+// partFor spreads unknown machines over the parts by their number.
 func (c *Core) partFor(id MachineID) *part {
 	n := 0
 	for i := len(id) - 1; i >= 0 && id[i] >= '0' && id[i] <= '9'; i-- {
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -34,10 +34,9 @@
 	W     string `json:"w"`
 }
 
+// cloudView is the state of reading the machine list.
 type cloudView struct {
-	busy    bool
-	lastOK  Time
-	failing bool
+	busy bool
 }
 
 func rentalKey(name string) string { return "rentals/" + name }
