--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -141,6 +141,7 @@
 	type ranked struct {
 		j     *job
 		late  bool
+		owed  bool // within its team's guarantee, as are its earlier unfinished jobs
 		tier  int
 		start float64
 	}
@@ -162,10 +163,16 @@
 		}
 		q = append(q, r)
 	}
+	owed := c.withinGuarantee(p)
+	for i := range q {
+		q[i].owed = owed[q[i].j]
+	}
 	sort.SliceStable(q, func(a, b int) bool {
 		switch x, y := q[a], q[b]; {
 		case x.tier != y.tier:
 			return x.tier > y.tier
+		case x.owed != y.owed:
+			return x.owed
 		case x.late != y.late:
 			return y.late
 		default:
@@ -179,6 +186,28 @@
 	return out
 }
 
+// withinGuarantee tells which jobs fit into their team's guarantee along with
+// the team's earlier unfinished ones: they need not wait for other teams.
+func (c *Core) withinGuarantee(p *part) map[*job]bool {
+	var js []*job
+	for _, id := range sortedKeys(c.jobs) {
+		if j := c.jobs[id]; j.part == p.id && j.active() {
+			js = append(js, j)
+		}
+	}
+	sort.SliceStable(js, func(a, b int) bool { return js[a].spec.Submitted < js[b].spec.Submitted })
+	sum := map[string]Res{}
+	out := map[*job]bool{}
+	for _, j := range js {
+		left := Amount(j.spec.Tasks - j.done)
+		u := sum[j.spec.Team].plus(Res{CPU: j.spec.Need.CPU * left, GPU: j.spec.Need.GPU * left})
+		sum[j.spec.Team] = u
+		g := c.teams[j.spec.Team].Guarantee
+		out[j] = u.CPU <= g.CPU && u.GPU <= g.GPU
+	}
+	return out
+}
+
 // teamUse sums what each team's tasks take, wherever they are or may be.
 func (c *Core) teamUse(p *part) map[string]Res {
 	use := map[string]Res{}
--- a/internal/core/share.go
+++ b/internal/core/share.go
@@ -223,18 +223,22 @@
 }
 
 // preempt stops less important tasks that can save when an urgent job found no
-// room. Only jobs of a tier that is always served first may do so: one that
-// ranks behind its victim would see the room go to the victim again, for ever.
+// room, and what another team borrows when a team lacks its guarantee. The
+// preempting job must rank before its victim: else the room would go to the
+// victim again, for ever.
 func (c *Core) preempt(p *part, jobs []*job, use map[string]Res) {
+	owed := c.withinGuarantee(p)
 	for _, j := range jobs {
-		if j.pending() == 0 || j.spec.Priority < Urgent || c.now < j.preemptAt {
+		if j.pending() == 0 || j.spec.Priority < Urgent && !owed[j] || c.now < j.preemptAt {
 			continue
 		}
 		limit := c.teams[j.spec.Team].Limit
 		room := limit.minus(use[j.spec.Team])
 		n := 0
 		if room.CPU < j.spec.Need.CPU || room.GPU < j.spec.Need.GPU {
-			c.preemptOwn(p, j, room)
+			if j.spec.Priority >= Urgent {
+				c.preemptOwn(p, j, room)
+			}
 			continue
 		}
 		for _, id := range sortedKeys(c.machines) {
@@ -251,7 +255,7 @@
 				if j.spec.Need.fits(free) {
 					break
 				}
-				if a.phase != aSeen || a.gone || a.j.spec.Priority >= j.spec.Priority || a.j.spec.CheckpntS == 0 {
+				if a.phase != aSeen || a.gone || a.j.spec.CheckpntS == 0 || !c.givesWay(a.j, j, owed, use) {
 					continue
 				}
 				if a.stop { // already on its way out
@@ -285,6 +289,19 @@
 	}
 }
 
+// givesWay tells whether a job's task may be stopped for another job: for a
+// more important urgent one, or, if it is beyond its own team's guarantee, for
+// one within its team's.
+func (c *Core) givesWay(victim, j *job, owed map[*job]bool, use map[string]Res) bool {
+	if j.spec.Priority >= Urgent && victim.spec.Priority < j.spec.Priority {
+		return true
+	}
+	t := c.teams[victim.spec.Team]
+	return owed[j] && !owed[victim] && victim.spec.Team != j.spec.Team &&
+		(victim.spec.Priority < Urgent || victim.spec.Priority <= j.spec.Priority) &&
+		use[t.Name].CPU > t.Guarantee.CPU
+}
+
 // preemptOwn makes room under a team's limit: its own less important work that
 // can save gives way.
 func (c *Core) preemptOwn(p *part, j *job, room Res) {
--- a/internal/core/story_test.go
+++ b/internal/core/story_test.go
@@ -70,6 +70,15 @@
 			continue
 		}
 		out.WriteString(line + "\n")
+		if strings.HasPrefix(line, "> teams one-part") { // two teams that share a part
+			cfg.Teams = []core.Team{
+				{Name: "red", Guarantee: core.Res{CPU: 8 * cpu}, Limit: core.Res{CPU: 16 * cpu}},
+				{Name: "green", Guarantee: core.Res{CPU: 40 * cpu}, Limit: core.Res{CPU: 48 * cpu}},
+				{Name: "blue", Guarantee: core.Res{CPU: 40 * cpu}, Limit: core.Res{CPU: 48 * cpu}},
+				{Name: "gold", Guarantee: core.Res{CPU: 8 * cpu}, Limit: core.Res{CPU: 16 * cpu}},
+			}
+			continue
+		}
 		if w == nil {
 			w = standin.NewWorld(1, cfg, cloud)
 			w.Calm = true
