--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -330,22 +330,10 @@
 }
 
 func (c *Core) watchJobs() {
-	c.emit(StoreWatch{Call: c.call(func(b any) {
-		r := b.(WatchReply)
-		switch r.Out {
-		case OK:
-			for _, kv := range r.Items {
-				c.signOfLife(kv)
-				c.learnJob(kv, nil)
-			}
-			c.jobsEpoch = max(c.jobsEpoch, r.Epoch)
-			c.after(2*second, c.watchJobs)
-		case Gone:
-			c.after(second, c.loadJobs)
-		default:
-			c.after(2*second, c.watchJobs)
-		}
-	}), Prefix: "jobs/", Since: c.jobsEpoch, Wait: 20 * second})
+	c.follow("jobs/", &c.jobsEpoch, 2*second, func(kv KV) {
+		c.signOfLife(kv)
+		c.learnJob(kv, nil)
+	}, c.loadJobs)
 }
 
 // signOfLife notes which controller wrote a record that has just changed.
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -95,22 +95,27 @@
 	})
 }
 
-func (c *Core) watchParts() {
+func (c *Core) watchParts() { c.follow("parts/", &c.partsEpoch, second/10, c.learnPart, c.loadParts) }
+
+// follow watches the keys with a prefix from a revision on, at a pace that
+// gathers changes; reload is called when the revision is too old.
+func (c *Core) follow(prefix string, since *Epoch, pace Time, learn func(KV), reload func()) {
 	c.emit(StoreWatch{Call: c.call(func(b any) {
 		r := b.(WatchReply)
+		again := func() { c.follow(prefix, since, pace, learn, reload) }
 		switch r.Out {
 		case OK:
 			for _, kv := range r.Items {
-				c.learnPart(kv)
+				learn(kv)
 			}
-			c.partsEpoch = max(c.partsEpoch, r.Epoch)
-			c.after(second/10, c.watchParts)
+			*since = max(*since, r.Epoch)
+			c.after(pace, again)
 		case Gone:
-			c.after(second/10, c.loadParts)
+			c.after(pace, reload)
 		default:
-			c.after(second, c.watchParts)
+			c.after(second, again)
 		}
-	}), Prefix: "parts/", Since: c.partsEpoch, Wait: 20 * second})
+	}), Prefix: prefix, Since: *since, Wait: 20 * second})
 }
 
 func (c *Core) learnPart(kv KV) {
--- /dev/null
+++ b/internal/core/slow_test.go
@@ -0,0 +1,66 @@
+package core_test
+
+import (
+	"fmt"
+	"sort"
+	"testing"
+	"time"
+
+	"stairrelay/internal/core"
+	"stairrelay/internal/standin"
+)
+
+// TestSlowStore measures the design's second weak spot: a slow state service
+// delays every capped write and so answers and starts. Rules are kept, work is
+// done, and a submission waits about one round trip, not the sum of many.
+func TestSlowStore(t *testing.T) {
+	for _, slow := range []core.Time{0, 200 * sec / 1000, 600 * sec / 1000} {
+		var w *standin.World
+		w = standin.NewWorld(3, testConfig(), testCloud(func() *standin.World { return w }))
+		w.Calm, w.Slow = true, slow
+		for _, z := range []string{"a", "b", "c"} {
+			w.AddMachine("small", z, false)
+			w.AddMachine("small", z, false)
+		}
+		w.Run(10 * sec)
+		var waits []time.Duration
+		for i := range 30 {
+			s := core.JobSpec{ID: core.JobID(fmt.Sprintf("j-%06d", i)), Class: "c", Team: []string{"red", "green", "blue"}[i%3], Priority: core.Normal,
+				Tasks: 4, Need: core.Res{CPU: cpu, Mem: cpu}, Image: "img", ImageGB: 1, RuntimeS: 5, Spot: true}
+			j := &standin.Job{Spec: s, Info: standin.JobInfo{Need: s.Need, Run: 5 * sec, Tasks: s.Tasks, Image: s.Image}}
+			w.Jobs[s.ID] = j
+			w.After(core.Time(i)*sec, func() {
+				at := w.Now
+				w.Ask(w.Nodes[i%3], func(id core.ReqID) core.Event { return core.Submit{Req: id, Job: s} }, func(r core.Respond) {
+					waits = append(waits, time.Duration(w.Now-at))
+					if r.Status == 201 {
+						j.Accepted = true
+						w.Told(j, r.View.Status)
+					}
+				})
+			})
+		}
+		w.Run(100 * sec)
+		sort.Slice(waits, func(i, k int) bool { return waits[i] < waits[k] })
+		if len(waits) != 30 || len(w.Broken) > 0 {
+			t.Fatalf("slow by %v: %d answers, broken %v", time.Duration(slow), len(waits), w.Broken)
+		}
+		p50, top := waits[15], waits[29]
+		t.Logf("store slower by %v: submissions p50 %v, longest %v", time.Duration(slow), p50, top)
+		if p50 > time.Duration(slow)+100*time.Millisecond || top > 4*time.Duration(slow)+500*time.Millisecond {
+			t.Errorf("slow by %v: p50 %v, longest %v", time.Duration(slow), p50, top)
+		}
+		left := 0
+		for id := range w.Jobs {
+			w.Ask(w.Nodes[0], func(r core.ReqID) core.Event { return core.Query{Req: r, ID: id} }, func(r core.Respond) {
+				if r.View == nil || r.View.Status != core.StDone {
+					left++
+				}
+			})
+		}
+		w.Run(105 * sec)
+		if left > 0 {
+			t.Errorf("slow by %v: %d jobs not done", time.Duration(slow), left)
+		}
+	}
+}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -29,6 +29,7 @@
 	Late    bool      // messages over a cut may arrive minutes late
 	Calm    bool      // nothing is lost or slow but what a test asks for
 	Down    core.Time // the state service is out until then
+	Slow    core.Time // added to every answer of the state service
 	CloudDn core.Time
 	cfg     core.Config
 	done    map[core.TaskID]bool
@@ -331,7 +332,7 @@
 				w.reply(n, id, 1200*milli, unknown)
 				return
 			}
-			w.reply(n, id, w.delay(), body)
+			w.reply(n, id, w.delay()+w.Slow, body)
 		})
 	}
 }
