--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -328,8 +328,16 @@
 	if t.Price < 1.5*t.SpotPrice {
 		return true
 	}
-	l := c.load(p)
-	have := float64(l.Have+l.Coming) / 1e6
+	// A part with few machines gets its share of the others' as they empty.
+	var mine, all Amount
+	loads := c.allLoads()
+	for q, l := range loads {
+		all += l.Have + l.Coming
+		if q == p.id {
+			mine = l.Have + l.Coming
+		}
+	}
+	have := float64(max(mine, all/Amount(max(len(loads), 1)))) / 1e6
 	rest := 0.0
 	for _, w := range work {
 		rest += float64(w.n) * float64(w.j.spec.Need.CPU) / 1e6 * c.expectedRun(w.j)
