--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -313,8 +313,6 @@
 		"machines", len(c.machines), "queue", c.w.depth(), "inflight", c.w.inflight)
 }
 
-func sortedKeys2[V any](m map[string]V) []string { return sortedKeys(m) }
-
 func sortedKeys[K ~string, V any](m map[K]V) []K {
 	ks := make([]K, 0, len(m))
 	for k := range m {
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -274,6 +274,14 @@
 	Demand [4]Amount
 }
 
+func (l PartLoad) need() Amount {
+	var sum Amount
+	for _, d := range l.Demand {
+		sum += d
+	}
+	return sum
+}
+
 // PartTerm says that the sender holds a part.
 type PartTerm struct {
 	Part Part
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -822,7 +822,7 @@
 	if t == nil || s.Need.CPU > t.Limit.CPU || s.Need.GPU > t.Limit.GPU {
 		return 422
 	}
-	for _, name := range sortedKeys2(c.types) {
+	for _, name := range sortedKeys(c.types) {
 		if c.allows(s, c.types[name], "") {
 			return 0
 		}
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -37,7 +37,6 @@
 	grace     float64
 	stopSent  Time
 	stops     int
-	placedAt  Time
 	runAt     Time
 	partial   bool // its start was not seen
 }
@@ -182,7 +181,7 @@
 			if j.state[task.Index] >= tDone {
 				continue
 			}
-			a := &assign{task: task, mach: id, j: j, attempt: Attempt(t[1]), phase: aDoubt, need: j.spec.Need, placedAt: c.now, stop: j.final != ""}
+			a := &assign{task: task, mach: id, j: j, attempt: Attempt(t[1]), phase: aDoubt, need: j.spec.Need, stop: j.final != ""}
 			m.assigns[task] = a
 			if j.state[task.Index] == tPending {
 				j.setPlaced(task.Index, a)
@@ -812,7 +811,7 @@
 		if !a.live() || a.stop {
 			continue
 		}
-		rest := c.expectedRest(m, a)
+		rest := c.expectedRest(a)
 		s := a.j.spec
 		if s.CheckpntS > 0 {
 			if rest > left-2 && left < s.SaveS+10 {
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -89,7 +89,7 @@
 	return j.spec.RuntimeS * c.class(j.spec.Class).ratio
 }
 
-func (c *Core) expectedRest(m *machine, a *assign) float64 {
+func (c *Core) expectedRest(a *assign) float64 {
 	run := c.expectedRun(a.j)
 	if a.runAt == 0 {
 		return run + 2
@@ -300,7 +300,7 @@
 			return
 		}
 		task := TaskID{j.spec.ID, i}
-		a := &assign{task: task, j: j, attempt: p.nextAttempt(), need: j.spec.Need, placedAt: c.now, mach: best.m.id}
+		a := &assign{task: task, j: j, attempt: p.nextAttempt(), need: j.spec.Need, mach: best.m.id}
 		best.m.assigns[task] = a
 		j.setPlaced(i, a)
 		zones[best.m.zone]++
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -20,8 +20,6 @@
 	opt   rentOption
 	count int
 	mark  Mark
-	at    Time
-	busy  bool
 	over  bool
 }
 
@@ -67,7 +65,7 @@
 		return
 	}
 	name := strings.TrimPrefix(kv.Key, "rentals/")
-	r := &rental{name: name, opt: rentOption{rec.Type, rec.Zone, rec.Spot}, count: rec.Count, mark: kv.Mark, at: c.now}
+	r := &rental{name: name, opt: rentOption{rec.Type, rec.Zone, rec.Spot}, count: rec.Count, mark: kv.Mark}
 	p.rentals[name] = r
 	c.callRent(p, r)
 }
@@ -351,7 +349,7 @@
 		cost float64
 	}
 	var l []priced
-	for _, name := range sortedKeys2(c.types) {
+	for _, name := range sortedKeys(c.types) {
 		t := c.types[name]
 		for _, z := range t.Zones {
 			for _, spot := range []bool{true, false} {
@@ -359,11 +357,7 @@
 				if !c.optionAllowed(j, o) || c.now < p.refused[o] {
 					continue
 				}
-				price := t.Price
-				if spot {
-					price = t.SpotPrice
-				}
-				l = append(l, priced{o, price / float64(slotsFor(t.Cap, j.spec.Need))})
+				l = append(l, priced{o, t.price(spot) / float64(slotsFor(t.Cap, j.spec.Need))})
 			}
 		}
 	}
@@ -392,7 +386,7 @@
 
 func (c *Core) startRental(p *part, o rentOption, n int) {
 	c.rentSeq++
-	r := &rental{name: "r-" + c.cfg.Boot + "-" + strconv.FormatUint(uint64(p.claim), 10) + "-" + strconv.Itoa(c.rentSeq), opt: o, count: n, at: c.now}
+	r := &rental{name: "r-" + c.cfg.Boot + "-" + strconv.FormatUint(uint64(p.claim), 10) + "-" + strconv.Itoa(c.rentSeq), opt: o, count: n}
 	p.rentals[r.name] = r
 	p.refused[o] = c.now + 2*second // one request at a time for an option
 	c.w.add(prioStart, &write{
@@ -595,11 +589,7 @@
 // idle one is better offered than returned and rented again.
 func (c *Core) wantedElsewhere(m *machine) bool {
 	for q, l := range c.allLoads() {
-		var need Amount
-		for _, d := range l.Demand {
-			need += d
-		}
-		if q != m.part && need > l.Have+l.Coming {
+		if q != m.part && l.need() > l.Have+l.Coming {
 			return true
 		}
 	}
--- a/internal/core/share.go
+++ b/internal/core/share.go
@@ -118,7 +118,7 @@
 		for _, m := range ms {
 			for _, a := range m.assigns {
 				if a.live() {
-					rest[m] = max(rest[m], c.expectedRest(m, a))
+					rest[m] = max(rest[m], c.expectedRest(a))
 				}
 			}
 		}
@@ -141,10 +141,7 @@
 // retire picks the machines that a part can do without, dearest first. They
 // run empty and are returned, so that the work gathers on the cheaper ones.
 func (c *Core) retire(p *part, ms []*machine, l PartLoad) {
-	var need Amount
-	for _, d := range l.Demand {
-		need += d
-	}
+	need := l.need()
 	spare := l.Have - need - Amount(float64(need)*c.cfg.Tuning.SpareShare) - 8_000_000
 	typical := c.typicalNeed(p)
 	sort.SliceStable(ms, func(i, j int) bool { return c.dearness(ms[i], typical) > c.dearness(ms[j], typical) })
@@ -165,10 +162,7 @@
 	if t.Cap.CPU == 0 {
 		return 0
 	}
-	price := t.Price
-	if m.spot {
-		price = t.SpotPrice
-	}
+	price := t.price(m.spot)
 	if need.CPU == 0 {
 		return price / float64(t.Cap.CPU)
 	}
@@ -337,11 +331,7 @@
 		if q == p.id {
 			continue
 		}
-		var need Amount
-		for _, d := range l.Demand {
-			need += d
-		}
-		if need > l.Have+l.Coming && l.Have+l.Coming+16_000_000 < mine.Have+mine.Coming {
+		if l.need() > l.Have+l.Coming && l.Have+l.Coming+16_000_000 < mine.Have+mine.Coming {
 			least = false
 		}
 	}
--- a/internal/core/story_test.go
+++ b/internal/core/story_test.go
@@ -211,7 +211,6 @@
 		w.SpotNotice(core.MachineID(arg[0]), dur(arg[1]))
 	case "run":
 		w.Run(w.Now + dur(arg[0]))
-		w.Now = max(w.Now, 0)
 	default:
 		return fmt.Errorf("unknown line %q", f)
 	}
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -7,6 +7,7 @@
 package core
 
 import (
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -48,6 +49,9 @@
 	Amount int64
 )
 
+// FloorAmount turns a stated quantity that must not be exceeded into an Amount.
+func FloorAmount(x float64) Amount { return Amount(math.Floor(x*1e6 + 1e-4)) }
+
 // NoPart is for writes that no claim guards.
 const NoPart Part = -1
 
@@ -192,6 +196,14 @@
 	Zones     []string
 }
 
+// price is what a machine of the type costs an hour.
+func (t MachineType) price(spot bool) float64 {
+	if spot {
+		return t.SpotPrice
+	}
+	return t.Price
+}
+
 // Listed is one line of the cloud's machine list.
 type Listed struct {
 	ID     MachineID
--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -19,10 +19,29 @@
 	"stairrelay/internal/standin"
 )
 
+// program is the path of the program under test, built once for all tests.
+var program string
+
+func TestMain(m *testing.M) {
+	os.Exit(func() int {
+		dir, err := os.MkdirTemp("", "stairrelay-e2e-")
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return 1
+		}
+		defer os.RemoveAll(dir)
+		program = filepath.Join(dir, "stairrelay")
+		if out, err := exec.Command("go", "build", "-o", program, "stairrelay/cmd/stairrelay").CombinedOutput(); err != nil {
+			fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+			return 1
+		}
+		return m.Run()
+	}())
+}
+
 type cluster struct {
 	t      *testing.T
 	region *standin.Region
-	bin    string
 	front  []string
 	files  []string
 	procs  []*exec.Cmd
@@ -46,10 +65,6 @@
 func start(t *testing.T) *cluster {
 	t.Helper()
 	dir := t.TempDir()
-	bin := filepath.Join(dir, "stairrelay")
-	if out, err := exec.Command("go", "build", "-o", bin, "stairrelay/cmd/stairrelay").CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
-	}
 	types := []core.MachineType{{Name: "small", Cap: core.Res{CPU: 4_000_000, Mem: 16_000_000}, CacheGB: 10, FetchGBs: 1, Price: 0.2, SpotPrice: 0.1, BootS: 1, Zones: []string{"a"}}}
 	r := standin.NewRegion(types, map[string]int{standin.Slot("small", "a", true): 3}, 500*time.Millisecond, 6*time.Second)
 	t.Cleanup(r.Close)
@@ -57,7 +72,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := &cluster{t: t, region: r, bin: bin, front: freePorts(t, 3), client: &http.Client{Timeout: 5 * time.Second}}
+	c := &cluster{t: t, region: r, front: freePorts(t, 3), client: &http.Client{Timeout: 5 * time.Second}}
 	back := freePorts(t, 3)
 	for i := range 3 {
 		r.Nodes[fmt.Sprintf("n%d", i)] = c.front[i]
@@ -101,7 +116,7 @@
 }
 
 func (c *cluster) run(i int) {
-	cmd := exec.Command(c.bin, "--config", c.files[i])
+	cmd := exec.Command(program, "--config", c.files[i])
 	log := &bytes.Buffer{}
 	cmd.Stderr = log
 	if err := cmd.Start(); err != nil {
@@ -251,12 +266,8 @@
 // TestBadSettingsExit: a settings fault is one line and status 2.
 func TestBadSettingsExit(t *testing.T) {
 	dir := t.TempDir()
-	bin := filepath.Join(dir, "stairrelay")
-	if out, err := exec.Command("go", "build", "-o", bin, "stairrelay/cmd/stairrelay").CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
-	}
 	for _, args := range [][]string{{"--config", filepath.Join(dir, "none.toml")}, {"check-config", filepath.Join(dir, "none.toml")}, {}} {
-		out, err := exec.Command(bin, args...).CombinedOutput()
+		out, err := exec.Command(program, args...).CombinedOutput()
 		var exit *exec.ExitError
 		if e, ok := err.(*exec.ExitError); ok {
 			exit = e
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -191,7 +191,7 @@
 }
 
 func res(cpu, gpu float64) core.Res {
-	return core.Res{CPU: core.Amount(math.Floor(cpu*1e6 + 1e-4)), GPU: core.Amount(math.Floor(gpu*1e6 + 1e-4))}
+	return core.Res{CPU: core.FloorAmount(cpu), GPU: core.FloorAmount(gpu)}
 }
 
 type operatorsFile struct {
@@ -259,17 +259,13 @@
 			*x.to = *x.from
 		}
 	}
-	if f.BootPatience != nil {
-		t.BootPatience = *f.BootPatience
-	}
-	if f.SpareShare != nil {
-		t.SpareShare = *f.SpareShare
-	}
-	if f.SmallFirstS != nil {
-		t.SmallFirst = *f.SmallFirstS
-	}
-	if f.BudgetShare != nil {
-		t.BudgetShare = *f.BudgetShare
+	for _, x := range []struct {
+		from *float64
+		to   *float64
+	}{{f.BootPatience, &t.BootPatience}, {f.SpareShare, &t.SpareShare}, {f.SmallFirstS, &t.SmallFirst}, {f.BudgetShare, &t.BudgetShare}} {
+		if x.from != nil {
+			*x.to = *x.from
+		}
 	}
 	return nil
 }
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -65,7 +65,6 @@
 	busy    bool
 	again   bool
 	lastRep core.Time
-	warned  core.Token
 }
 
 // Job is a submitted job with all that its user was told.
@@ -76,7 +75,6 @@
 	Told        core.Status
 	AskedCancel bool
 	CancelTold  core.Time
-	LastAnswer  core.Time
 	finalAt     core.Time
 }
 
@@ -591,7 +589,7 @@
 func (w *World) onStart(on *Worker, t *Task) {
 	w.Log(fmt.Sprintf("%s runs %s attempt %d", on.ID, t.ID, t.Attempt))
 	j := w.Jobs[t.ID.Job]
-	if j == nil || !j.Accepted && j.Told == "" && false {
+	if j == nil {
 		w.broke("%s started, no such job", t.ID)
 		return
 	}
@@ -690,7 +688,6 @@
 		j.finalAt = w.Now
 	}
 	j.Told = s
-	j.LastAnswer = w.Now
 }
 
 // Submit hands in a job until it is accepted.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -27,8 +27,6 @@
 
 func amount(x float64) core.Amount { return core.Amount(math.Ceil(x*1e6 - 1e-4)) }
 
-func floorAmount(x float64) core.Amount { return core.Amount(math.Floor(x*1e6 + 1e-4)) }
-
 type submission struct {
 	ID        *string  `json:"id"`
 	Class     *string  `json:"route"`
@@ -281,7 +279,7 @@
 		if t.Name == "" || t.CPU <= 0 {
 			return nil, fmt.Errorf("machine type %q makes no sense", t.Name)
 		}
-		out = append(out, core.MachineType{Name: t.Name, Cap: core.Res{CPU: floorAmount(t.CPU), GPU: floorAmount(t.GPU), Mem: floorAmount(t.Mem)},
+		out = append(out, core.MachineType{Name: t.Name, Cap: core.Res{CPU: core.FloorAmount(t.CPU), GPU: core.FloorAmount(t.GPU), Mem: core.FloorAmount(t.Mem)},
 			CacheGB: t.Cache, FetchGBs: t.Fetch, Price: t.Price, SpotPrice: t.SpotPrice, BootS: t.Boot, Zones: t.Zones})
 	}
 	return out, nil
