--- a/internal/core/groups.go
+++ b/internal/core/groups.go
@@ -629,7 +629,11 @@
 	id := strings.TrimPrefix(kv.Key, "groups/")
 	part, ms, err := decodeGroup(kv.Value)
 	if err != nil || part < 0 || int(part) >= len(c.parts) {
-		c.broken(p, kv.Key, fmt.Sprintf("group record: %v", err))
+		// Whose it is may be unreadable too; then each part that is taken over
+		// clears it, and the first to do so is enough.
+		if of, ok := groupPart(kv.Value, len(c.parts)); !ok || of == p.id {
+			c.setAside(p, kv, fmt.Sprint(err))
+		}
 		return
 	}
 	if part != p.id {
@@ -651,16 +655,17 @@
 		m := c.addMachine(g, l, Token(p.claim))
 		m.returning, m.returned = l.returned, l.returned
 		for _, t := range l.tasks {
-			if !c.learnTask(m, t, p, kv.Key) {
+			if why := c.learnTask(m, t, p); why != "" {
+				c.setAside(p, kv, why)
 				return
 			}
 		}
 	}
 }
 
-// learnTask takes in a task that an earlier holder's record lists. False: the
-// records make no sense.
-func (c *Core) learnTask(m *machine, t listedTask, p *part, key string) bool {
+// learnTask takes in a task that an earlier holder's record lists. It returns
+// what makes no sense about it.
+func (c *Core) learnTask(m *machine, t listedTask, p *part) string {
 	m.stored++
 	jid := t.task.Job
 	j := c.jobs[jid]
@@ -668,29 +673,27 @@
 		k := c.known[jid]
 		switch {
 		case k == nil:
-			c.broken(p, key, "lists a task of no known job")
-			return false
+			return "lists a task of no known job"
 		case k.final == StCancelled:
 			j = newJob(JobSpec{ID: jid, Team: k.team, Need: k.need, Tasks: k.tasks}, p.id, 0, c.now)
 			j.final, j.cancelling = StCancelled, true
 			c.addJob(j)
 		default:
-			return true // done: what the worker still shows is reaped
+			return "" // done: what the worker still shows is reaped
 		}
 	}
 	if t.task.Index >= len(j.state) {
-		c.broken(p, key, "lists a task beyond its job")
-		return false
+		return "lists a task beyond its job"
 	}
 	if j.state[t.task.Index] >= tDone {
-		return true
+		return ""
 	}
 	a := &assign{task: t.task, mach: m.id, j: j, attempt: t.attempt, phase: aDoubt, need: j.spec.Need, stop: j.final != ""}
 	m.addAssign(a)
 	if j.state[t.task.Index] == tPending {
 		j.setPlaced(t.task.Index, a)
 	}
-	return true
+	return ""
 }
 
 func (c *Core) noteOwners(part Part, ms []listedMachine) {
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -264,8 +264,10 @@
 		j.done++
 	})
 	if !ok {
-		c.logf("error", "impossible record", "key", kv.Key, "why", "done ranges")
-		return
+		// A task that is started again after it was done ends at once, so to
+		// take all of them for not done is safe.
+		c.logf("info", "impossible record", "key", kv.Key, "why", "done ranges")
+		j = newJob(*rec.Spec, t.part, kv.Mark, c.now)
 	}
 	c.addJob(j)
 	c.placing = true
@@ -295,8 +297,7 @@
 					j.done++
 				}
 			}) {
-				c.broken(c.parts[j.part], r.KV.Key, "done ranges")
-				return
+				c.logf("info", "impossible record", "key", r.KV.Key, "why", "done ranges")
 			}
 			j.marks[n] = r.KV.Mark
 		case Missing:
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -18,8 +18,10 @@
 	held       bool
 	ready      bool // the checkpoint has been read
 	claiming   bool
-	broken     bool // its records make no sense; not claimed again by this process
-	offered    bool // the holder is willing to hand it back to us
+	breaks     int             // how often its records made no sense
+	restUntil  Time            // not claimed again before
+	aside      map[string]Mark // group records that make no sense, being cleared
+	offered    bool            // the holder is willing to hand it back to us
 	since      Time
 	changes    []Time // when it changed hands, the last minute's
 	claim      Epoch
@@ -168,7 +170,7 @@
 // considerClaim decides whether this node should claim a part. Nothing here
 // is needed for safety: a wrong claim costs a pause, never a rule.
 func (c *Core) considerClaim(p *part) {
-	if p.held || p.claiming || p.broken || !p.seen || c.storeLost(second) {
+	if p.held || p.claiming || c.now < p.restUntil || !p.seen || c.storeLost(second) {
 		return
 	}
 	self := c.cfg.Self
@@ -247,6 +249,7 @@
 		return
 	}
 	c.logf("info", "lost part", "part", int(id), "term", uint64(p.term))
+	p.aside = nil
 	p.held, p.ready, p.since = false, false, c.now
 	c.claims++
 	for _, m := range p.ms {
@@ -289,6 +292,10 @@
 		if !p.held {
 			return
 		}
+		if len(p.aside) > 0 {
+			c.clearAside(p)
+			return
+		}
 		p.ready = true
 		c.claims++
 		c.placing = true
@@ -315,11 +322,14 @@
 	read("jobs/", &jobs)
 }
 
-// broken stops the use of a part whose records make no sense: the part is
-// left alone rather than guessed at.
+// broken gives up a part whose records were changed in a way that this process
+// can't account for: nothing is guessed, it is claimed again after a pause and
+// read anew. Meanwhile every controller answers from the store. The pauses are
+// bounded, so that no job goes unanswered or its part unserved for long.
 func (c *Core) broken(p *part, key, why string) {
 	c.logf("error", "impossible record", "key", key, "why", why)
-	p.broken = true
+	p.restUntil = c.now + min(2*second<<min(p.breaks, 4), 20*second)
+	p.breaks++
 	c.fenced(p.id)
 }
 
--- a/internal/core/story_test.go
+++ b/internal/core/story_test.go
@@ -214,6 +214,12 @@
 		w.Down = w.Now + dur(arg[0])
 	case "hang":
 		w.Hang(core.MachineID(arg[0]), dur(arg[1]))
+	case "corrupt": // the record that lists a machine makes no sense any more
+		for _, kv := range w.State.List("groups/").Items {
+			if strings.Contains(string(kv.Value), arg[0]) {
+				w.State.Txn(nil, []core.TxnOp{{Key: kv.Key, Value: []byte(`{"p":1,"m":["?"]}`)}})
+			}
+		}
 	case "deaf": // reports arrive, nothing reaches it
 		w.Deafen(core.MachineID(arg[0]), dur(arg[1]))
 	case "copy": // its present report is delivered again later
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -209,6 +209,7 @@
 	HandBackS    *float64 `json:"hand_back_s"`
 	SpareShare   *float64 `json:"spare_share"`
 	SmallFirstS  *float64 `json:"small_first_s"`
+	BeginWithinS *float64 `json:"begin_within_s"`
 }
 
 func tune(t *core.Tuning, text []byte) error {
@@ -246,7 +247,8 @@
 		from *float64
 		to   *core.Time
 	}{{f.CheckpointS, &t.Checkpoint}, {f.PingS, &t.PingEvery}, {f.PingTimeoutS, &t.PingTimeout}, {f.RetryFirstS, &t.RetryFirst},
-		{f.ProbeS, &t.ProbeEvery}, {f.IdleReturnS, &t.IdleReturn}, {f.RefusedWaitS, &t.RefusedWait}, {f.HandBackS, &t.HandBackAfter}} {
+		{f.ProbeS, &t.ProbeEvery}, {f.IdleReturnS, &t.IdleReturn}, {f.RefusedWaitS, &t.RefusedWait}, {f.HandBackS, &t.HandBackAfter},
+		{f.BeginWithinS, &t.BeginWithin}} {
 		if x.from != nil {
 			*x.to = seconds(*x.from)
 		}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -93,11 +93,12 @@
 
 func TestOperatorsFile(t *testing.T) {
 	p := write(t, "s.toml", good)
-	s, err := Load(p, write(t, "o.json", `{"checkpoint_s": 3, "probes": 7, "spare_share": 0}`))
+	s, err := Load(p, write(t, "o.json", `{"checkpoint_s": 3, "probes": 7, "spare_share": 0, "begin_within_s": 90}`))
 	if err != nil {
 		t.Fatal(err)
 	}
-	if s.Core.Tuning.Checkpoint != core.Time(3*time.Second) || s.Core.Tuning.Probes != 7 || s.Core.Tuning.SpareShare != 0 {
+	if s.Core.Tuning.Checkpoint != core.Time(3*time.Second) || s.Core.Tuning.Probes != 7 || s.Core.Tuning.SpareShare != 0 ||
+		s.Core.Tuning.BeginWithin != core.Time(90*time.Second) {
 		t.Errorf("read %+v", s.Core.Tuning)
 	}
 	for text, want := range map[string]string{
