Write rate by need, jobs accepted together, fewer groups, lost writes found

Changes: shares by demand told in calls; one accepts/ record for jobs that come together; rentals and job ends before starts, one checkpoint write to four others; groups joined many at once, moves not held up by queued writes; a margin before machines are yielded; a starving job keeps a machine and a part of its team's limit free, as large tasks never fitted what small ones freed.

Ruled out: processor time (0.1 of a core at most in the mean).

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -37,6 +37,12 @@
 	types    map[string]MachineType
 	listed   cloudView
 
+	accepting     []*acceptance // submissions that wait for their record
+	acceptWrites  int           // writes queued for them
+	acceptSeq     int
+	accepted      map[JobID]bool // by a record of several
+	acceptsEpoch  Epoch
+	acceptsRead   bool
 	askQueue      map[NodeID][]waitingView
 	askPending    map[NodeID]bool
 	jobsEpoch     Epoch
@@ -101,7 +107,7 @@
 func New(cfg Config) *Core {
 	c := &Core{
 		cfg: cfg, calls: map[CallID]func(any){}, jobs: map[JobID]*job{}, known: map[JobID]*knownJob{},
-		machines: map[MachineID]*machine{}, groups: map[string]*group{}, inspecting: map[MachineID]bool{}, owners: map[MachineID]ownerNote{}, peers: map[NodeID]*peer{},
+		machines: map[MachineID]*machine{}, groups: map[string]*group{}, accepted: map[JobID]bool{}, inspecting: map[MachineID]bool{}, owners: map[MachineID]ownerNote{}, peers: map[NodeID]*peer{},
 		teams: map[string]*team{}, types: map[string]MachineType{}, askQueue: map[NodeID][]waitingView{},
 		askPending: map[NodeID]bool{}, strays: map[MachineID]Time{}, classes: map[string]*classStats{},
 	}
@@ -306,8 +312,10 @@
 	}
 	c.loadParts()
 	c.loadJobs()
+	c.loadAccepted()
 	c.fetchTypes()
 	c.every(fixed(t.Checkpoint), c.checkpoint)
+	c.every(fixed(second), c.w.measure)
 	c.every(fixed(second/2), c.machineSweep)
 	c.every(fixed(second), c.rentSweep)
 	c.every(fixed(2*second), c.inspectWorker)
@@ -325,8 +333,45 @@
 			held++
 		}
 	}
+	var room, recording, ready, fetching, running, ended, waiting, booting Amount
+	sizes := 0
+	for _, p := range c.parts {
+		for _, m := range p.ms {
+			if m.booting {
+				booting += c.types[m.typ].Cap.CPU
+				continue
+			}
+			room += c.types[m.typ].Cap.CPU
+			for _, a := range m.assigns {
+				switch {
+				case a.phase == aEnded:
+					ended += a.need.CPU
+				case a.phase == aRecording:
+					recording += a.need.CPU
+				case a.phase == aReady:
+					ready += a.need.CPU
+				case a.runAt == 0:
+					fetching += a.need.CPU
+				default:
+					running += a.need.CPU
+				}
+			}
+		}
+		if p.held && p.ready {
+			for _, w := range c.unplaced(p) {
+				waiting += w.j.spec.Need.CPU * Amount(w.n)
+			}
+		}
+	}
+	for _, g := range c.groups {
+		sizes += g.size
+	}
+	cpus := func(a Amount) int { return int(a / 1_000_000) }
+	c.logf("info", "load", "cpus", cpus(room), "running", cpus(running), "fetching", cpus(fetching), "ready", cpus(ready),
+		"recording", cpus(recording), "ended", cpus(ended), "waiting", cpus(waiting), "booting", cpus(booting), "groups", len(c.groups),
+		"group_bytes", sizes/max(len(c.groups), 1), "puts_share", int(c.w.puts.rate*10)/10)
 	c.logf("info", "stats", "reports", k.Reports, "submits", k.Submits, "queries", k.Queries, "cancels", k.Cancels,
-		"orders", k.Orders, "txns", k.Txns, "puts", k.Puts, "claims", k.Kinds[prioClaim], "accepts", k.Kinds[prioAccept], "starts", k.Kinds[prioStart],
+		"orders", k.Orders, "txns", k.Txns, "puts", k.Puts, "claims", k.Kinds[prioClaim], "rentals", k.Kinds[prioRent], "accepts", k.Kinds[prioAccept], "starts", k.Kinds[prioStart],
 		"outcomes", k.Kinds[prioDone], "lazy", k.Kinds[prioLazy], "conflicts", k.Conflicts, "gets", k.Gets,
 		"peer_calls", k.PeerCalls, "cloud_calls", k.CloudCalls, "parts", held, "jobs", len(c.jobs),
 		"machines", len(c.machines), "queue", c.w.depth(), "inflight", c.w.inflight)
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -263,6 +263,7 @@
 	Heard     map[NodeID]int64 // ms since each other node last answered
 	Offer     []Part           // parts that their home may claim back now
 	Groups    []GroupOffer
+	Puts      float64 // a second that the sender could use
 	Loads     []PartLoad
 }
 
--- a/internal/core/groups.go
+++ b/internal/core/groups.go
@@ -25,8 +25,10 @@
 	mark Mark
 	ms   map[MachineID]*machine
 
-	w        bool // a write is queued or on its way
-	again    int  // the priority of the next write that is wanted, or prios
+	w        bool   // a write is queued or on its way
+	sent     bool   // it is on its way: what it lists is settled until it is answered
+	wait     *write // it is queued
+	again    int    // the priority of the next write that is wanted, or prios
 	checking bool
 	size     int // of the record as last built
 	added    int // bytes that may have come on top since
@@ -53,7 +55,7 @@
 
 // groupMachines is how many machines a record is made for: with a handful of
 // tasks each they take about half of the value limit.
-func (c *Core) groupMachines() int { return min(max(c.cfg.ValueBytes/100, 4), 4*c.cfg.TxnOps) }
+func (c *Core) groupMachines() int { return max(c.cfg.ValueBytes/80, 4) }
 
 // room tells whether the record can list one more task of a job.
 func (c *Core) room(g *group, j *job) bool {
@@ -314,21 +316,22 @@
 	p := c.parts[g.part]
 	claim := p.claim
 	var s *snapshot
-	c.w.add(prio, &write{
+	g.wait = &write{
 		part: g.part, keys: []string{g.key()},
 		build: func(nonce string) ([]TxnOp, []Mark) {
+			g.wait = nil
 			if c.groups[g.id] != g {
 				g.w = false
 				return nil, nil
 			}
-			g.again, g.added = prios, 0
+			g.sent, g.again, g.added = true, prios, 0
 			var v []byte
 			v, s = c.snap(g.part, g.list(), nonce)
 			g.size = s.size
 			return []TxnOp{{g.key(), v}}, []Mark{g.mark}
 		},
 		ok: func(e Epoch) {
-			g.w = false
+			g.w, g.sent = false, false
 			if c.groups[g.id] != g || p.claim != claim || !p.held {
 				return
 			}
@@ -337,13 +340,14 @@
 			c.writeAgain(g)
 		},
 		conflict: func() {
-			g.w = false
+			g.w, g.sent = false, false
 			if c.groups[g.id] == g {
 				c.checkGroup(g)
 			}
 		},
-		lost: func() { g.w = false },
-	})
+		lost: func() { g.w, g.sent = false, false },
+	}
+	c.w.add(prio, g.wait)
 }
 
 func (c *Core) writeAgain(g *group) {
@@ -409,7 +413,7 @@
 func (c *Core) regroup(p *part, ms []*machine, to *group, prio int, done func(*group)) {
 	var from []*group
 	for _, m := range ms {
-		if m.g.w || m.g == to {
+		if m.g.sent || m.g == to {
 			done(nil)
 			return
 		}
@@ -417,7 +421,7 @@
 			from = append(from, m.g)
 		}
 	}
-	if len(from) == 0 || len(from)+1 > c.cfg.TxnOps || to != nil && to.w {
+	if len(from) == 0 || len(from)+1 > c.cfg.TxnOps || to != nil && to.sent {
 		done(nil)
 		return
 	}
@@ -430,7 +434,12 @@
 	}
 	var keys []string
 	for _, g := range all {
-		g.w, g.again = true, prios
+		// A write that still waits its turn says nothing that this one won't.
+		if g.wait != nil {
+			c.w.cancel(g.wait)
+			g.wait = nil
+		}
+		g.w, g.sent, g.again = true, true, prios
 		keys = append(keys, g.key())
 	}
 	if to == nil {
@@ -438,7 +447,7 @@
 	}
 	free := func() {
 		for _, g := range all {
-			g.w = false
+			g.w, g.sent = false, false
 		}
 	}
 	var moving []*machine
@@ -472,7 +481,7 @@
 			if v == nil || len(v) > c.cfg.ValueBytes*17/20 || len(moving) == 0 {
 				free()
 				for _, g := range all {
-					c.writeAgain(g)
+					c.writeGroup(g, prioStart)
 				}
 				done(nil)
 				return nil, nil
@@ -529,7 +538,7 @@
 	var small []*group
 	for _, id := range sortedKeys(c.groups) {
 		g := c.groups[id]
-		if g.part != p.id || g.w || g.offer != nil {
+		if g.part != p.id || g.sent || g.offer != nil || len(g.ms) == 0 {
 			continue
 		}
 		if size := g.size + g.added; size > c.cfg.ValueBytes*3/5 && len(g.ms) > 1 {
@@ -540,12 +549,22 @@
 			small = append(small, g)
 		}
 	}
-	if len(small) < 2 || c.w.depth() > 4 {
-		return
+	sort.SliceStable(small, func(i, k int) bool { return small[i].size+small[i].added < small[k].size+small[k].added })
+	size, n := 0, 0
+	var move []*machine
+	var into *group
+	for i, g := range small {
+		size, n = size+g.size+g.added, n+len(g.ms)
+		if size > c.cfg.ValueBytes/2 || n > c.groupMachines() || i == c.cfg.TxnOps-1 {
+			break
+		}
+		if into != nil {
+			move = append(move, into.list()...)
+		}
+		into = g // the largest of them stays
 	}
-	sort.SliceStable(small, func(i, k int) bool { return small[i].size < small[k].size })
-	if a, b := small[0], small[1]; a.size+b.size < c.cfg.ValueBytes/2 && len(a.ms)+len(b.ms) <= c.groupMachines() {
-		c.regroup(p, a.list(), b, prioDone, func(*group) {})
+	if len(move) > 0 {
+		c.regroup(p, move, into, prioDone, func(*group) {})
 	}
 }
 
@@ -761,16 +780,16 @@
 	if len(idle) == 0 {
 		return
 	}
-	lacking := make([]Part, 0, len(loads))
+	lacking, lacks := make([]Part, 0, len(loads)), map[Part]Amount{}
 	for q, l := range loads {
 		if q != p.id && want[q] > l.Have {
 			lacking = append(lacking, q)
+			lacks[q] = want[q] - l.Have
 		}
 	}
 	sort.Slice(lacking, func(i, k int) bool {
 		a, b := lacking[i], lacking[k]
-		x, y := want[a]-loads[a].Have, want[b]-loads[b].Have
-		return x > y || x == y && a < b
+		return lacks[a] > lacks[b] || lacks[a] == lacks[b] && a < b
 	})
 	work := c.unplaced(p)
 	var spare []*machine
@@ -779,11 +798,16 @@
 			spare = append(spare, m)
 		}
 	}
+	for _, id := range sortedKeys(c.groups) {
+		if g := c.groups[id]; g.part == p.id && g.offer != nil {
+			lacks[g.offer.to] -= c.cpus(g)
+		}
+	}
 	for _, q := range lacking {
-		lack := want[q] - loads[q].Have
+		lack := lacks[q]
 		var ms []*machine
 		groups := map[*group]bool{}
-		for len(spare) > 0 && lack > 0 && len(ms) < c.groupMachines()/2 && (len(groups) < c.cfg.TxnOps-1 || groups[spare[0].g]) {
+		for len(spare) > 0 && lack > 0 && len(ms) < c.groupMachines() && (len(groups) < c.cfg.TxnOps-1 || groups[spare[0].g]) {
 			m := spare[0]
 			spare = spare[1:]
 			ms = append(ms, m)
@@ -791,9 +815,9 @@
 			lack -= c.types[m.typ].Cap.CPU
 		}
 		if len(ms) == 0 {
-			return
+			continue
 		}
-		p.offerAfter = c.now + second
+		p.offerAfter = c.now + second/2
 		offer := func(g *group) {
 			if g != nil {
 				g.offer = &groupOffer{to: q, until: c.now + 5*second}
@@ -811,6 +835,15 @@
 	}
 }
 
+// cpus is what a group's machines have in all.
+func (c *Core) cpus(g *group) Amount {
+	var sum Amount
+	for _, m := range g.ms {
+		sum += c.types[m.typ].Cap.CPU
+	}
+	return sum
+}
+
 // takeOffered takes groups that others offer to a part, if it has a use for them.
 func (c *Core) takeOffered(p *part, work []waitingWork) {
 	use := func(o GroupOffer) bool {
@@ -876,7 +909,7 @@
 			c.groupMoved(g, p.id)
 		}
 		size := 0
-		c.w.add(prioStart, &write{
+		c.w.add(prioRent, &write{
 			part: p.id, keys: []string{key},
 			build: func(nonce string) ([]TxnOp, []Mark) {
 				v := encodeGroup(p.id, ms, nonce)
@@ -911,7 +944,7 @@
 	claim := p.claim
 	id := c.groupName(p)
 	size := 0
-	c.w.add(prioStart, &write{
+	c.w.add(prioRent, &write{
 		part: p.id, keys: []string{"groups/" + id},
 		build: func(nonce string) ([]TxnOp, []Mark) {
 			ms = slices.DeleteFunc(ms, func(l listedMachine) bool { return c.machines[l.id] != nil })
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -45,7 +45,8 @@
 	errors    int
 	failedOn  map[MachineID]bool
 	holdUntil Time
-	preemptAt Time // not before then again
+	preemptAt Time      // not before then again
+	keeps     MachineID // kept free for it while it starves
 	arrived   Time
 	restarted map[int]bool // tasks that did not end at their first start
 	runs      int          // tasks that ran to their end here, and their time in all
@@ -255,7 +256,10 @@
 		return
 	}
 	if !p.ready && p != loading {
-		return // the part's own reading will bring it
+		// The part is being read, but perhaps its jobs were read before this
+		// one was stored: it is looked at again when the part is ready.
+		p.early = append(p.early, kv)
+		return
 	}
 	rec.Spec.ID = id
 	j := newJob(*rec.Spec, t.part, kv.Mark, c.now)
@@ -277,7 +281,7 @@
 		c.loadChunk(j, n)
 	}
 	if j.loading == 0 && j.done == j.spec.Tasks {
-		c.writeJob(j, prioDone)
+		c.writeJob(j, prioAccept)
 	}
 }
 
@@ -312,7 +316,7 @@
 		j.loading--
 		c.placing = true
 		if j.loading == 0 && j.done == j.spec.Tasks {
-			c.writeJob(j, prioDone)
+			c.writeJob(j, prioAccept)
 		}
 	})
 }
@@ -472,14 +476,40 @@
 		},
 		conflict: func() {
 			j.w = false
-			if c.jobs[j.spec.ID] == j {
-				c.broken(c.parts[j.part], j.key(0), "changed by another writer")
+			if c.jobs[j.spec.ID] != j {
+				return
 			}
+			if j.marks[0] == 0 {
+				c.ownRecord(j, prio)
+				return
+			}
+			c.broken(c.parts[j.part], j.key(0), "changed by another writer")
 		},
 		lost: func() { j.w = false },
 	})
 }
 
+// ownRecord follows the conflict of a job's first own record: the job came in
+// twice at once, and its other acceptance has written one. That says no more
+// than the acceptance here.
+func (c *Core) ownRecord(j *job, prio int) {
+	c.get(j.key(0), func(r GetReply) {
+		if c.jobs[j.spec.ID] != j || j.w || j.marks[0] != 0 {
+			return
+		}
+		var rec jobRecord
+		switch {
+		case r.Out != OK:
+			c.after(second/2, func() { c.ownRecord(j, prio) })
+		case json.Unmarshal(r.KV.Value, &rec) != nil || rec.Spec == nil || rec.Done != "" || rec.State != "":
+			c.broken(c.parts[j.part], j.key(0), "changed by another writer")
+		default:
+			j.marks[0] = r.KV.Mark
+			c.writeJob(j, prio)
+		}
+	})
+}
+
 // releaseDone lets machine records forget the tasks whose outcome is stored:
 // they have exited, whoever owns the machine may reap them.
 func (c *Core) releaseDone(j *job) {
@@ -654,7 +684,16 @@
 			}
 			fn(503, JobView{})
 		case Missing:
-			fn(404, JobView{})
+			c.catchUp(id, func(known, ok bool) {
+				switch {
+				case !ok:
+					fn(503, JobView{})
+				case known:
+					fn(200, JobView{ID: id, Status: StPending})
+				default:
+					fn(404, JobView{})
+				}
+			})
 		default:
 			fn(503, JobView{})
 		}
@@ -774,54 +813,214 @@
 		c.refuse(e.Req, 429, after, "too many submissions of this priority")
 		return
 	}
-	spec := e.Job
-	spec.Submitted = c.wall
-	key := "jobs/" + string(id)
-	var value []byte
-	over, given := false, c.now+3500*milli
+	e.Job.Submitted = c.wall
+	a := &acceptance{spec: e.Job, req: e.Req, given: c.now + 3500*milli}
 	c.after(3500*milli, func() {
-		if !over {
-			over = true
-			c.refuse(e.Req, 503, retrySoon, "not stored in time")
+		if !a.over {
+			a.over = true
+			c.refuse(a.req, 503, retrySoon, "not stored in time")
 		}
 	})
-	c.w.add(prioAccept, &write{
-		part: NoPart, keys: []string{key},
-		build: func(nonce string) ([]TxnOp, []Mark) {
-			if over || c.now > given {
-				return nil, nil
-			}
-			if c.known[id] != nil { // the same id came in twice at once
-				over = true
-				c.repeat(e.Req, id)
-				return nil, nil
+	c.accepting = append(c.accepting, a)
+	if c.acceptWrites < len(c.accepting) {
+		c.writeAccepted()
+	}
+}
+
+// acceptance is a submission that waits for its record.
+type acceptance struct {
+	spec  JobSpec
+	req   ReqID
+	given Time // too late after that
+	over  bool // answered
+}
+
+// acceptRecord is what accepts/<name> holds: jobs that came in together. A
+// record each would cost a put each, and when many come at once their users
+// would wait for the write rate. A job has a record of its own, jobs/<id>, from
+// its first outcome on; that one counts where both exist.
+type acceptRecord struct {
+	Jobs []acceptedJob `json:"j"`
+	W    string        `json:"w"`
+}
+
+type acceptedJob struct {
+	ID   JobID   `json:"id"`
+	Spec JobSpec `json:"s"`
+}
+
+const acceptPrefix = "accepts/"
+
+// takeAccepting takes the submissions that still wait for an answer, as many
+// as go into one record.
+func (c *Core) takeAccepting() []*acceptance {
+	var l []*acceptance
+	size := 0
+	for len(c.accepting) > 0 {
+		a := c.accepting[0]
+		if !a.over && c.now <= a.given {
+			if c.known[a.spec.ID] != nil { // the same id came in twice at once
+				a.over = true
+				c.repeat(a.req, a.spec.ID)
+			} else {
+				v, _ := json.Marshal(a.spec)
+				size += len(v) + len(a.spec.ID) + 20
+				if len(l) > 0 && size > c.cfg.ValueBytes*4/5 || len(l) == c.cfg.TxnOps {
+					break
+				}
+				l = append(l, a)
 			}
-			value, _ = json.Marshal(jobRecord{Spec: &spec, W: nonce})
-			return []TxnOp{{key, value}}, []Mark{0}
-		},
-		ok: func(ep Epoch) {
-			kv := KV{Key: key, Value: value, Mark: Mark(ep)}
+		}
+		c.accepting = c.accepting[1:]
+	}
+	return l
+}
+
+// writeAccepted queues the write that takes the next waiting submissions: one
+// alone as the job's own record, several as one record, on condition that none
+// of them is known.
+func (c *Core) writeAccepted() {
+	c.acceptWrites++
+	c.acceptSeq++
+	key := acceptPrefix + c.cfg.Boot + "-" + strconv.Itoa(c.acceptSeq)
+	var jobs []*acceptance
+	var values [][]byte
+	x := &write{part: NoPart, keys: []string{key}}
+	x.build = func(nonce string) ([]TxnOp, []Mark) {
+		c.acceptWrites--
+		jobs, values, x.also = c.takeAccepting(), nil, nil
+		if len(c.accepting) > c.acceptWrites {
+			c.writeAccepted()
+		}
+		if len(jobs) == 0 {
+			return nil, nil
+		}
+		var rec acceptRecord
+		for _, a := range jobs {
+			v, _ := json.Marshal(jobRecord{Spec: &a.spec, W: nonce})
+			values = append(values, v)
+			rec.Jobs = append(rec.Jobs, acceptedJob{a.spec.ID, a.spec})
+		}
+		if len(jobs) == 1 {
+			x.keys[0] = "jobs/" + string(jobs[0].spec.ID)
+			return []TxnOp{{x.keys[0], values[0]}}, []Mark{0}
+		}
+		rec.W = nonce
+		for _, a := range jobs {
+			x.also = append(x.also, Cond{"jobs/" + string(a.spec.ID), 0})
+		}
+		v, _ := json.Marshal(rec)
+		return []TxnOp{{key, v}}, []Mark{0}
+	}
+	x.ok = func(e Epoch) {
+		mark := Mark(e)
+		if len(jobs) > 1 {
+			mark = 0 // of their own records, which don't exist yet
+		}
+		for i, a := range jobs {
+			id := a.spec.ID
+			kv := KV{Key: "jobs/" + string(id), Value: values[i], Mark: mark}
 			c.learnJob(kv, nil)
-			c.tell(c.teams[spec.Team].part, kv)
-			if !over {
-				over = true
-				c.answerView(e.Req, 201, JobView{ID: id, Status: StPending})
+			c.tell(c.teams[a.spec.Team].part, kv)
+			if !a.over {
+				a.over = true
+				c.answerView(a.req, 201, JobView{ID: id, Status: StPending})
 			}
-		},
-		conflict: func() {
-			if !over {
-				over = true
-				c.repeat(e.Req, id)
+		}
+	}
+	x.conflict = func() {
+		// Some of them are known. Each learns which by itself.
+		for _, a := range jobs {
+			if a.over {
+				continue
 			}
-		},
+			if len(jobs) == 1 {
+				a.over = true
+				c.repeat(a.req, a.spec.ID)
+				continue
+			}
+			c.lookInStore(a.spec.ID, func(status int, v JobView) {
+				switch {
+				case a.over:
+				case status == 200:
+					a.over = true
+					c.answerView(a.req, 200, v)
+				default: // not this one: it is tried again
+					c.accepting = append(c.accepting, a)
+					c.writeAccepted()
+				}
+			})
+		}
+	}
+	c.w.add(prioAccept, x)
+}
+
+// learnAccepted takes in a record of jobs that were accepted together.
+func (c *Core) learnAccepted(kv KV, loading *part) {
+	if kv.Value == nil {
+		return
+	}
+	c.signOfLife(kv)
+	var rec acceptRecord
+	if err := json.Unmarshal(kv.Value, &rec); err != nil {
+		c.logf("error", "unreadable record", "key", kv.Key)
+		return
+	}
+	for i := range rec.Jobs {
+		j := &rec.Jobs[i]
+		c.accepted[j.ID] = true
+		v, _ := json.Marshal(jobRecord{Spec: &j.Spec})
+		c.learnJob(KV{Key: "jobs/" + string(j.ID), Value: v}, loading)
+	}
+}
+
+// loadAccepted learns of the jobs that were accepted together, then follows.
+func (c *Core) loadAccepted() {
+	c.list(acceptPrefix, func(r ListReply) {
+		if r.Out != OK {
+			c.after(second, c.loadAccepted)
+			return
+		}
+		for _, kv := range r.Items {
+			c.learnAccepted(kv, nil)
+		}
+		c.acceptsEpoch, c.acceptsRead = r.Epoch, true
+		c.follow(acceptPrefix, &c.acceptsEpoch, 2*second, func(kv KV) { c.learnAccepted(kv, nil) }, c.loadAccepted)
 	})
 }
 
+// catchUp calls fn with whether a job was accepted in a record of several, as
+// the store shows it now: what changed since the last reading is read.
+func (c *Core) catchUp(id JobID, fn func(known, ok bool)) {
+	if c.accepted[id] {
+		fn(true, true)
+		return
+	}
+	if !c.acceptsRead {
+		fn(false, false)
+		return
+	}
+	c.w.reqs.have--
+	c.counters.Gets++
+	c.emit(StoreWatch{Call: c.call(func(b any) {
+		r := b.(WatchReply)
+		if r.Out != OK {
+			fn(false, false)
+			return
+		}
+		for _, kv := range r.Items {
+			c.learnAccepted(kv, nil)
+		}
+		fn(c.accepted[id], true)
+	}), Prefix: acceptPrefix, Since: c.acceptsEpoch})
+}
+
 // overloaded decides for all jobs of a priority alike whether submissions can
 // be taken: the longer those accepted wait for the write budget, the more
 // priorities are refused, least important first. It returns when to come back.
 func (c *Core) overloaded(prio Priority) int {
-	wait := float64(len(c.w.queues[prioAccept])) / max(c.w.puts.rate, 1)
+	// A put takes several when many wait.
+	wait := (float64(len(c.w.queues[prioAccept])) + float64(len(c.accepting))/float64(c.cfg.TxnOps)) / max(c.w.puts.rate, 1)
 	limit := [...]float64{BestEffort: 1, Normal: 1.5, Urgent: 2.5, Production: 3}[prio]
 	if wait <= limit {
 		return 0
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -606,7 +606,7 @@
 		j.setDone(a.task.Index)
 		c.learnRuntime(m, a)
 		if j.final == "" && j.loading == 0 && j.done == j.spec.Tasks {
-			c.writeJob(j, prioDone)
+			c.writeJob(j, prioAccept)
 		}
 		return
 	}
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -21,6 +21,7 @@
 	breaks     int             // how often its records made no sense
 	restUntil  Time            // not claimed again before
 	aside      map[string]Mark // group records that make no sense, being cleared
+	early      []KV            // jobs heard of while it was being read
 	offered    bool            // the holder is willing to hand it back to us
 	since      Time
 	changes    []Time // when it changed hands, the last minute's
@@ -249,7 +250,7 @@
 		return
 	}
 	c.logf("info", "lost part", "part", int(id), "term", uint64(p.term))
-	p.aside = nil
+	p.aside, p.early = nil, nil
 	p.held, p.ready, p.since = false, false, c.now
 	c.claims++
 	for _, m := range p.ms {
@@ -275,14 +276,17 @@
 // first, what the workers say is compared with them afterwards.
 func (c *Core) loadPart(p *part) {
 	claim := p.claim
-	var machines, rentals, jobs *ListReply
+	var machines, rentals, jobs, accepts *ListReply
 	step := func() {
-		if !p.held || p.claim != claim || machines == nil || rentals == nil || jobs == nil {
+		if !p.held || p.claim != claim || machines == nil || rentals == nil || jobs == nil || accepts == nil {
 			return
 		}
 		for _, kv := range jobs.Items {
 			c.learnJob(kv, p)
 		}
+		for _, kv := range accepts.Items { // after the jobs' own records, which count
+			c.learnAccepted(kv, p)
+		}
 		for _, kv := range machines.Items {
 			c.learnGroup(kv, p)
 		}
@@ -298,6 +302,11 @@
 		}
 		p.ready = true
 		c.claims++
+		early := p.early
+		p.early = nil
+		for _, kv := range early {
+			c.learnJob(kv, nil)
+		}
 		c.placing = true
 		c.nextList = 0 // the cloud's list shows what the records may lack
 		c.logf("info", "part ready", "part", int(p.id), "machines", len(p.ms), "jobs", len(p.js), "took_ms", int((c.now-p.since)/milli))
@@ -319,6 +328,8 @@
 	}
 	read("groups/", &machines)
 	read("rentals/", &rentals)
+	// The accepts first: what is accepted in between comes by the watch.
+	read(acceptPrefix, &accepts)
 	read("jobs/", &jobs)
 }
 
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -110,6 +110,7 @@
 		}
 	}
 	g.Groups = c.offers()
+	g.Puts = c.w.demand
 	g.Loads = c.loads()
 	return g
 }
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"sort"
 	"time"
 )
@@ -160,6 +161,13 @@
 		float64(c.wall)-float64(j.spec.Submitted) > float64(c.cfg.Tuning.BeginWithin/milli)/2
 }
 
+// starving tells whether a job has waited too long without anything of it
+// running: its first task, or, when it is older than twice its horizon, its
+// next.
+func (c *Core) starving(j *job) bool {
+	return c.unbegun(j) || j.placed == 0 && float64(c.wall) > float64(j.spec.Submitted)+2*c.horizon(j)
+}
+
 // queued lists a part's jobs with waiting tasks in the order in which they are
 // served, and those that are within their team's guarantee: urgent ones first,
 // then by their latest start, so that less important work gets its turn before
@@ -373,14 +381,26 @@
 	}
 	slots, kinds := c.slots(p, least)
 	use := c.teamUse(p)
+	// What has waited too long goes first, with one task. Where that does not
+	// fit yet, smaller work must not take again and again what it waits for: a
+	// part of its team's limit and a machine are kept free for it.
+	kept := map[string]Res{}
 	for _, j := range jobs {
-		if len(slots) > 0 && c.unbegun(j) {
-			c.placeJob(p, j, slots, kinds, use, 1)
+		if !c.starving(j) {
+			continue
+		}
+		before := j.placed
+		if c.placeJob(p, j, slots, kinds, use, Res{}, 1); j.placed > before {
+			continue
+		}
+		kept[j.spec.Team] = kept[j.spec.Team].plus(j.spec.Need)
+		if m := c.keepMachine(p, j); m != nil {
+			slots = slices.DeleteFunc(slots, func(s slot) bool { return s.m == m })
 		}
 	}
 	for _, j := range jobs {
 		if len(slots) > 0 {
-			c.placeJob(p, j, slots, kinds, use, j.pending())
+			c.placeJob(p, j, slots, kinds, use, kept[j.spec.Team], j.pending())
 		}
 	}
 	if c.now >= p.preemptAt {
@@ -391,15 +411,15 @@
 
 // placeJob starts up to n tasks of a job: on machines that have its image,
 // else are getting it, else have most free room.
-func (c *Core) placeJob(p *part, j *job, slots []slot, kinds []groupKind, use map[string]Res, n int) {
+func (c *Core) placeJob(p *part, j *job, slots []slot, kinds []groupKind, use map[string]Res, kept Res, n int) {
 	allowed := make([]bool, len(kinds))
 	any := false
 	for i, k := range kinds {
 		allowed[i] = (j.spec.Spot || !k.Spot) && c.allows(&j.spec, c.types[k.Type], k.Zone)
 		any = any || allowed[i]
 	}
-	team := c.teams[j.spec.Team]
-	if u := use[j.spec.Team].plus(j.spec.Need); !any || u.CPU > team.Limit.CPU || u.GPU > team.Limit.GPU {
+	limit := c.teams[j.spec.Team].Limit.minus(kept)
+	if u := use[j.spec.Team].plus(j.spec.Need); !any || u.CPU > limit.CPU || u.GPU > limit.GPU {
 		return
 	}
 	type choice struct {
@@ -424,7 +444,7 @@
 		m := f.s.m
 		for n > 0 && j.pending() > 0 && j.spec.Need.fits(f.s.free) && c.room(m.g, j) {
 			u := use[j.spec.Team].plus(j.spec.Need)
-			if u.CPU > team.Limit.CPU || u.GPU > team.Limit.GPU {
+			if u.CPU > limit.CPU || u.GPU > limit.GPU {
 				return
 			}
 			i := j.nextPending()
@@ -457,6 +477,28 @@
 	}
 }
 
+// keepMachine picks the machine that is kept free for a starving job: the one
+// that it has been kept already, else the one with most room.
+func (c *Core) keepMachine(p *part, j *job) *machine {
+	var best *machine
+	var most Amount
+	for _, m := range p.ms {
+		if !c.usable(m) || m.yield || m.g.offer != nil || !c.allowedOn(j, m) {
+			continue
+		}
+		if m.id == j.keeps {
+			return m
+		}
+		if free := c.types[m.typ].Cap.minus(m.used()).CPU; best == nil || free > most {
+			best, most = m, free
+		}
+	}
+	if best != nil {
+		j.keeps = best.id
+	}
+	return best
+}
+
 // avoids tells whether a job has failed on a machine and may try others.
 func (c *Core) avoids(j *job, m *machine) bool {
 	return len(j.failedOn) > 0 && len(j.failedOn) < 3 && j.failedOn[m.id]
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -185,7 +185,7 @@
 		return nil
 	}
 	for _, m := range p.ms {
-		if c.usable(m) && len(m.assigns) == 0 && m.stored == 0 && !m.g.w && m.g.offer == nil && m.addr != "" &&
+		if c.usable(m) && len(m.assigns) == 0 && m.stored == 0 && !m.g.sent && m.g.offer == nil && m.addr != "" &&
 			len(m.kill) == 0 && c.now-m.idleSince > second/2 {
 			l = append(l, m)
 		}
@@ -319,7 +319,7 @@
 	r := &rental{name: "r-" + c.cfg.Boot + "-" + strconv.FormatUint(uint64(p.claim), 10) + "-" + strconv.Itoa(c.rentSeq), opt: o, count: n}
 	p.rentals[r.name] = r
 	p.refused[o] = c.now + 2*second // one request at a time for an option
-	c.w.add(prioStart, &write{
+	c.w.add(prioRent, &write{
 		part: p.id, keys: []string{rentalKey(r.name)},
 		build: func(nonce string) ([]TxnOp, []Mark) {
 			v, _ := json.Marshal(rentalRecord{p.id, o.Type, o.Zone, o.Spot, n, nonce})
@@ -380,7 +380,7 @@
 	}
 	keys, prio := []string{rentalKey(r.name)}, prioLazy
 	if len(ids) > 0 {
-		keys, prio = append(keys, "groups/"+id), prioStart
+		keys, prio = append(keys, "groups/"+id), prioRent
 	}
 	c.w.add(prio, &write{
 		part: p.id, keys: keys,
--- a/internal/core/share.go
+++ b/internal/core/share.go
@@ -91,6 +91,9 @@
 	return got
 }
 
+// yieldMargin: a part keeps what is this fraction beyond its target.
+const yieldMargin = 6
+
 // yieldMachines picks the machines that the parts held here give up. They get
 // nothing new; once empty they are offered as idle machines.
 func (c *Core) yieldMachines() {
@@ -107,7 +110,10 @@
 		if !p.held || !p.ready || !ok {
 			continue
 		}
-		spare := min(l.Have-want[p.id], lack)
+		// Between parts that all lack machines needs change every second; what
+		// moves for that runs empty first and fetches its images anew. Only what
+		// goes beyond a margin is worth it.
+		spare := min(l.Have-want[p.id]-want[p.id]/yieldMargin, lack)
 		if lack <= 0 {
 			spare = 0
 		}
--- a/internal/core/writer.go
+++ b/internal/core/writer.go
@@ -2,12 +2,15 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"strconv"
 )
 
-// Write priorities, most urgent first: the store's write rate is spent in this order.
+// Write priorities, most urgent first: the store's write rate is spent in this
+// order. Rentals are few, and what waits for them waits for a whole boot.
 const (
 	prioClaim = iota
+	prioRent
 	prioAccept
 	prioStart
 	prioDone
@@ -22,7 +25,9 @@
 	keys []string
 	// build returns the changes and the marks their keys must have; nil: no longer wanted.
 	build func(nonce string) ([]TxnOp, []Mark)
-	ok    func(Epoch)
+	// also holds further conditions, which build may set.
+	also []Cond
+	ok   func(Epoch)
 	// conflict is called when another writer changed one of the keys.
 	conflict func()
 	// lost is called when the part's claim was lost.
@@ -54,8 +59,17 @@
 	puts     bucket
 	reqs     bucket
 	wake     bool
+	live     int     // controllers that are alive
+	demand   float64 // puts a second that this one could use, smoothed
+	sent     int     // puts since it was last worked out
+	credit   float64 // of the checkpoint's writes against the more urgent
 }
 
+// lazyShare is how many checkpoint writes go out per more urgent put even when
+// those would take the whole rate: what has ended is reaped only after them,
+// and reports and records grow until then.
+const lazyShare = 0.25
+
 type storeHealth struct {
 	lastOK  Time
 	failing bool
@@ -72,12 +86,46 @@
 
 // setShare divides the store's limits among the controllers that are alive.
 func (w *writer) setShare(live int) {
-	if live < 1 {
-		live = 1
-	}
-	f := w.c.cfg.Tuning.BudgetShare / float64(live)
-	w.puts.rate, w.puts.cap = w.c.cfg.WriteRPS*f, max(w.c.cfg.WriteRPS*f, float64(w.c.cfg.TxnOps))
+	w.live = max(live, 1)
+	f := w.c.cfg.Tuning.BudgetShare / float64(w.live)
 	w.reqs.rate, w.reqs.cap = w.c.cfg.StoreRPS*f, w.c.cfg.StoreRPS*f
+	w.divide()
+}
+
+// measure works out once a second how many puts this controller could use.
+func (w *writer) measure() {
+	want := float64(w.sent) + float64(w.depth())/2
+	w.sent = 0
+	w.demand += 0.4 * (want - w.demand)
+	w.divide()
+}
+
+// divide gives each controller its part of the write rate by what it could
+// use: teams, and so work, are spread unevenly, and an even division would let
+// most of the rate lie idle while one part's starts wait. All know each other's
+// demand from their calls; where they differ for a moment the store refuses.
+func (w *writer) divide() {
+	c := w.c
+	total := c.cfg.WriteRPS * c.cfg.Tuning.BudgetShare
+	even := total / float64(w.live)
+	need := func(demand float64) float64 { return demand*1.25 + even/5 }
+	mine := need(w.demand)
+	sum := mine
+	for _, p := range c.peers {
+		switch {
+		case p.failed:
+		case p.heard && c.now-p.pingAt < 3*second:
+			sum += need(p.ping.Puts)
+		default:
+			sum += even
+		}
+	}
+	share := mine + (total-sum)/float64(w.live)
+	if sum > total {
+		share = mine * total / sum
+	}
+	w.puts.rate = min(max(share, even/5), total)
+	w.puts.cap = max(w.puts.rate, float64(c.cfg.TxnOps))
 }
 
 func (w *writer) depth() int {
@@ -90,21 +138,35 @@
 
 func (w *writer) add(prio int, x *write) { w.queues[prio] = append(w.queues[prio], x) }
 
+// cancel takes back a write whose turn has not come.
+func (w *writer) cancel(x *write) {
+	for i, q := range w.queues {
+		if k := slices.Index(q, x); k >= 0 {
+			w.queues[i] = slices.Delete(q, k, k+1)
+			return
+		}
+	}
+}
+
 const maxInflight = 6
 
 // dropPart forgets the queued writes of a claim that was lost.
 func (w *writer) dropPart(p Part) {
+	var lost []*write
 	for i, q := range w.queues {
 		var rest []*write
 		for _, x := range q {
 			if x.part != p {
 				rest = append(rest, x)
 			} else if x.lost != nil {
-				x.lost()
+				lost = append(lost, x)
 			}
 		}
 		w.queues[i] = rest
 	}
+	for _, x := range lost { // these may add writes of other parts
+		x.lost()
+	}
 }
 
 // pump sends what the budget and the keys in flight allow.
@@ -129,6 +191,11 @@
 		w.wakeIn(second / 20)
 		return nil
 	}
+	if q := w.queues[prioLazy]; w.credit >= 1 && len(q) > 0 {
+		w.credit = 0
+		w.queues[prioLazy] = q[1:]
+		w.queues[prioStart] = append([]*write{q[0]}, w.queues[prioStart]...)
+	}
 	w.seq++
 	t := &txn{nonce: c.cfg.Boot + "-" + strconv.Itoa(w.seq), part: NoPart, prio: prios}
 	budget, bytes := w.puts.have, 0
@@ -142,9 +209,10 @@
 			break
 		}
 		q := w.queues[prio]
+		w.queues[prio] = nil // what a build adds comes behind the rest
 		var rest []*write
 		for i, x := range q {
-			if len(t.then) >= c.cfg.TxnOps || t.prio != prios && prio > t.prio+1 {
+			if len(t.then) >= c.cfg.TxnOps || t.prio != prios && prio > max(t.prio, prioAccept)+1 {
 				rest = append(rest, q[i:]...)
 				break
 			}
@@ -180,6 +248,7 @@
 				bytes += len(op.Value) + len(op.Key) + 80
 			}
 			t.then = append(t.then, ops...)
+			t.when = append(t.when, x.also...)
 			t.kinds[prio] += len(ops)
 			t.writes = append(t.writes, x)
 			budget -= float64(len(ops))
@@ -190,7 +259,7 @@
 				t.prio = prio
 			}
 		}
-		w.queues[prio] = rest
+		w.queues[prio] = append(rest, w.queues[prio]...)
 	}
 	if len(t.writes) == 0 {
 		return nil
@@ -218,6 +287,8 @@
 	c := w.c
 	w.inflight++
 	w.puts.have -= float64(len(t.then))
+	w.sent += len(t.then)
+	w.credit = min(w.credit+lazyShare*float64(len(t.then)), 2)
 	w.reqs.have--
 	t.tries++
 	c.counters.Txns++
@@ -302,6 +373,9 @@
 		for _, k := range x.keys {
 			hit = hit || bad[k]
 		}
+		for _, o := range x.also {
+			hit = hit || bad[o.Key]
+		}
 		if hit {
 			x.conflict()
 		} else {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -312,7 +312,7 @@
 	case core.PeerCall:
 		w.peerCall(n, f)
 	case core.Log:
-		if f.Text != "stats" {
+		if f.Text != "stats" && f.Text != "load" {
 			w.Log(fmt.Sprintf("%s logs %s: %s %v", n.ID, f.Level, f.Text, f.Args))
 		}
 		if f.Level == "error" {
