--- a/internal/core/groups.go
+++ b/internal/core/groups.go
@@ -541,11 +541,11 @@
 		if g.part != p.id || g.sent || g.offer != nil || len(g.ms) == 0 {
 			continue
 		}
-		if size := g.size + g.added; size > c.cfg.ValueBytes*3/5 && len(g.ms) > 1 {
+		if size := g.size + g.added; size > c.cfg.ValueBytes*4/5 && len(g.ms) > 1 {
 			l := g.list()
 			c.regroup(p, l[len(l)/2:], nil, prioDone, func(*group) {})
 			return
-		} else if size < c.cfg.ValueBytes*2/5 && len(g.ms) < c.groupMachines() {
+		} else if size < c.cfg.ValueBytes/2 {
 			small = append(small, g)
 		}
 	}
@@ -555,7 +555,7 @@
 	var into *group
 	for i, g := range small {
 		size, n = size+g.size+g.added, n+len(g.ms)
-		if size > c.cfg.ValueBytes/2 || n > c.groupMachines() || i == c.cfg.TxnOps-1 {
+		if size > c.cfg.ValueBytes*13/20 || n > 2*c.groupMachines() || i == c.cfg.TxnOps-1 {
 			break
 		}
 		if into != nil {
@@ -564,7 +564,9 @@
 		into = g // the largest of them stays
 	}
 	if len(move) > 0 {
-		c.regroup(p, move, into, prioDone, func(*group) {})
+		// With the starts: most of these groups have a write waiting, which this
+		// one makes needless, and each less saves a put per wave from now on.
+		c.regroup(p, move, into, prioStart, func(*group) {})
 	}
 }
 
@@ -764,15 +766,20 @@
 	return out
 }
 
-// offerIdle offers a part's idle machines to those that lack some. They are
-// gathered into groups of their own, so that one write moves many.
-func (c *Core) offerIdle(p *part, loads map[Part]PartLoad, want map[Part]Amount) {
-	for _, id := range sortedKeys(c.groups) {
-		if g := c.groups[id]; g.part == p.id && g.offer != nil && c.now > g.offer.until {
+// endOffers takes back what nobody took in time, whether or not anybody still
+// lacks machines: an offered group gets no work.
+func (c *Core) endOffers() {
+	for _, g := range c.groups {
+		if g.offer != nil && c.now > g.offer.until {
 			g.offer = nil
 			c.placing = true
 		}
 	}
+}
+
+// offerIdle offers a part's idle machines to those that lack some. They are
+// gathered into groups of their own, so that one write moves many.
+func (c *Core) offerIdle(p *part, loads map[Part]PartLoad, want map[Part]Amount) {
 	if c.now < p.offerAfter {
 		return
 	}
@@ -817,7 +824,7 @@
 		if len(ms) == 0 {
 			continue
 		}
-		p.offerAfter = c.now + second/2
+		p.offerAfter = c.now + second
 		offer := func(g *group) {
 			if g != nil {
 				g.offer = &groupOffer{to: q, until: c.now + 5*second}
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -72,8 +72,9 @@
 
 // waitingWork is what a part's waiting tasks need beyond what it has.
 type waitingWork struct {
-	j *job
-	n int
+	j     *job
+	n     int
+	first bool // a starving job's next task
 }
 
 // unplaced lists the waiting tasks that team limits would let run at once.
@@ -81,14 +82,24 @@
 	use := c.teamUse(p)
 	var l []waitingWork
 	jobs, _ := c.queued(p)
+	// A starving job's next task comes first here as it does when tasks are
+	// placed: else no machine of the kind it needs would ever be rented.
+	first := map[*job]int{}
+	for _, j := range jobs {
+		if c.starving(j) {
+			first[j] = 1
+			use[j.spec.Team] = use[j.spec.Team].plus(j.spec.Need)
+			l = append(l, waitingWork{j, 1, true})
+		}
+	}
 	for _, j := range jobs {
 		need := j.spec.Need
-		n := min(j.pending(), slotsIn(c.teams[j.spec.Team].Limit.minus(use[j.spec.Team]), Res{CPU: need.CPU, GPU: need.GPU}))
+		n := min(j.pending()-first[j], slotsIn(c.teams[j.spec.Team].Limit.minus(use[j.spec.Team]), Res{CPU: need.CPU, GPU: need.GPU}))
 		if n <= 0 {
 			continue
 		}
 		use[j.spec.Team] = use[j.spec.Team].plus(need.times(n))
-		l = append(l, waitingWork{j, n})
+		l = append(l, waitingWork{j: j, n: n})
 	}
 	return l
 }
--- a/internal/core/share.go
+++ b/internal/core/share.go
@@ -40,12 +40,11 @@
 		}
 	}
 	for _, w := range c.unplaced(p) {
-		n := Amount(w.n)
-		if c.unbegun(w.j) && w.j.spec.Priority < Urgent {
-			l.Demand[Urgent] += w.j.spec.Need.CPU // its first task goes before all
-			n--
+		prio := w.j.spec.Priority
+		if w.first {
+			prio = max(prio, Urgent) // it goes before all else
 		}
-		l.Demand[w.j.spec.Priority] += w.j.spec.Need.CPU * n
+		l.Demand[prio] += w.j.spec.Need.CPU * Amount(w.n)
 	}
 	return l
 }
@@ -97,6 +96,7 @@
 // yieldMachines picks the machines that the parts held here give up. They get
 // nothing new; once empty they are offered as idle machines.
 func (c *Core) yieldMachines() {
+	c.endOffers()
 	loads := c.allLoads()
 	want := targets(loads)
 	var lack Amount
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -218,8 +218,9 @@
 	})
 }
 
-func (w *World) reply(n *Node, id core.CallID, d core.Time, body any) {
-	gen := n.gen
+// reply delivers an answer to the run of a process that asked; a later run
+// never gets it.
+func (w *World) reply(n *Node, gen int, id core.CallID, d core.Time, body any) {
 	w.After(d, func() {
 		if n.up && n.gen == gen {
 			w.step(n, core.Reply{Call: id, Body: body})
@@ -243,6 +244,7 @@
 }
 
 func (w *World) effect(n *Node, f core.Effect) {
+	gen := n.gen
 	switch f := f.(type) {
 	case core.Respond:
 		if fn := n.waiting[f.Req]; fn != nil {
@@ -270,45 +272,45 @@
 	case core.StoreList:
 		w.store(n, f.Call, core.ListReply{Out: core.NotDone}, core.ListReply{Out: core.Unknown}, func() any { return w.State.List(f.Prefix) })
 	case core.StoreWatch:
-		w.watch(n, f, w.Now+f.Wait)
+		w.watch(n, gen, f, w.Now+f.Wait)
 	case core.CloudTypes:
-		w.reply(n, f.Call, w.delay(), core.TypesReply{Out: core.OK, Types: w.Cloud.Types})
+		w.reply(n, gen, f.Call, w.delay(), core.TypesReply{Out: core.OK, Types: w.Cloud.Types})
 	case core.CloudRent:
 		if w.Now < w.CloudDn {
-			w.reply(n, f.Call, w.delay(), core.RentReply{Out: core.NotDone})
+			w.reply(n, gen, f.Call, w.delay(), core.RentReply{Out: core.NotDone})
 			return
 		}
 		if w.Chance(0.05) { // carried out late, the answer lost
 			w.After(w.Between(second, 30*second), func() { w.Cloud.Rent(w.Now, f) })
-			w.reply(n, f.Call, 4*second, core.RentReply{Out: core.Unknown})
+			w.reply(n, gen, f.Call, 4*second, core.RentReply{Out: core.Unknown})
 			return
 		}
-		w.reply(n, f.Call, w.delay(), w.Cloud.Rent(w.Now, f))
+		w.reply(n, gen, f.Call, w.delay(), w.Cloud.Rent(w.Now, f))
 	case core.CloudReturn:
 		if w.Now < w.CloudDn {
-			w.reply(n, f.Call, w.delay(), core.ReturnReply{Out: core.Unknown})
+			w.reply(n, gen, f.Call, w.delay(), core.ReturnReply{Out: core.Unknown})
 			return
 		}
 		for _, id := range f.IDs {
 			w.Remove(id)
 		}
-		w.reply(n, f.Call, w.delay(), core.ReturnReply{Out: core.OK})
+		w.reply(n, gen, f.Call, w.delay(), core.ReturnReply{Out: core.OK})
 	case core.CloudList:
 		if w.Now < w.CloudDn {
-			w.reply(n, f.Call, w.delay(), core.CloudListReply{Out: core.NotDone})
+			w.reply(n, gen, f.Call, w.delay(), core.CloudListReply{Out: core.NotDone})
 			return
 		}
 		items := w.Cloud.List(w.Now)
-		w.reply(n, f.Call, w.cfg.ListLag/2, core.CloudListReply{Out: core.OK, Items: items})
+		w.reply(n, gen, f.Call, w.cfg.ListLag/2, core.CloudListReply{Out: core.OK, Items: items})
 	case core.Orders:
 		w.orders(n, f)
 	case core.Inspect:
 		l := w.Workers[core.MachineID(f.Addr)]
 		if l == nil || l.gone || w.Now < max(n.WorkerCut, l.cut, l.hang, l.deaf) {
-			w.reply(n, f.Call, 2500*milli, core.OrdersReply{Out: core.Unknown})
+			w.reply(n, gen, f.Call, 2500*milli, core.OrdersReply{Out: core.Unknown})
 			return
 		}
-		w.reply(n, f.Call, w.delay(), core.OrdersReply{Out: core.OK, Report: l.Report()})
+		w.reply(n, gen, f.Call, w.delay(), core.OrdersReply{Out: core.OK, Report: l.Report()})
 	case core.PeerCall:
 		w.peerCall(n, f)
 	case core.Log:
@@ -322,56 +324,56 @@
 }
 
 func (w *World) store(n *Node, id core.CallID, refused, unknown any, do func() any) {
+	gen := n.gen
 	switch {
 	case w.Now < w.Down || w.Now < n.Refused:
-		w.reply(n, id, w.delay(), refused)
+		w.reply(n, gen, id, w.delay(), refused)
 	case w.Now < n.StoreCut:
 		if d, ok := w.lateBy(n.StoreCut); ok {
 			w.After(d, func() { do() })
 		}
-		w.reply(n, id, 1200*milli, unknown)
+		w.reply(n, gen, id, 1200*milli, unknown)
 	case w.Chance(0.01): // lost on the way, or delivered late
 		if d, ok := w.lateBy(w.Now); ok {
 			w.After(d, func() { do() })
 		}
-		w.reply(n, id, 1200*milli, unknown)
+		w.reply(n, gen, id, 1200*milli, unknown)
 	default:
 		w.After(w.delay(), func() {
 			body := do()
 			if w.Chance(0.005) { // carried out, the answer lost
-				w.reply(n, id, 1200*milli, unknown)
+				w.reply(n, gen, id, 1200*milli, unknown)
 				return
 			}
-			w.reply(n, id, w.delay()+w.Slow, body)
+			w.reply(n, gen, id, w.delay()+w.Slow, body)
 		})
 	}
 }
 
-func (w *World) watch(n *Node, f core.StoreWatch, until core.Time) {
-	gen := n.gen
+func (w *World) watch(n *Node, gen int, f core.StoreWatch, until core.Time) {
 	w.After(w.Between(10*milli, 200*milli), func() {
 		if !n.up || n.gen != gen {
 			return
 		}
 		if w.Now >= w.Down && w.Now >= n.StoreCut && w.Now >= n.Refused {
 			if r := w.State.Changes(f.Prefix, f.Since); len(r.Items) > 0 || w.Now > until {
-				w.reply(n, f.Call, 0, r)
+				w.reply(n, gen, f.Call, 0, r)
 				return
 			}
 		}
-		w.watch(n, f, until)
+		w.watch(n, gen, f, until)
 	})
 }
 
 func (w *World) peerCall(n *Node, f core.PeerCall) {
-	to := w.node(f.To)
+	to, gen := w.node(f.To), n.gen
 	lost := core.PeerReply{Out: core.Unknown}
 	if !to.up {
-		w.reply(n, f.Call, w.delay(), lost) // refused
+		w.reply(n, gen, f.Call, w.delay(), lost) // refused
 		return
 	}
 	if w.Now < n.PeerCut || w.Now < to.PeerCut {
-		w.reply(n, f.Call, f.Timeout, lost)
+		w.reply(n, gen, f.Call, f.Timeout, lost)
 		return
 	}
 	answered := false
@@ -381,12 +383,11 @@
 		}
 		answered = true
 		if r.Peer == nil {
-			w.reply(n, f.Call, 0, lost)
+			w.reply(n, gen, f.Call, 0, lost)
 			return
 		}
-		w.reply(n, f.Call, w.delay(), core.PeerReply{Out: core.OK, Msg: *r.Peer})
+		w.reply(n, gen, f.Call, w.delay(), core.PeerReply{Out: core.OK, Msg: *r.Peer})
 	})
-	gen := n.gen
 	w.After(f.Timeout, func() {
 		if !answered {
 			answered = true
@@ -407,9 +408,10 @@
 }
 
 func (w *World) orders(n *Node, f core.Orders) {
+	gen := n.gen
 	l := w.Workers[core.MachineID(f.Addr)]
 	if l == nil || l.gone {
-		w.reply(n, f.Call, 1500*milli, core.OrdersReply{Out: core.NotDone})
+		w.reply(n, gen, f.Call, 1500*milli, core.OrdersReply{Out: core.NotDone})
 		return
 	}
 	cut := max(n.WorkerCut, l.cut, l.hang, l.deaf)
@@ -420,22 +422,22 @@
 		if d, ok := w.lateBy(cut); ok {
 			w.After(d, func() { w.late(l, f) })
 		}
-		w.reply(n, f.Call, 2500*milli, core.OrdersReply{Out: core.Unknown})
+		w.reply(n, gen, f.Call, 2500*milli, core.OrdersReply{Out: core.Unknown})
 		return
 	}
 	w.After(w.delay(), func() {
 		if l.gone {
-			w.reply(n, f.Call, 2*second, core.OrdersReply{Out: core.Unknown})
+			w.reply(n, gen, f.Call, 2*second, core.OrdersReply{Out: core.Unknown})
 			return
 		}
 		r := l.Orders(f)
 		w.logCommands(n, l, f.Token, f.Commands)
 		w.changed(l)
 		if w.Chance(0.01) {
-			w.reply(n, f.Call, 2*second, core.OrdersReply{Out: core.Unknown})
+			w.reply(n, gen, f.Call, 2*second, core.OrdersReply{Out: core.Unknown})
 			return
 		}
-		w.reply(n, f.Call, w.delay(), r)
+		w.reply(n, gen, f.Call, w.delay(), r)
 	})
 }
 
