--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -263,6 +263,53 @@
 	}
 }
 
+// TestOneWayMachine: a machine's reports arrive, but nothing reaches it. Its
+// tasks run elsewhere only after they can't run there any more, and it is
+// returned.
+func TestOneWayMachine(t *testing.T) {
+	c := start(t)
+	if code := c.submit(0, "j-000031", "red", 3, 8*time.Second); code != 201 {
+		t.Fatalf("submitted: %d", code)
+	}
+	var deaf core.MachineID
+	c.wait("running", func() bool {
+		if ids := c.region.Running(); len(ids) > 0 {
+			deaf = ids[0]
+		}
+		return deaf != ""
+	})
+	c.region.Locked(func() { c.region.Deaf[deaf] = true })
+	c.wait("returned", func() bool { return c.region.Gone(deaf) })
+	c.wait("done elsewhere", func() bool { return c.status(1, "j-000031") == "done" })
+}
+
+// TestQuickRestarts: processes that are back at once, one of them twice, lose
+// no task and start none again.
+func TestQuickRestarts(t *testing.T) {
+	c := start(t)
+	for i, team := range []string{"red", "green", "blue"} {
+		if code := c.submit(i, fmt.Sprintf("j-00004%d", i), team, 2, 6*time.Second); code != 201 {
+			t.Fatalf("submitted: %d", code)
+		}
+	}
+	c.wait("running", func() bool { return c.status(0, "j-000040") == "running" && c.status(0, "j-000041") == "running" })
+	for _, i := range []int{0, 1, 2, 0} {
+		c.kill(i)
+		c.run(i)
+	}
+	for i := range 3 {
+		id := fmt.Sprintf("j-00004%d", i)
+		c.wait("done", func() bool { return c.status(i, id) == "done" })
+		c.region.Locked(func() {
+			for k := range 2 {
+				if n := c.region.Starts[core.TaskID{Job: core.JobID(id), Index: k}]; n != 1 {
+					t.Errorf("%s/%d was started %d times", id, k, n)
+				}
+			}
+		})
+	}
+}
+
 // TestBadSettingsExit: a settings fault is one line and status 2.
 func TestBadSettingsExit(t *testing.T) {
 	dir := t.TempDir()
--- a/internal/standin/http.go
+++ b/internal/standin/http.go
@@ -23,8 +23,9 @@
 	State   *State
 	Cloud   *Cloud
 	Jobs    map[core.JobID]JobInfo
-	Nodes   map[string]string // controllers' addresses for workers, by name
-	Down    bool              // the state service answers 503
+	Nodes   map[string]string       // controllers' addresses for workers, by name
+	Down    bool                    // the state service answers 503
+	Deaf    map[core.MachineID]bool // their reports arrive, nothing reaches them
 	done    map[core.TaskID]bool
 	workers map[core.MachineID]*httpWorker
 	Starts  map[core.TaskID]int
@@ -45,7 +46,7 @@
 // NewRegion makes one; Close ends all that it started.
 func NewRegion(types []core.MachineType, capacity map[string]int, report, lease time.Duration) *Region {
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &Region{begun: time.Now(), State: NewState(), Jobs: map[core.JobID]JobInfo{}, Nodes: map[string]string{},
+	r := &Region{begun: time.Now(), State: NewState(), Jobs: map[core.JobID]JobInfo{}, Nodes: map[string]string{}, Deaf: map[core.MachineID]bool{},
 		done: map[core.TaskID]bool{}, workers: map[core.MachineID]*httpWorker{}, Starts: map[core.TaskID]int{},
 		lease: core.Time(lease), report: report, ctx: ctx, closers: []func(){cancel}}
 	r.Cloud = NewCloud(types, capacity, func() core.Time { return core.Time(200 * time.Millisecond) })
@@ -318,6 +319,9 @@
 			answer(w, 400, nil)
 			return
 		}
+		if r.unheard(q, x.ID) {
+			return
+		}
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		x.Advance(r.now())
@@ -328,7 +332,10 @@
 		}
 		answer(w, status, reportOf(res.Report, x.addr))
 	})
-	mux.HandleFunc("GET /inspect", func(w http.ResponseWriter, _ *http.Request) {
+	mux.HandleFunc("GET /inspect", func(w http.ResponseWriter, q *http.Request) {
+		if r.unheard(q, x.ID) {
+			return
+		}
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		answer(w, 200, reportOf(x.Report(), x.addr))
@@ -346,6 +353,45 @@
 	go r.reports(ctx, x)
 }
 
+// unheard tells whether a request to a machine is lost; it then holds the
+// connection until the caller gives up.
+func (r *Region) unheard(q *http.Request, id core.MachineID) bool {
+	r.mu.Lock()
+	deaf := r.Deaf[id]
+	r.mu.Unlock()
+	if deaf {
+		select {
+		case <-q.Context().Done():
+		case <-r.ctx.Done():
+		}
+		panic(http.ErrAbortHandler)
+	}
+	return false
+}
+
+// Running lists the machines that run something.
+func (r *Region) Running() []core.MachineID {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var ids []core.MachineID
+	for id, x := range r.workers {
+		for _, t := range x.Tasks {
+			if !x.gone && t.State == core.Running {
+				ids = append(ids, id)
+				break
+			}
+		}
+	}
+	return ids
+}
+
+// Gone tells whether a machine has been returned.
+func (r *Region) Gone(id core.MachineID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.workers[id] == nil || r.workers[id].gone
+}
+
 type jsonCommand struct {
 	Verb    string  `json:"verb"`
 	Task    string  `json:"leg"`
@@ -390,7 +436,7 @@
 	for ctx.Err() == nil {
 		r.mu.Lock()
 		x.Advance(r.now())
-		rep, sent, addr := x.Report(), r.now(), r.Nodes[names[at]]
+		rep, sent, addr, deaf := x.Report(), r.now(), r.Nodes[names[at]], r.Deaf[x.ID]
 		r.mu.Unlock()
 		body, _ := json.Marshal(reportOf(rep, x.addr))
 		pause := time.Second
@@ -405,6 +451,9 @@
 				To       string        `json:"dispatcher"`
 			}
 			_ = json.Unmarshal(text, &in)
+			if deaf { // the answer was lost: as after a time-out
+				resp.StatusCode = 0
+			}
 			if resp.StatusCode == 200 {
 				r.mu.Lock()
 				x.Answered(rep.Session, sent, core.WorkerAnswer{Token: core.Token(in.Token), Commands: commandsOf(in.Commands)})
