--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -172,7 +172,7 @@
 // served, and those that are within their team's guarantee: urgent ones first,
 // then by their latest start, so that less important work gets its turn before
 // its time is up. What is late for good waits behind what can still be in
-// time, but not for ever: after twice its horizon it goes before newer urgent
+// time, but not for ever: after four times its horizon it goes before newer urgent
 // work, so that the large and the less important are served even if small and
 // urgent work keeps coming.
 func (c *Core) queued(p *part) ([]*job, map[*job]bool) {
@@ -195,7 +195,7 @@
 		}
 		if r.start == never {
 			r.start = at
-			if r.late = float64(c.wall) < at+2*horizon; !r.late {
+			if r.late = float64(c.wall) < at+4*horizon; !r.late {
 				r.tier = max(r.tier, int(Urgent))
 			}
 		} else {
