--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -190,6 +190,12 @@
 			continue
 		}
 		q := c.parts[pt.Part]
+		if pt.Term > q.term && q.held {
+			// Its own word for a later claim is enough to give the part up: while
+			// the store is out of reach here, nothing else would tell, and the
+			// workers would be held by answers that mean nothing any more.
+			c.fenced(q.id)
+		}
 		if pt.Term > q.term && !q.held && !q.claiming {
 			// The mark is not told, so a claim from here needs a read first.
 			q.holder, q.term = p.id, pt.Term
