Small jobs first in proportion to the part's machines

Cause: a job moved back in the order by half a second per CPU second of its remaining work, a figure found on parts of some 60 CPUs. With 600 to 2,000 CPUs and jobs many times larger every job was moved back by the most allowed, and small ones no longer went first. It now moves back by a multiple (small_first, 32) of the time that its work would take all of its part's machines.

--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -183,6 +183,10 @@
 		tier  int
 		start float64
 	}
+	room := Amount(1_000_000)
+	for _, m := range p.ms {
+		room += c.types[m.typ].Cap.CPU
+	}
 	var q []ranked
 	for _, j := range p.js {
 		if !j.active() || j.loading > 0 || j.pending() == 0 || c.now < j.holdUntil {
@@ -199,8 +203,8 @@
 				r.tier = max(r.tier, int(Urgent))
 			}
 		} else {
-			small := c.cfg.Tuning.SmallFirst * 1000 * float64(j.pending()) * float64(j.spec.Need.CPU) / 1e6 * c.expectedRun(j)
-			r.start += min(small, 2*horizon)
+			alone := float64(j.pending()) * float64(j.spec.Need.CPU) / float64(room) * c.expectedRun(j)
+			r.start += min(c.cfg.Tuning.SmallFirst*1000*alone, 2*horizon)
 		}
 		q = append(q, r)
 	}
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -268,7 +268,7 @@
 	BootPatience  float64
 	BudgetShare   float64
 	HandBackAfter Time
-	SmallFirst    float64 // seconds that a CPU second of remaining work moves a job back
+	SmallFirst    float64 // a job moves back by this many times what its remaining work would take all of its part
 	SpareShare    float64 // room kept beyond the present need
 	BeginWithin   Time    // a job's first task goes before all others after half of this
 }
@@ -299,6 +299,6 @@
 	return Tuning{
 		Checkpoint: 2 * s, PingEvery: s, PingTimeout: s, Retries: 5, RetryFirst: s / 10,
 		ProbeEvery: s / 2, Probes: 5, IdleReturn: 30 * s, RefusedWait: 15 * s,
-		BootPatience: 1.8, BudgetShare: 0.9, HandBackAfter: 4 * s, SpareShare: 0.5, SmallFirst: 0.5, BeginWithin: 240 * s,
+		BootPatience: 1.8, BudgetShare: 0.9, HandBackAfter: 4 * s, SpareShare: 0.5, SmallFirst: 32, BeginWithin: 240 * s,
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -208,7 +208,7 @@
 	BudgetShare  *float64 `json:"budget_share"`
 	HandBackS    *float64 `json:"hand_back_s"`
 	SpareShare   *float64 `json:"spare_share"`
-	SmallFirstS  *float64 `json:"small_first_s"`
+	SmallFirst   *float64 `json:"small_first"`
 	BeginWithinS *float64 `json:"begin_within_s"`
 }
 
@@ -264,7 +264,7 @@
 	for _, x := range []struct {
 		from *float64
 		to   *float64
-	}{{f.BootPatience, &t.BootPatience}, {f.SpareShare, &t.SpareShare}, {f.SmallFirstS, &t.SmallFirst}, {f.BudgetShare, &t.BudgetShare}} {
+	}{{f.BootPatience, &t.BootPatience}, {f.SpareShare, &t.SpareShare}, {f.SmallFirst, &t.SmallFirst}, {f.BudgetShare, &t.BudgetShare}} {
 		if x.from != nil {
 			*x.to = *x.from
 		}
