--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -282,6 +282,8 @@
 	free  Res
 	kind  int // its index among the kinds of the slots
 	fetch []fetch
+	busy  Amount // CPUs of the tasks that wait for their image
+	size  Amount // of the whole machine
 }
 
 // fetch is an image that a machine is getting.
@@ -303,7 +305,7 @@
 		if !ok {
 			continue
 		}
-		s := slot{m: m, free: t.Cap, kind: -1}
+		s := slot{m: m, free: t.Cap, size: t.Cap.CPU, kind: -1}
 		for _, a := range m.assigns {
 			if !a.live() {
 				continue
@@ -332,6 +334,7 @@
 }
 
 func (s *slot) fetching(j *job) {
+	s.busy += j.spec.Need.CPU
 	for i := range s.fetch {
 		if s.fetch[i].image == j.spec.Image {
 			s.fetch[i].prio = max(s.fetch[i].prio, j.spec.Priority)
@@ -355,8 +358,9 @@
 		other = other || f.prio >= min(j.spec.Priority, Urgent)
 	}
 	// Two fetches share the machine's rate: one after the other lets the first
-	// start sooner and the second no later.
-	if other {
+	// start sooner and the second no later. But a machine that takes many tasks
+	// would stand nearly idle while a few of one job wait for their image.
+	if other && (s.busy*8 >= s.size || s.size < 16*j.spec.Need.CPU) {
 		return -1
 	}
 	return 0
