A group read before another part took it no longer leaves a ghost machine

The stale reading brought the machine in twice, and after its end one picture stayed: room that work was kept for and nobody rented. The later write counts now, and a machine has one picture. TestStaleGroupRead fails without it.

--- a/internal/core/groups.go
+++ b/internal/core/groups.go
@@ -669,6 +669,15 @@
 		}
 		c.groupMoved(old, p.id)
 	}
+	for i := range ms {
+		// The same by machine: another part held here may have taken the group
+		// and joined it with others since it was read. The later write counts.
+		if x := c.machines[ms[i].id]; x != nil && uint64(x.token) > uint64(kv.Mark) {
+			return
+		} else if x != nil {
+			c.groupMoved(x.g, p.id)
+		}
+	}
 	g := c.newGroup(p, id, kv.Mark)
 	g.size = len(kv.Value)
 	for _, l := range ms {
--- a/internal/core/guards_test.go
+++ b/internal/core/guards_test.go
@@ -54,3 +54,22 @@
 		t.Errorf("the write queued meanwhile was built %d times", built)
 	}
 }
+
+// TestStaleGroupRead: a part's reading may be older than another's, held here
+// too, taking a machine and joining its group with others. The later write
+// counts; there are never two pictures of one machine.
+func TestStaleGroupRead(t *testing.T) {
+	for mark, want := range map[Mark]Part{40: 0, 60: 1} {
+		c := New(Config{Self: "n0", Nodes: []NodeID{"n0", "n1"}, ValueBytes: 4096, TxnOps: 12, Tuning: DefaultTuning()})
+		for _, p := range c.parts {
+			p.held, p.claim = true, 30
+		}
+		l := listedMachine{id: "m-1", kind: groupKind{Type: "s", Zone: "a"}}
+		c.addMachine(c.newGroup(c.parts[0], "joined", 50), l, 50) // taken at revision 50
+		c.learnGroup(KV{Key: "groups/old", Value: encodeGroup(1, []listedMachine{l}, "n"), Mark: mark}, c.parts[1])
+		m := c.machines["m-1"]
+		if m == nil || m.part != want || len(c.parts[0].ms)+len(c.parts[1].ms) != 1 {
+			t.Errorf("read at %d: the parts hold %d and %d machines, want one in part %d", mark, len(c.parts[0].ms), len(c.parts[1].ms), want)
+		}
+	}
+}
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -114,6 +114,12 @@
 	m := &machine{id: l.id, part: g.part, g: g, addr: l.addr, typ: l.kind.Type, zone: l.kind.Zone, spot: l.kind.Spot, token: token,
 		since: c.now, heard: c.now, idleSince: c.now, unackedAt: c.now, booting: l.booting,
 		assigns: map[TaskID]*assign{}, reap: map[start]bool{}, kill: map[start]bool{}, failedJobs: map[JobID]bool{}}
+	if old := c.machines[m.id]; old != nil { // never two pictures of one machine
+		c.removeMachine(old)
+		for _, a := range old.sorted() {
+			c.freeTask(a)
+		}
+	}
 	g.ms[m.id] = m
 	c.machines[m.id] = m
 	p := c.parts[m.part]
@@ -124,7 +130,9 @@
 }
 
 func (c *Core) removeMachine(m *machine) {
-	delete(c.machines, m.id)
+	if c.machines[m.id] == m {
+		delete(c.machines, m.id)
+	}
 	delete(m.g.ms, m.id)
 	p := c.parts[m.part]
 	if i := slices.Index(p.ms, m); i >= 0 {
@@ -139,9 +147,6 @@
 
 // dropMachine forgets a machine that is no longer ours.
 func (c *Core) dropMachine(m *machine) {
-	if c.machines[m.id] != m {
-		return
-	}
 	c.removeMachine(m)
 	if m.pending != 0 {
 		c.redirect(m.pending, c.parts[m.part].holder)
