--- a/cmd/stairrelay/main.go
+++ b/cmd/stairrelay/main.go
@@ -73,9 +73,13 @@
 		Short: "Check the settings and open nothing",
 		Args:  cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			if _, err := settings.Load(args[0], operators); err != nil {
+			s, err := settings.Load(args[0], operators)
+			if err != nil {
 				return fmt.Errorf("%w%w", errSettings, err)
 			}
+			for _, o := range s.Odd {
+				fmt.Fprintln(cmd.ErrOrStderr(), "odd:", o)
+			}
 			fmt.Fprintln(cmd.OutOrStdout(), "ok")
 			return nil
 		},
@@ -132,6 +136,9 @@
 	}
 	go serve(front, users.Handler(e, workers.Handler(e, log)))
 	go serve(back, peers.Handler(e, log))
+	for _, o := range s.Odd {
+		log.Warn("odd setting", "what", o)
+	}
 	log.Info("started", "version", version, "node", string(s.Core.Self), "listen", s.Listen)
 	go e.Run(ctx, engine.Actors{Store: st.Do, Cloud: cl.Do, Workers: wk.Do, Peers: pe.Do})
 	return <-failed
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -37,46 +37,45 @@
 	types    map[string]MachineType
 	listed   cloudView
 
-	accepting     []*acceptance // submissions that wait for their record
-	acceptWrites  int           // writes queued for them
-	acceptSeq     int
-	accepted      map[JobID]bool // by a record of several
-	acceptsEpoch  Epoch
-	acceptsRead   bool
-	askQueue      map[NodeID][]waitingView
-	askPending    map[NodeID]bool
-	jobsEpoch     Epoch
-	partsEpoch    Epoch
-	counters      Counters
-	classes       map[string]*classStats
-	rentSeq       int
-	rentAsked     bool
-	beating       bool
-	beatMark      Mark
-	nextList      Time
-	strays        map[MachineID]Time // listed without a record, since when
-	cloudBucket   bucket
-	lastReport    Time
-	workersLost   bool
-	lastAddr      string // of a worker, to find out whether workers can be reached
-	heldReports   []*machine
-	holdWake      bool
-	pokes         []*machine
-	groupSeq      int
-	strange       []Checkin // from machines whose owner is being looked for
-	finding       bool
-	foundAt       Time
-	inspecting    map[MachineID]bool // being enlisted
-	returnAsked   bool
-	nextPlace     Time
-	placeWake     bool
-	loadsAt       Time // when lastLoads was worked out; many ask within one interval
-	loadsEpoch    int
-	lastLoads     []PartLoad
-	claims        int      // changes of the parts held here
-	found         []Listed // in the cloud's list, without a record
-	offersChanged bool
-	placing       bool
+	accepting    []*acceptance // submissions that wait for their record
+	acceptWrites int           // writes queued for them
+	acceptSeq    int
+	accepted     map[JobID]bool // by a record of several
+	acceptsEpoch Epoch
+	acceptsRead  bool
+	askQueue     map[NodeID][]waitingView
+	askPending   map[NodeID]bool
+	jobsEpoch    Epoch
+	partsEpoch   Epoch
+	counters     Counters
+	classes      map[string]*classStats
+	rentSeq      int
+	rentAsked    bool
+	beating      bool
+	beatMark     Mark
+	nextList     Time
+	strays       map[MachineID]Time // listed without a record, since when
+	cloudBucket  bucket
+	lastReport   Time
+	workersLost  bool
+	lastAddr     string // of a worker, to find out whether workers can be reached
+	heldReports  []*machine
+	holdWake     bool
+	pokes        []*machine
+	groupSeq     int
+	strange      []Checkin // from machines whose owner is being looked for
+	finding      bool
+	foundAt      Time
+	inspecting   map[MachineID]bool // being enlisted
+	returnAsked  bool
+	nextPlace    Time
+	placeWake    bool
+	loadsAt      Time // when lastLoads was worked out; many ask within one interval
+	loadsEpoch   int
+	lastLoads    []PartLoad
+	claims       int      // changes of the parts held here
+	found        []Listed // in the cloud's list, without a record
+	placing      bool
 }
 
 // Counters are for the periodic log line.
--- /dev/null
+++ b/internal/core/moves.go
@@ -0,0 +1,225 @@
+package core
+
+import (
+	"sort"
+	"strings"
+)
+
+// Idle machines move between parts by groups: one part offers, the other takes.
+
+// GroupOffer tells a part of a group of idle machines that it may take.
+type GroupOffer struct {
+	Key   string
+	Mark  Mark
+	To    Part
+	Kinds []KindCount
+}
+
+// KindCount counts like machines.
+type KindCount struct {
+	Type, Zone string
+	Spot       bool
+	N          int
+}
+
+// offers lists the groups that the parts held here offer to others.
+func (c *Core) offers() []GroupOffer {
+	var out []GroupOffer
+	for _, id := range sortedKeys(c.groups) {
+		g := c.groups[id]
+		if g.offer == nil || g.w {
+			continue
+		}
+		n := map[groupKind]int{}
+		var kinds []groupKind
+		for _, m := range g.list() {
+			k := groupKind{m.typ, m.zone, m.spot}
+			if n[k] == 0 {
+				kinds = append(kinds, k)
+			}
+			n[k]++
+		}
+		o := GroupOffer{Key: g.key(), Mark: g.mark, To: g.offer.to}
+		for _, k := range kinds {
+			o.Kinds = append(o.Kinds, KindCount{k.Type, k.Zone, k.Spot, n[k]})
+		}
+		out = append(out, o)
+	}
+	return out
+}
+
+// endOffers takes back what nobody took in time, whether or not anybody still
+// lacks machines: an offered group gets no work.
+func (c *Core) endOffers() {
+	for _, g := range c.groups {
+		if g.offer != nil && c.now > g.offer.until {
+			g.offer = nil
+			c.placing = true
+		}
+	}
+}
+
+// offerIdle offers a part's idle machines to those that lack some. They are
+// gathered into groups of their own, so that one write moves many.
+func (c *Core) offerIdle(p *part, loads map[Part]PartLoad, want map[Part]Amount) {
+	if c.now < p.offerAfter {
+		return
+	}
+	idle := c.idleOf(p)
+	if len(idle) == 0 {
+		return
+	}
+	lacking, lacks := make([]Part, 0, len(loads)), map[Part]Amount{}
+	for q, l := range loads {
+		if q != p.id && want[q] > l.Have {
+			lacking = append(lacking, q)
+			lacks[q] = want[q] - l.Have
+		}
+	}
+	sort.Slice(lacking, func(i, k int) bool {
+		a, b := lacking[i], lacking[k]
+		return lacks[a] > lacks[b] || lacks[a] == lacks[b] && a < b
+	})
+	work := c.unplaced(p)
+	var spare []*machine
+	for _, m := range idle {
+		if m.yield || c.fill(work, c.types[m.typ].Cap, func(j *job) bool { return c.allowedOn(j, m) }) == 0 {
+			spare = append(spare, m)
+		}
+	}
+	for _, id := range sortedKeys(c.groups) {
+		if g := c.groups[id]; g.part == p.id && g.offer != nil {
+			lacks[g.offer.to] -= c.cpus(g)
+		}
+	}
+	for _, q := range lacking {
+		lack := lacks[q]
+		var ms []*machine
+		groups := map[*group]bool{}
+		for len(spare) > 0 && lack > 0 && len(ms) < c.groupMachines() && (len(groups) < c.cfg.TxnOps-1 || groups[spare[0].g]) {
+			m := spare[0]
+			spare = spare[1:]
+			ms = append(ms, m)
+			groups[m.g] = true
+			lack -= c.types[m.typ].Cap.CPU
+		}
+		if len(ms) == 0 {
+			continue
+		}
+		p.offerAfter = c.now + second
+		offer := func(g *group) {
+			if g != nil {
+				g.offer = &groupOffer{to: q, until: c.now + 5*second}
+			}
+		}
+		if len(groups) == 1 && len(ms) == len(ms[0].g.ms) {
+			offer(ms[0].g)
+			continue
+		}
+		for _, m := range ms {
+			m.yield = true
+		}
+		c.regroup(p, ms, nil, prioStart, offer)
+	}
+}
+
+// cpus is what a group's machines have in all.
+func (c *Core) cpus(g *group) Amount {
+	var sum Amount
+	for _, m := range g.ms {
+		sum += c.types[m.typ].Cap.CPU
+	}
+	return sum
+}
+
+// takeOffered takes groups that others offer to a part, if it has a use for them.
+func (c *Core) takeOffered(p *part, work []waitingWork) {
+	use := func(o GroupOffer) bool {
+		took := 0
+		for _, k := range o.Kinds {
+			for range k.N {
+				took += c.fill(work, c.types[k.Type].Cap, func(j *job) bool { return c.optionAllowed(j, rentOption{k.Type, k.Zone, k.Spot}) })
+			}
+		}
+		return took > 0
+	}
+	for _, id := range c.cfg.Nodes {
+		q := c.peers[id]
+		if q == nil || q.failed || c.now-q.pingAt > 3*second {
+			continue
+		}
+		for _, o := range q.ping.Groups {
+			if o.To != p.id || q.taken[o.Key] == o.Mark || !use(o) {
+				continue
+			}
+			if q.taken == nil {
+				q.taken = map[string]Mark{}
+			}
+			q.taken[o.Key] = o.Mark
+			c.takeGroup(p, o.Key, o.Mark)
+		}
+	}
+	for _, o := range c.offers() { // parts held here have nobody to ask
+		if o.To == p.id && use(o) {
+			c.takeGroup(p, o.Key, o.Mark)
+		}
+	}
+}
+
+// takeGroup moves a group of idle machines here by a conditional write on a
+// record that lists no task. The revision of this write is the machines'
+// token: it lies above all earlier ones.
+func (c *Core) takeGroup(p *part, key string, mark Mark) {
+	claim := p.claim
+	id := strings.TrimPrefix(key, "groups/")
+	c.get(key, func(r GetReply) {
+		if r.Out != OK || r.KV.Mark != mark || !p.held || p.claim != claim {
+			return
+		}
+		part, ms, err := decodeGroup(r.KV.Value)
+		if err != nil || part == p.id || len(ms) == 0 {
+			return
+		}
+		for _, m := range ms {
+			if len(m.tasks) > 0 || m.returned {
+				return
+			}
+		}
+		if g := c.groups[id]; g != nil { // held here too
+			if g.w || g.mark != mark || g.offer == nil {
+				return
+			}
+			for _, m := range g.ms {
+				if len(m.assigns) > 0 {
+					return
+				}
+			}
+			c.groupMoved(g, p.id)
+		}
+		size := 0
+		c.w.add(prioRent, &write{
+			part: p.id, keys: []string{key},
+			build: func(nonce string) ([]TxnOp, []Mark) {
+				v := encodeGroup(p.id, ms, nonce)
+				size = len(v)
+				return []TxnOp{{key, v}}, []Mark{mark}
+			},
+			ok: func(e Epoch) {
+				if !p.held || p.claim != claim || c.groups[id] != nil {
+					return
+				}
+				g := c.newGroup(p, id, Mark(e))
+				g.size = size
+				for _, l := range ms {
+					if c.machines[l.id] == nil {
+						c.addMachine(g, l, Token(e))
+					}
+				}
+				c.logf("debug", "took idle machines", "group", id, "machines", len(ms), "part", int(p.id), "from", int(part))
+				c.placing = true
+				c.machineSweep()
+			},
+			conflict: func() {},
+		})
+	})
+}
--- /dev/null
+++ b/internal/core/requests.go
@@ -0,0 +1,584 @@
+package core
+
+import (
+	"encoding/json"
+	"strconv"
+)
+
+// What users ask: submissions, questions, cancellations.
+
+func (c *Core) answerView(req ReqID, status int, v JobView) {
+	c.emit(Respond{Req: req, Status: status, View: &v})
+}
+
+func finalView(id JobID, k *knownJob) JobView {
+	v := JobView{ID: id, Status: k.final}
+	if k.final == StDone {
+		v.Done = k.tasks
+	}
+	return v
+}
+
+func viewOfRecord(kv KV, id JobID) (JobView, bool) {
+	var rec jobRecord
+	if json.Unmarshal(kv.Value, &rec) != nil {
+		return JobView{}, false
+	}
+	v := JobView{ID: id, Status: StPending}
+	if rec.State.Final() {
+		v.Status = rec.State
+		if rec.State == StDone {
+			v.Done = rec.Tasks
+		}
+		return v, true
+	}
+	if rec.Spec == nil {
+		return v, false
+	}
+	decodeDone(rec.Done, min(rec.Spec.Tasks, chunkTasks), func(int) { v.Done++ })
+	if v.Done > 0 {
+		v.Status = StRunning
+	}
+	return v, true
+}
+
+const retrySoon = 1
+
+func (c *Core) onQuery(e Query) {
+	c.lookUp(e.ID, func(status int, v JobView) {
+		if status == 200 {
+			c.answerView(e.Req, 200, v)
+			return
+		}
+		after := 0
+		if status == 503 {
+			after = retrySoon
+		}
+		c.refuse(e.Req, status, after, "")
+	})
+}
+
+// lookUp finds a job's state: a final one from memory, else from its owner,
+// else from the store, which alone can say that there is no such job.
+func (c *Core) lookUp(id JobID, fn func(int, JobView)) {
+	k := c.known[id]
+	if k != nil && k.final != "" {
+		fn(200, finalView(id, k))
+		return
+	}
+	if j := c.jobs[id]; j != nil {
+		c.confirm(c.parts[j.part], func(good bool) {
+			if k := c.known[id]; k != nil && k.final != "" {
+				fn(200, finalView(id, k))
+			} else if j := c.jobs[id]; good && j != nil {
+				fn(200, j.view())
+			} else {
+				c.lookInStore(id, fn)
+			}
+		})
+		return
+	}
+	if k != nil {
+		if p := c.peers[c.parts[k.part].holder]; p != nil && !p.failed && !p.prone {
+			c.askOwner(p, id, fn)
+			return
+		}
+	}
+	c.lookInStore(id, fn)
+}
+
+func (c *Core) lookInStore(id JobID, fn func(int, JobView)) {
+	if c.storeLost(second) || c.w.reqs.have < -c.w.reqs.cap {
+		fn(503, JobView{})
+		return
+	}
+	c.get("jobs/"+string(id), func(r GetReply) {
+		switch r.Out {
+		case OK:
+			c.learnJob(r.KV, nil)
+			if v, ok := viewOfRecord(r.KV, id); ok {
+				fn(200, v)
+				return
+			}
+			fn(503, JobView{})
+		case Missing:
+			c.catchUp(id, func(known, ok bool) {
+				switch {
+				case !ok:
+					fn(503, JobView{})
+				case known:
+					fn(200, JobView{ID: id, Status: StPending})
+				default:
+					fn(404, JobView{})
+				}
+			})
+		default:
+			fn(503, JobView{})
+		}
+	})
+}
+
+type waitingView struct {
+	id JobID
+	fn func(int, JobView)
+}
+
+// askOwner gathers the questions of some milliseconds into one message.
+func (c *Core) askOwner(p *peer, id JobID, fn func(int, JobView)) {
+	c.askQueue[p.id] = append(c.askQueue[p.id], waitingView{id, fn})
+	if c.askPending[p.id] {
+		return
+	}
+	c.askPending[p.id] = true
+	c.after(50*milli, func() {
+		c.askPending[p.id] = false
+		q := c.askQueue[p.id]
+		delete(c.askQueue, p.id)
+		ids := make([]JobID, len(q))
+		for i, x := range q {
+			ids[i] = x.id
+		}
+		c.ask(p.id, 800*milli, PeerMsg{Ask: &Ask{IDs: ids}}, func(r PeerReply) {
+			got := map[JobID]JobView{}
+			if r.Out == OK {
+				for _, v := range r.Msg.Views {
+					got[v.ID] = v
+				}
+			}
+			for _, x := range q {
+				if v, ok := got[x.id]; ok {
+					if k := c.known[x.id]; k != nil && v.Status.Final() {
+						k.final = v.Status
+					}
+					x.fn(200, v)
+				} else {
+					c.lookInStore(x.id, x.fn)
+				}
+			}
+		})
+	})
+}
+
+// answerAsk answers what this node can vouch for and leaves out the rest.
+func (c *Core) answerAsk(ids []JobID, fn func([]JobView)) {
+	byPart := map[Part]bool{}
+	for _, id := range ids {
+		if j := c.jobs[id]; j != nil {
+			byPart[j.part] = true
+		}
+	}
+	left := 1
+	good := map[Part]bool{}
+	finish := func() {
+		if left--; left > 0 {
+			return
+		}
+		var out []JobView
+		for _, id := range ids {
+			if k := c.known[id]; k != nil && k.final != "" {
+				out = append(out, finalView(id, k))
+			} else if j := c.jobs[id]; j != nil && good[j.part] {
+				out = append(out, j.view())
+			}
+		}
+		fn(out)
+	}
+	for _, p := range c.parts {
+		if byPart[p.id] {
+			left++
+			c.confirm(p, func(ok bool) {
+				good[p.id] = ok
+				finish()
+			})
+		}
+	}
+	finish()
+}
+
+func (c *Core) onSubmit(e Submit) {
+	id := e.Job.ID
+	if c.known[id] != nil {
+		c.repeat(e.Req, id)
+		return
+	}
+	if c.storeLost(second) {
+		c.refuse(e.Req, 503, 2, "store out of reach")
+		return
+	}
+	bad := e.Bad
+	if bad == 0 {
+		if len(c.types) == 0 {
+			c.refuse(e.Req, 503, 2, "machine types not known yet")
+			return
+		}
+		bad = c.neverRuns(&e.Job)
+	}
+	if bad != 0 {
+		// An accepted id never gets 400 or 422 later, whatever the repeat says.
+		c.lookInStore(id, func(status int, v JobView) {
+			switch status {
+			case 200:
+				c.answerView(e.Req, 200, v)
+			case 404:
+				c.refuse(e.Req, bad, 0, e.Why)
+			default:
+				c.refuse(e.Req, 503, 2, "store out of reach")
+			}
+		})
+		return
+	}
+	if after := c.overloaded(e.Job.Priority); after > 0 {
+		c.refuse(e.Req, 429, after, "too many submissions of this priority")
+		return
+	}
+	e.Job.Submitted = c.wall
+	a := &acceptance{spec: e.Job, req: e.Req, given: c.now + 3500*milli}
+	c.after(3500*milli, func() {
+		if !a.over {
+			a.over = true
+			c.refuse(a.req, 503, retrySoon, "not stored in time")
+		}
+	})
+	c.accepting = append(c.accepting, a)
+	if c.acceptWrites < len(c.accepting) {
+		c.writeAccepted()
+	}
+}
+
+// acceptance is a submission that waits for its record.
+type acceptance struct {
+	spec  JobSpec
+	req   ReqID
+	given Time // too late after that
+	over  bool // answered
+}
+
+// acceptRecord is what accepts/<name> holds: jobs that came in together. A
+// record each would cost a put each, and when many come at once their users
+// would wait for the write rate. A job has a record of its own, jobs/<id>, from
+// its first outcome on; that one counts where both exist.
+type acceptRecord struct {
+	Jobs []acceptedJob `json:"j"`
+	W    string        `json:"w"`
+}
+
+type acceptedJob struct {
+	ID   JobID   `json:"id"`
+	Spec JobSpec `json:"s"`
+}
+
+const acceptPrefix = "accepts/"
+
+// takeAccepting takes the submissions that still wait for an answer, as many
+// as go into one record.
+func (c *Core) takeAccepting() []*acceptance {
+	var l []*acceptance
+	size := 0
+	for len(c.accepting) > 0 {
+		a := c.accepting[0]
+		if !a.over && c.now <= a.given {
+			if c.known[a.spec.ID] != nil { // the same id came in twice at once
+				a.over = true
+				c.repeat(a.req, a.spec.ID)
+			} else {
+				v, _ := json.Marshal(a.spec)
+				size += len(v) + len(a.spec.ID) + 20
+				if len(l) > 0 && size > c.cfg.ValueBytes*4/5 || len(l) == c.cfg.TxnOps {
+					break
+				}
+				l = append(l, a)
+			}
+		}
+		c.accepting = c.accepting[1:]
+	}
+	return l
+}
+
+// writeAccepted queues the write that takes the next waiting submissions: one
+// alone as the job's own record, several as one record, on condition that none
+// of them is known.
+func (c *Core) writeAccepted() {
+	c.acceptWrites++
+	c.acceptSeq++
+	key := acceptPrefix + c.cfg.Boot + "-" + strconv.Itoa(c.acceptSeq)
+	var jobs []*acceptance
+	var values [][]byte
+	x := &write{part: NoPart, keys: []string{key}}
+	x.build = func(nonce string) ([]TxnOp, []Mark) {
+		c.acceptWrites--
+		jobs, values, x.also = c.takeAccepting(), nil, nil
+		if len(c.accepting) > c.acceptWrites {
+			c.writeAccepted()
+		}
+		if len(jobs) == 0 {
+			return nil, nil
+		}
+		var rec acceptRecord
+		for _, a := range jobs {
+			v, _ := json.Marshal(jobRecord{Spec: &a.spec, W: nonce})
+			values = append(values, v)
+			rec.Jobs = append(rec.Jobs, acceptedJob{a.spec.ID, a.spec})
+		}
+		if len(jobs) == 1 {
+			x.keys[0] = "jobs/" + string(jobs[0].spec.ID)
+			return []TxnOp{{x.keys[0], values[0]}}, []Mark{0}
+		}
+		rec.W = nonce
+		for _, a := range jobs {
+			x.also = append(x.also, Cond{"jobs/" + string(a.spec.ID), 0})
+		}
+		v, _ := json.Marshal(rec)
+		return []TxnOp{{key, v}}, []Mark{0}
+	}
+	x.ok = func(e Epoch) {
+		mark := Mark(e)
+		if len(jobs) > 1 {
+			mark = 0 // of their own records, which don't exist yet
+		}
+		for i, a := range jobs {
+			id := a.spec.ID
+			kv := KV{Key: "jobs/" + string(id), Value: values[i], Mark: mark}
+			c.learnJob(kv, nil)
+			c.tell(c.teams[a.spec.Team].part, kv)
+			if !a.over {
+				a.over = true
+				c.answerView(a.req, 201, JobView{ID: id, Status: StPending})
+			}
+		}
+	}
+	x.conflict = func() {
+		// Some of them are known. Each learns which by itself.
+		for _, a := range jobs {
+			if a.over {
+				continue
+			}
+			if len(jobs) == 1 {
+				a.over = true
+				c.repeat(a.req, a.spec.ID)
+				continue
+			}
+			c.lookInStore(a.spec.ID, func(status int, v JobView) {
+				switch {
+				case a.over:
+				case status == 200:
+					a.over = true
+					c.answerView(a.req, 200, v)
+				default: // not this one: it is tried again
+					c.accepting = append(c.accepting, a)
+					c.writeAccepted()
+				}
+			})
+		}
+	}
+	c.w.add(prioAccept, x)
+}
+
+// learnAccepted takes in a record of jobs that were accepted together.
+func (c *Core) learnAccepted(kv KV, loading *part) {
+	if kv.Value == nil {
+		return
+	}
+	c.signOfLife(kv)
+	var rec acceptRecord
+	if err := json.Unmarshal(kv.Value, &rec); err != nil {
+		c.logf("error", "unreadable record", "key", kv.Key)
+		return
+	}
+	for i := range rec.Jobs {
+		j := &rec.Jobs[i]
+		c.accepted[j.ID] = true
+		v, _ := json.Marshal(jobRecord{Spec: &j.Spec})
+		c.learnJob(KV{Key: "jobs/" + string(j.ID), Value: v}, loading)
+	}
+}
+
+// loadAccepted learns of the jobs that were accepted together, then follows.
+func (c *Core) loadAccepted() {
+	c.list(acceptPrefix, func(r ListReply) {
+		if r.Out != OK {
+			c.after(second, c.loadAccepted)
+			return
+		}
+		for _, kv := range r.Items {
+			c.learnAccepted(kv, nil)
+		}
+		c.acceptsEpoch, c.acceptsRead = r.Epoch, true
+		c.follow(acceptPrefix, &c.acceptsEpoch, 2*second, func(kv KV) { c.learnAccepted(kv, nil) }, c.loadAccepted)
+	})
+}
+
+// catchUp calls fn with whether a job was accepted in a record of several, as
+// the store shows it now: what changed since the last reading is read.
+func (c *Core) catchUp(id JobID, fn func(known, ok bool)) {
+	if c.accepted[id] {
+		fn(true, true)
+		return
+	}
+	if !c.acceptsRead {
+		fn(false, false)
+		return
+	}
+	c.w.reqs.have--
+	c.counters.Gets++
+	c.emit(StoreWatch{Call: c.call(func(b any) {
+		r := b.(WatchReply)
+		if r.Out != OK {
+			fn(false, false)
+			return
+		}
+		for _, kv := range r.Items {
+			c.learnAccepted(kv, nil)
+		}
+		fn(c.accepted[id], true)
+	}), Prefix: acceptPrefix, Since: c.acceptsEpoch})
+}
+
+// overloaded decides for all jobs of a priority alike whether submissions can
+// be taken: the longer those accepted wait for the write budget, the more
+// priorities are refused, least important first. It returns when to come back.
+func (c *Core) overloaded(prio Priority) int {
+	// A put takes several when many wait.
+	wait := (float64(len(c.w.queues[prioAccept])) + float64(len(c.accepting))/float64(c.cfg.TxnOps)) / max(c.w.puts.rate, 1)
+	limit := [...]float64{BestEffort: 1, Normal: 1.5, Urgent: 2.5, Production: 3}[prio]
+	if wait <= limit {
+		return 0
+	}
+	return min(30, 1+int(2*wait))
+}
+
+// repeat answers a submission of a job that is known already.
+func (c *Core) repeat(req ReqID, id JobID) {
+	c.lookUp(id, func(status int, v JobView) {
+		if status == 200 {
+			c.answerView(req, 200, v)
+			return
+		}
+		c.refuse(req, 503, retrySoon, "")
+	})
+}
+
+// neverRuns returns 422 for a job that no machine or quota could ever take.
+func (c *Core) neverRuns(s *JobSpec) int {
+	t := c.teams[s.Team]
+	if t == nil || s.Need.CPU > t.Limit.CPU || s.Need.GPU > t.Limit.GPU {
+		return 422
+	}
+	for _, name := range sortedKeys(c.types) {
+		if c.allows(s, c.types[name], "") {
+			return 0
+		}
+	}
+	return 422
+}
+
+// allows tells whether a type, and with it one of its zones, is allowed for a
+// job's tasks and large enough for one.
+func (c *Core) allows(s *JobSpec, t MachineType, zone string) bool {
+	if !s.Need.fits(t.Cap) {
+		return false
+	}
+	if len(s.Types) > 0 && !has(s.Types, t.Name) {
+		return false
+	}
+	if s.Zone == "" {
+		return true
+	}
+	if zone == "" {
+		return has(t.Zones, s.Zone)
+	}
+	return zone == s.Zone
+}
+
+func has(l []string, s string) bool {
+	for _, x := range l {
+		if x == s {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Core) onCancel(req ReqID, id JobID, first bool) {
+	answer := func(s Status) {
+		if s == "" {
+			c.refuse(req, 503, retrySoon, "")
+			return
+		}
+		v := JobView{ID: id, Status: s}
+		c.answerView(req, 200, v)
+	}
+	k := c.known[id]
+	switch {
+	case k != nil && k.final != "":
+		answer(k.final)
+	case k != nil && c.parts[k.part].held:
+		c.cancelHere(id, func(status int, v *JobView) {
+			if v == nil {
+				answer("")
+				return
+			}
+			answer(v.Status)
+		})
+	case k != nil:
+		p := c.peers[c.parts[k.part].holder]
+		if p == nil || p.failed {
+			answer("")
+			return
+		}
+		c.ask(p.id, 3*second, PeerMsg{Cancel: id}, func(r PeerReply) {
+			if r.Out == OK && len(r.Msg.Views) == 1 {
+				if s := r.Msg.Views[0].Status; s.Final() {
+					k.final = s
+					answer(s)
+					return
+				}
+			}
+			answer("")
+		})
+	default:
+		c.lookInStore(id, func(status int, v JobView) {
+			switch {
+			case status == 200 && v.Status.Final():
+				answer(v.Status)
+			case status == 200 && first:
+				c.onCancel(req, id, false)
+			case status == 404:
+				c.refuse(req, 404, 0, "")
+			default:
+				answer("")
+			}
+		})
+	}
+}
+
+// cancelHere cancels a job of a part held here; told only after it is stored.
+func (c *Core) cancelHere(id JobID, fn func(int, *JobView)) {
+	if k := c.known[id]; k != nil && k.final != "" {
+		fn(200, &JobView{ID: id, Status: k.final})
+		return
+	}
+	j := c.jobs[id]
+	if j == nil || !c.parts[j.part].ready {
+		fn(503, nil)
+		return
+	}
+	over := false
+	done := func(s Status) {
+		if over {
+			return
+		}
+		over = true
+		if s == "" {
+			fn(503, nil)
+			return
+		}
+		fn(200, &JobView{ID: id, Status: s})
+	}
+	c.after(2800*milli, func() { done("") })
+	j.waiters = append(j.waiters, done)
+	if !j.cancelling {
+		j.cancelling = true
+		c.unplan(j)
+	}
+	c.writeJob(j, prioAccept)
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -26,6 +26,7 @@
 	Peers                      map[core.NodeID]string
 	MemoryMB                   float64
 	Core                       core.Config
+	Odd                        []string // what is served all the same, for the log
 }
 
 type file struct {
@@ -179,6 +180,9 @@
 		if t.CPUs < 0 || t.GPUs < 0 || t.CPUsMax < 0 || t.GPUsMax < 0 {
 			return nil, fmt.Errorf("cluster.teams: %s has an amount below 0", t.Name)
 		}
+		if t.CPUsMax < t.CPUs || t.GPUsMax < t.GPUs {
+			s.Odd = append(s.Odd, fmt.Sprintf("cluster.teams: %s is guaranteed more than its limit; the limit holds", t.Name))
+		}
 		k.Teams = append(k.Teams, core.Team{Name: t.Name, Guarantee: res(t.CPUs, t.GPUs), Limit: res(t.CPUsMax, t.GPUsMax)})
 	}
 	for _, o := range cl.Objectives {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -62,6 +62,13 @@
 	if s.Core.Teams[0].Limit.CPU != 8_500_000 || s.Core.Lease != core.Time(12*time.Second) {
 		t.Errorf("read %+v", s.Core)
 	}
+	if len(s.Odd) != 0 {
+		t.Errorf("called odd: %v", s.Odd)
+	}
+	odd, err := Load(write(t, "s.toml", strings.Replace(good, "cpus = 4.0", "cpus = 9.0", 1)), "")
+	if err != nil || len(odd.Odd) != 1 || !strings.Contains(odd.Odd[0], "red") {
+		t.Errorf("a guarantee above the limit: %v, %v", odd, err)
+	}
 	if s.Core.Tuning != core.DefaultTuning() {
 		t.Errorf("defaults changed: %+v", s.Core.Tuning)
 	}
