Emptied groups keep their key until the next claim: no late copy of a creation

An emptied group is now written with nothing listed; the next claim, which fences the copies, drops it. Should a machine be listed twice all the same, whatever either record lists counts. TestEmptiedGroupStays fails without it.

--- a/internal/core/groups.go
+++ b/internal/core/groups.go
@@ -96,9 +96,9 @@
 		s.ms = append(s.ms, x)
 		lines = append(lines, line)
 	}
-	if len(lines) == 0 {
-		return nil, s
-	}
+	// An emptied group's key is kept, with nothing listed: once it were absent,
+	// a late copy of the transaction that created it would be carried out again.
+	// The next claim, which fences such copies, drops it.
 	v := encodeGroup(part, lines, nonce)
 	s.size = len(v)
 	return v, s
@@ -280,7 +280,7 @@
 			sort.Slice(into, func(i, k int) bool { return into[i].id < into[k].id })
 			v, s := c.snap(p.id, into, nonce)
 			snaps = append(snaps, s)
-			if v == nil || len(v) > c.cfg.ValueBytes*17/20 || len(moving) == 0 {
+			if len(v) > c.cfg.ValueBytes*17/20 || len(moving) == 0 {
 				free()
 				for _, g := range all {
 					c.writeGroup(g, prioStart)
@@ -471,12 +471,17 @@
 		}
 		c.groupMoved(old, p.id)
 	}
+	if len(ms) == 0 {
+		c.dropEmpty(p, kv)
+		return
+	}
 	for i := range ms {
 		// The same by machine: another part held here may have taken the group
 		// and joined it with others since it was read. The later write counts.
-		if x := c.machines[ms[i].id]; x != nil && uint64(x.token) > uint64(kv.Mark) {
-			return
-		} else if x != nil {
+		if x := c.machines[ms[i].id]; x != nil && x.part != p.id {
+			if uint64(x.token) > uint64(kv.Mark) {
+				return
+			}
 			c.groupMoved(x.g, p.id)
 		}
 	}
@@ -484,8 +489,11 @@
 	g.size = len(kv.Value)
 	for _, l := range ms {
 		// The claim is later than every move of a machine of the part.
-		m := c.addMachine(g, l, Token(p.claim))
-		m.returning, m.returned = l.returned, l.returned
+		m := c.machines[l.id]
+		if m == nil { // else listed twice: whatever either lists counts
+			m = c.addMachine(g, l, Token(p.claim))
+		}
+		m.returning, m.returned = m.returning || l.returned, m.returned || l.returned
 		for _, t := range l.tasks {
 			if why := c.learnTask(m, t, p); why != "" {
 				c.setAside(p, kv, why)
@@ -495,6 +503,16 @@
 	}
 }
 
+// dropEmpty removes an emptied group that an earlier claim left behind.
+func (c *Core) dropEmpty(p *part, kv KV) {
+	c.w.add(prioLazy, &write{
+		part: p.id, keys: []string{kv.Key},
+		build:    func(string) ([]TxnOp, []Mark) { return []TxnOp{{kv.Key, nil}}, []Mark{kv.Mark} },
+		ok:       func(Epoch) {},
+		conflict: func() {},
+	})
+}
+
 // learnTask takes in a task that an earlier holder's record lists. It returns
 // what makes no sense about it.
 func (c *Core) learnTask(m *machine, t listedTask, p *part) string {
--- a/internal/core/guards_test.go
+++ b/internal/core/guards_test.go
@@ -73,3 +73,22 @@
 		}
 	}
 }
+
+// TestEmptiedGroupStays: the record of an emptied group is written, not
+// dropped. Were its key absent, a late copy of the transaction that created it
+// would be carried out again and list its machines a second time (random seed
+// 1083: a task ran twice). The next claim, which fences such copies, drops it.
+func TestEmptiedGroupStays(t *testing.T) {
+	c := New(Config{Self: "n0", Nodes: []NodeID{"n0"}, ValueBytes: 4096, TxnOps: 12, Tuning: DefaultTuning()})
+	p := c.parts[0]
+	v, s := c.snap(0, nil, "n-1")
+	part, ms, err := decodeGroup(v)
+	if v == nil || err != nil || part != 0 || len(ms) != 0 || nonceOf(v) != "n-1" || len(s.ms) != 0 {
+		t.Fatalf("an emptied group is written as %q: %v", v, err)
+	}
+	p.held, p.claim = true, 30
+	c.learnGroup(KV{Key: "groups/g", Value: v, Mark: 20}, p)
+	if q := c.w.queues[prioLazy]; len(q) != 1 || q[0].keys[0] != "groups/g" || len(c.groups) != 0 {
+		t.Errorf("the next claim queues %d writes and knows %d groups", len(q), len(c.groups))
+	}
+}
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -114,9 +114,7 @@
 		assigns: map[TaskID]*assign{}, reap: map[start]bool{}, kill: map[start]bool{}, failedJobs: map[JobID]bool{}}
 	if old := c.machines[m.id]; old != nil { // never two pictures of one machine
 		c.removeMachine(old)
-		for _, a := range old.sorted() {
-			c.freeTask(a)
-		}
+		m.assigns = old.assigns
 	}
 	g.ms[m.id] = m
 	c.machines[m.id] = m
