--- a/cmd/stairrelay/main.go
+++ b/cmd/stairrelay/main.go
@@ -22,6 +22,7 @@
 	"stairrelay/internal/engine"
 	"stairrelay/internal/peers"
 	"stairrelay/internal/settings"
+	"stairrelay/internal/sockets"
 	"stairrelay/internal/store"
 	"stairrelay/internal/users"
 	"stairrelay/internal/workers"
@@ -120,22 +121,28 @@
 	}
 	s.Core.Boot = hex.EncodeToString(boot[:])
 	e := engine.New(s.Core, log)
-	st, cl, wk, pe := store.New(s.State, e.Answer), cloud.New(s.Cloud, e.Answer), workers.New(e.Answer), peers.New(s.Peers, e.Answer)
-	front, err := net.Listen("tcp", s.Listen)
+	plan := sockets.MakePlan(s.Connections, len(s.Peers))
+	st, cl, wk, pe := store.New(s.State, e.Answer), cloud.New(s.Cloud, e.Answer), workers.New(plan.Calls, e.Answer), peers.New(s.Peers, e.Answer)
+	// Silent connections are closed by the server's time-outs; probing them
+	// besides would only cost.
+	listen := net.ListenConfig{KeepAlive: -1}
+	front, err := listen.Listen(ctx, "tcp", s.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	back, err := net.Listen("tcp", s.Back)
+	back, err := listen.Listen(ctx, "tcp", s.Back)
 	if err != nil {
 		return fmt.Errorf("back: %w", err)
 	}
 	failed := make(chan error, 2)
-	serve := func(l net.Listener, h http.Handler) {
-		srv := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
+	serve := func(l net.Listener, f *sockets.Front, h http.Handler) {
+		srv := f.Server(h, max(4*time.Duration(s.Core.ReportEvery), 15*time.Second))
+		srv.ErrorLog = slog.NewLogLogger(log.Handler(), slog.LevelDebug)
 		failed <- srv.Serve(l)
 	}
-	go serve(front, users.Handler(e, workers.Handler(e, log)))
-	go serve(back, peers.Handler(e, log))
+	f := sockets.NewFront(plan.Front)
+	go serve(front, f, users.Handler(e, f.Users, workers.Handler(e, log)))
+	go serve(back, sockets.NewFront(0), peers.Handler(e, log))
 	for _, o := range s.Odd {
 		log.Warn("odd setting", "what", o)
 	}
--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -22,7 +22,7 @@
 
 // New makes the actor for the cloud's interface at addr.
 func New(addr string, answer func(core.CallID, any)) *Cloud {
-	return &Cloud{base: "http://" + addr, h: wire.NewClient(time.Second, 2), answer: answer, timeout: 4 * time.Second}
+	return &Cloud{base: "http://" + addr, h: wire.NewClient(time.Second, 2, 0), answer: answer, timeout: 4 * time.Second}
 }
 
 // Do starts a call; its answer comes as a message.
--- a/internal/core/bench_test.go
+++ b/internal/core/bench_test.go
@@ -36,51 +36,57 @@
 	}
 }
 
-// BenchmarkGrown measures a simulated second of a fleet of some 1,000 machines
-// with several thousand running tasks of 15 s, as the largest deployment has.
-// core-ms/s is what one core takes of a second; the rest is the stand-ins'.
-func BenchmarkGrown(b *testing.B) {
+// BenchmarkFleet measures a simulated second of 1,900 machines with several
+// thousand running tasks and hundreds of jobs waiting, as the largest
+// deployments have at half as many machines again. core-ms/s is what one core
+// takes of a second, us/step and allocs/step what one event costs it; the rest
+// is the stand-ins'.
+func BenchmarkFleet(b *testing.B) {
 	for _, n := range []int{3, 5} {
-		b.Run(fmt.Sprintf("%d-controllers", n), func(b *testing.B) { benchGrown(b, n) })
+		b.Run(fmt.Sprintf("%d-controllers", n), func(b *testing.B) { benchFleet(b, n) })
 	}
 }
 
-func benchGrown(b *testing.B, nodes int) {
+func benchFleet(b *testing.B, nodes int) {
 	cfg := testConfig()
 	cfg.Nodes, cfg.Teams = nil, nil
 	for i := range nodes {
 		cfg.Nodes = append(cfg.Nodes, core.NodeID(fmt.Sprintf("n%d", i)))
 	}
-	for i := range 5 {
-		cfg.Teams = append(cfg.Teams, core.Team{Name: fmt.Sprintf("t%d", i), Guarantee: core.Res{CPU: 600 * cpu}, Limit: core.Res{CPU: 2000 * cpu}})
+	for i := range 6 {
+		cfg.Teams = append(cfg.Teams, core.Team{Name: fmt.Sprintf("t%d", i), Guarantee: core.Res{CPU: 1000 * cpu}, Limit: core.Res{CPU: 3000 * cpu}})
 	}
-	cfg.ReportEvery, cfg.Lease = 4*sec, 22*sec
-	cfg.StoreRPS, cfg.WriteRPS, cfg.ValueBytes, cfg.TxnOps = 200, 80, 8192, 16
+	cfg.ReportEvery, cfg.Lease = 5*sec, 26*sec
+	cfg.StoreRPS, cfg.WriteRPS, cfg.ValueBytes, cfg.TxnOps = 500, 100, 8192, 16
 	var w *standin.World
 	w = standin.NewWorld(1, cfg, testCloud(func() *standin.World { return w }))
 	w.Calm = true
-	for i := range 1000 {
+	for i := range 1900 {
 		w.AddMachine("small", []string{"a", "b", "c"}[i%3], false)
 	}
 	w.Run(10 * sec)
-	for i := range 120 {
-		s := core.JobSpec{ID: core.JobID(fmt.Sprintf("j-%06d", i)), Class: fmt.Sprintf("c%d", i%3), Team: cfg.Teams[i%5].Name, Priority: core.Priority(i % 3),
-			Tasks: 2000, Need: core.Res{CPU: cpu, Mem: cpu}, Image: fmt.Sprintf("img-%d", i%6), ImageGB: 1, RuntimeS: 15, Spot: true}
-		w.Submit(&standin.Job{Spec: s, Info: standin.JobInfo{Need: s.Need, Run: 15 * sec, Tasks: s.Tasks, Image: s.Image}})
+	for i := range 900 {
+		s := core.JobSpec{ID: core.JobID(fmt.Sprintf("j-%06d", i)), Class: fmt.Sprintf("c%d", i%3), Team: cfg.Teams[i%6].Name, Priority: core.Priority(i % 3),
+			Tasks: 10 + 30*(i%7), Need: core.Res{CPU: cpu * core.Amount(1+i%2), Mem: 3 * cpu}, Image: fmt.Sprintf("img-%d", i%20), ImageGB: 1, RuntimeS: 25, Spot: true}
+		w.Submit(&standin.Job{Spec: s, Info: standin.JobInfo{Need: s.Need, Run: 25 * sec, Tasks: s.Tasks, Image: s.Image}})
 	}
 	w.Run(60 * sec)
-	b.ReportAllocs()
 	b.ResetTimer()
-	w.Spent = 0
+	w.Spent, w.Steps, w.Allocs = 0, 0, 0
 	for range b.N {
 		w.Run(w.Now + sec)
 	}
 	b.ReportMetric(float64(w.Spent.Milliseconds())/float64(b.N)/float64(nodes), "core-ms/s")
+	b.ReportMetric(float64(w.Spent.Microseconds())/float64(w.Steps), "us/step")
 	running := 0
 	for _, l := range w.Workers {
 		running += len(l.Tasks)
 	}
 	b.ReportMetric(float64(running), "tasks")
+	b.StopTimer()
+	w.Count, w.Steps, w.Allocs = true, 0, 0
+	w.Run(w.Now + sec)
+	b.ReportMetric(float64(w.Allocs)/float64(w.Steps), "allocs/step")
 	if len(w.Broken) > 0 {
 		b.Fatal(w.Broken)
 	}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -62,7 +62,7 @@
 
 // New makes the actor for the controllers at the given addresses.
 func New(addr map[core.NodeID]string, answer func(core.CallID, any)) *Peers {
-	return &Peers{addr: addr, h: wire.NewClient(time.Second, 4), answer: answer}
+	return &Peers{addr: addr, h: wire.NewClient(time.Second, 4, 0), answer: answer}
 }
 
 // Do sends a message; its answer comes as a message.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -18,6 +18,7 @@
 	"github.com/santhosh-tekuri/jsonschema/v6"
 
 	"stairrelay/internal/core"
+	"stairrelay/internal/sockets"
 )
 
 // Settings is all that the program is started with.
@@ -25,6 +26,7 @@
 	Listen, Back, Cloud, State string
 	Peers                      map[core.NodeID]string
 	MemoryMB                   float64
+	Connections                int // sockets that the process may have; 0: not limited
 	Core                       core.Config
 	Odd                        []string // what is served all the same, for the log
 }
@@ -73,7 +75,8 @@
 			ListLagS float64 `toml:"list_lag_s"`
 		} `toml:"cloud"`
 		Limits struct {
-			MemMB float64 `toml:"mem_mb"`
+			MemMB       float64 `toml:"mem_mb"`
+			Connections int     `toml:"max_connections"`
 		} `toml:"machine_limits"`
 	} `toml:"cluster"`
 }
@@ -122,7 +125,7 @@
 		return nil, err
 	}
 	s := &Settings{Listen: f.Listen, Back: f.Back, Cloud: f.External.Cloud, State: f.External.State,
-		Peers: map[core.NodeID]string{}, MemoryMB: f.Cluster.Limits.MemMB}
+		Peers: map[core.NodeID]string{}, MemoryMB: f.Cluster.Limits.MemMB, Connections: f.Cluster.Limits.Connections}
 	if f.Host == "" {
 		return nil, errors.New("host_name: missing")
 	}
@@ -190,6 +193,11 @@
 	}
 	k.ReportEvery, k.Lease, k.CancelWithin = seconds(cl.Workers.ReportS), seconds(cl.Workers.LeaseS), seconds(cl.Workers.CancelS)
 	k.StoreRPS, k.WriteRPS, k.ValueBytes, k.TxnOps = cl.State.RPS, cl.State.WriteRPS, int(cl.State.ValueKB*1024), cl.State.TxnOps
+	if n := s.Connections; n < 0 {
+		return nil, errors.New("cluster.machine_limits.max_connections: below 0")
+	} else if n > 0 && n < 256 {
+		s.Odd = append(s.Odd, fmt.Sprintf("cluster.machine_limits.max_connections: %d serves about %d workers and users at once", n, sockets.MakePlan(n, len(s.Peers)).Front))
+	}
 	k.CloudRPS, k.ListLag = cl.Cloud.RPS, seconds(cl.Cloud.ListLagS)
 	return s, nil
 }
--- /dev/null
+++ b/internal/sockets/sockets_test.go
@@ -0,0 +1,123 @@
+package sockets
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// ask makes a request on a connection and returns the answer's headers.
+func ask(t *testing.T, c net.Conn, path string) (*http.Response, error) {
+	t.Helper()
+	_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+	fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: x\r\n\r\n", path)
+	return http.ReadResponse(bufio.NewReader(c), nil)
+}
+
+// A controller that is alone with all machines ran out of sockets: users'
+// kept connections took them, and workers and health checks were refused.
+// Idle connections of users make room, workers' are left alone.
+func TestUsersMakeRoomForWorkers(t *testing.T) {
+	f := NewFront(8)
+	mux := http.NewServeMux()
+	answer := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok")) })
+	mux.Handle("/checkin", answer)
+	mux.Handle("/v2/", f.Users(answer))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	srv := f.Server(mux, 500*time.Millisecond)
+	go func() { _ = srv.Serve(l) }()
+	defer srv.Close()
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		return c
+	}
+	var workers, users []net.Conn
+	for range 4 {
+		c := dial()
+		if _, err := ask(t, c, "/checkin"); err != nil {
+			t.Fatal(err)
+		}
+		workers = append(workers, c)
+	}
+	for i := range 3 {
+		c := dial()
+		r, err := ask(t, c, "/v2/x")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if r.Close {
+			t.Errorf("user %d was told to close while there was room", i)
+		}
+		users = append(users, c)
+	}
+	r, err := ask(t, dial(), "/v2/x") // the eighth of eight
+	if err != nil || !r.Close {
+		t.Errorf("the last user was not told to close: %v", err)
+	}
+	for range 3 { // three workers too many, with the one above gone: two idle users go
+		c := dial()
+		if _, err := ask(t, c, "/checkin"); err != nil {
+			t.Errorf("a worker was kept out: %v", err)
+		}
+		workers = append(workers, c)
+	}
+	if _, err := ask(t, users[0], "/v2/x"); err == nil {
+		t.Error("the user idle the longest still has its connection")
+	}
+	for i, c := range workers {
+		if _, err := ask(t, c, "/checkin"); err != nil {
+			t.Errorf("worker %d lost its connection: %v", i, err)
+		}
+	}
+	for end := time.Now().Add(5 * time.Second); f.Open() > 0; time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d connections that say nothing are still open", f.Open())
+		}
+	}
+}
+
+// Calls to hundreds of silent machines must not hold up those to others.
+func TestSilentMachinesHoldNobodyUp(t *testing.T) {
+	s := NewSlots(4)
+	done, ok := s.Take("silent", time.Millisecond)
+	if !ok {
+		t.Fatal("no slot at the start")
+	}
+	done(false)
+	if _, ok := s.Take("silent", time.Millisecond); !ok {
+		t.Fatal("the silent one is never called again")
+	}
+	if _, ok := s.Take("silent", time.Millisecond); ok {
+		t.Error("a second call to silent places at once")
+	}
+	for i := range 3 {
+		if _, ok := s.Take(fmt.Sprint("good", i), time.Millisecond); !ok {
+			t.Errorf("call %d to a place that answers was held up", i)
+		}
+	}
+	if _, ok := s.Take("good3", time.Millisecond); ok {
+		t.Error("more calls at once than allowed")
+	}
+}
+
+func TestPlan(t *testing.T) {
+	for _, c := range []struct{ most, peers, workers int }{{3092, 2, 1884}, {4101, 4, 1827}} {
+		p := MakePlan(c.most, c.peers)
+		if p.Front < c.workers+300 || p.Calls < 300 || p.Front+2*p.Calls > c.most-30 {
+			t.Errorf("%d sockets: %+v, too few for %d workers and some hundred users", c.most, p, c.workers)
+		}
+	}
+	if p := MakePlan(0, 2); p != (Plan{}) {
+		t.Errorf("without a limit: %+v", p)
+	}
+}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"runtime/metrics"
 	"sort"
 	"time"
 
@@ -42,6 +43,9 @@
 	live    []core.MachineID // sorted; nil: to be worked out anew
 	Log     func(string)
 	Spent   time.Duration // real time that the cores took
+	Steps   int           // events that they were given
+	Count   bool          // count the cores' allocations, which takes time itself
+	Allocs  uint64        // counted
 }
 
 // Node is one controller.
@@ -183,9 +187,12 @@
 }
 
 func (w *World) step(n *Node, ev core.Event) {
+	w.Steps++
+	before := w.allocs()
 	begun := time.Now()
 	effects := n.core.Step(w.Now-n.started, core.Wall(w.Now/milli), ev)
 	w.Spent += time.Since(begun)
+	w.Allocs += w.allocs() - before
 	for _, f := range effects {
 		w.effect(n, f)
 	}
@@ -204,6 +211,16 @@
 	}
 }
 
+// allocs is how many objects the process has allocated so far, if that counts.
+func (w *World) allocs() uint64 {
+	if !w.Count {
+		return 0
+	}
+	sample := []metrics.Sample{{Name: "/gc/heap/allocs:objects"}}
+	metrics.Read(sample)
+	return sample[0].Value.Uint64()
+}
+
 // Ask sends a request to a controller; fn gets status 0 when it can't be reached.
 func (w *World) Ask(n *Node, ev func(core.ReqID) core.Event, fn func(core.Respond)) {
 	w.After(w.Between(milli, 5*milli), func() {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -26,7 +26,7 @@
 
 // New makes the actor for the state service at addr.
 func New(addr string, answer Answer) *Store {
-	return &Store{base: "http://" + addr, h: wire.NewClient(time.Second, 8), watch: wire.NewClient(time.Second, 2),
+	return &Store{base: "http://" + addr, h: wire.NewClient(time.Second, 8, 0), watch: wire.NewClient(time.Second, 4, 0),
 		answer: answer, timeout: 1200 * time.Millisecond}
 }
 
--- a/internal/users/users.go
+++ b/internal/users/users.go
@@ -16,10 +16,10 @@
 	Ask(ctx context.Context, event func(core.ReqID) core.Event) (core.Respond, bool)
 }
 
-// Handler answers users, the health check and, through checkin, workers.
-func Handler(a Asker, checkin http.Handler) http.Handler {
+// Handler answers users, the health check and, through checkin, workers. What
+// is not a worker's goes through mark.
+func Handler(a Asker, mark func(http.Handler) http.Handler, checkin http.Handler) http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("POST /checkin", checkin)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, r *http.Request) {
 		ask(a, w, r, func(id core.ReqID) core.Event { return core.Health{Req: id} })
 	})
@@ -41,7 +41,15 @@
 		_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, wire.MaxBody))
 		ask(a, w, r, func(id core.ReqID) core.Event { return core.Cancel{Req: id, ID: core.JobID(job)} })
 	})
-	return mux
+	marked := mark(mux)
+	// Reports are most of what comes in: they don't go through the patterns.
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/checkin" && r.Method == http.MethodPost {
+			checkin.ServeHTTP(w, r)
+			return
+		}
+		marked.ServeHTTP(w, r)
+	})
 }
 
 func submit(a Asker, w http.ResponseWriter, r *http.Request) {
--- a/internal/wire/http.go
+++ b/internal/wire/http.go
@@ -14,11 +14,13 @@
 // maxAnswer bounds what is read of any answer.
 const maxAnswer = 16 << 20
 
-// NewClient makes an HTTP client with few, kept connections.
-func NewClient(dial time.Duration, perHost int) *http.Client {
+// NewClient makes an HTTP client with few, kept connections: so many to a host
+// and, unless 0, so many in all.
+func NewClient(dial time.Duration, perHost, idle int) *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: dial}).DialContext,
+			DialContext:         (&net.Dialer{Timeout: dial, KeepAlive: -1}).DialContext,
+			MaxIdleConns:        idle,
 			MaxIdleConnsPerHost: perHost,
 			IdleConnTimeout:     60 * time.Second,
 			DisableCompression:  true,
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"stairrelay/internal/core"
+	"stairrelay/internal/sockets"
 	"stairrelay/internal/wire"
 )
 
@@ -25,11 +26,16 @@
 	h       *http.Client
 	answer  func(core.CallID, any)
 	timeout time.Duration
+	slots   *sockets.Slots
 }
 
-// New makes the actor.
-func New(answer func(core.CallID, any)) *Workers {
-	return &Workers{h: wire.NewClient(1500*time.Millisecond, 1), answer: answer, timeout: 2500 * time.Millisecond}
+// slotWait is how long a call waits for others to end before it is given up as
+// certainly not made.
+const slotWait = time.Second
+
+// New makes the actor, for so many calls at once; 0: without limit.
+func New(calls int, answer func(core.CallID, any)) *Workers {
+	return &Workers{h: wire.NewClient(1500*time.Millisecond, 1, calls), answer: answer, timeout: 2500 * time.Millisecond, slots: sockets.NewSlots(calls)}
 }
 
 // Do sends commands, or asks for a report; the answer comes as a message.
@@ -43,6 +49,16 @@
 }
 
 func (w *Workers) send(method, addr, path string, body []byte) core.OrdersReply {
+	done, ok := w.slots.Take(addr, slotWait)
+	if !ok {
+		return core.OrdersReply{Out: core.NotDone}
+	}
+	r := w.call(method, addr, path, body)
+	done(r.Out == core.OK || r.Out == core.Conflict)
+	return r
+}
+
+func (w *Workers) call(method, addr, path string, body []byte) core.OrdersReply {
 	ctx, cancel := context.WithTimeout(context.Background(), w.timeout)
 	defer cancel()
 	status, b, err := wire.Call(ctx, w.h, method, "http://"+addr+path, "application/json", body)
