Order of service ranked at most each 200 ms, between them only filtered

Cause: with hundreds of waiting jobs each placement, sharing and renting ranked them anew: a third of the core's time at 1,900 machines (BenchmarkFleet).

--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -364,6 +364,7 @@
 	p := c.parts[j.part]
 	i := sort.Search(len(p.js), func(i int) bool { return p.js[i].spec.ID >= j.spec.ID })
 	p.js = slices.Insert(p.js, i, j)
+	p.order = nil
 }
 
 func (c *Core) removeJob(j *job) {
@@ -371,6 +372,7 @@
 	p := c.parts[j.part]
 	if i := slices.Index(p.js, j); i >= 0 {
 		p.js = slices.Delete(slices.Clone(p.js), i, i+1) // somebody may be walking the old list
+		p.order = slices.DeleteFunc(slices.Clone(p.order), func(x *job) bool { return x == j })
 	}
 }
 
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -30,6 +30,9 @@
 	rentals    map[string]*rental
 	ms         []*machine // held here, by id
 	js         []*job
+	order      []*job        // js as they are served, as of orderAt; nil: to be worked out
+	owed       map[*job]bool // those within their team's guarantee, as of then
+	orderAt    Time
 	toEnlist   []listedMachine
 	offerAfter Time
 	preemptAt  Time
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -1,8 +1,8 @@
 package core
 
 import (
+	"cmp"
 	"slices"
-	"sort"
 	"time"
 )
 
@@ -176,6 +176,29 @@
 // work, so that the large and the less important are served even if small and
 // urgent work keeps coming.
 func (c *Core) queued(p *part) ([]*job, map[*job]bool) {
+	if p.order == nil || c.now >= p.orderAt+orderPause {
+		c.rankJobs(p)
+	}
+	out := make([]*job, 0, len(p.order))
+	for _, j := range p.order {
+		if c.waits(j) {
+			out = append(out, j)
+		}
+	}
+	return out, p.owed
+}
+
+// orderPause is how long the order of a part's jobs stands unless jobs come or
+// go: it hangs on times of seconds and more, and hundreds of jobs are ranked.
+const orderPause = 200 * milli
+
+// waits tells whether a job has tasks that could be placed now.
+func (c *Core) waits(j *job) bool {
+	return j.active() && j.loading == 0 && j.pending() > 0 && c.now >= j.holdUntil
+}
+
+// rankJobs works out the order in which a part's jobs are served.
+func (c *Core) rankJobs(p *part) {
 	type ranked struct {
 		j     *job
 		late  bool
@@ -187,12 +210,14 @@
 	for _, m := range p.ms {
 		room += c.types[m.typ].Cap.CPU
 	}
-	var q []ranked
+	p.owed = c.withinGuarantee(p)
+	q := make([]ranked, 0, len(p.js))
 	for _, j := range p.js {
-		if !j.active() || j.loading > 0 || j.pending() == 0 || c.now < j.holdUntil {
+		// What is held back for a moment may be let go before the next ranking.
+		if !j.active() || j.pending() == 0 && j.placed == 0 {
 			continue
 		}
-		r := ranked{j: j, start: c.latestStart(j)}
+		r := ranked{j: j, start: c.latestStart(j), owed: p.owed[j]}
 		at, horizon := float64(j.spec.Submitted), c.horizon(j)
 		if j.spec.Priority >= Urgent {
 			r.tier = int(j.spec.Priority)
@@ -206,33 +231,33 @@
 			alone := float64(j.pending()) * float64(j.spec.Need.CPU) / float64(room) * c.expectedRun(j)
 			r.start += min(c.cfg.Tuning.SmallFirst*1000*alone, 2*horizon)
 		}
-		q = append(q, r)
-	}
-	owed := c.withinGuarantee(p)
-	for i := range q {
-		j := q[i].j
-		q[i].owed = owed[j]
-		if !j.judged {
-			j.judged, j.owedFirst = true, owed[j]
+		if !j.judged && c.waits(j) {
+			j.judged, j.owedFirst = true, r.owed
 		}
+		q = append(q, r)
 	}
-	sort.SliceStable(q, func(a, b int) bool {
-		switch x, y := q[a], q[b]; {
+	slices.SortStableFunc(q, func(x, y ranked) int {
+		switch {
 		case x.tier != y.tier:
-			return x.tier > y.tier
+			return y.tier - x.tier
 		case x.owed != y.owed:
-			return x.owed
+			return before(x.owed)
 		case x.late != y.late:
-			return y.late
-		default:
-			return x.start < y.start
+			return before(y.late)
 		}
+		return cmp.Compare(x.start, y.start)
 	})
-	out := make([]*job, len(q))
+	p.order, p.orderAt = make([]*job, len(q)), c.now
 	for i := range q {
-		out[i] = q[i].j
+		p.order[i] = q[i].j
+	}
+}
+
+func before(first bool) int {
+	if first {
+		return -1
 	}
-	return out, owed
+	return 1
 }
 
 // withinGuarantee tells which jobs fit into their team's guarantee along with
@@ -244,9 +269,9 @@
 			js = append(js, j)
 		}
 	}
-	sort.SliceStable(js, func(a, b int) bool { return js[a].spec.Submitted < js[b].spec.Submitted })
+	slices.SortStableFunc(js, func(a, b *job) int { return cmp.Compare(a.spec.Submitted, b.spec.Submitted) })
 	sum := map[string]Res{}
-	out := map[*job]bool{}
+	out := make(map[*job]bool, len(js))
 	for _, j := range js {
 		left := Amount(j.spec.Tasks - j.done)
 		u := sum[j.spec.Team].plus(Res{CPU: j.spec.Need.CPU * left, GPU: j.spec.Need.GPU * left})
@@ -448,8 +473,11 @@
 			fit = append(fit, choice{s, r})
 		}
 	}
-	sort.SliceStable(fit, func(a, b int) bool {
-		return fit[a].rank > fit[b].rank || fit[a].rank == fit[b].rank && fit[a].s.free.CPU > fit[b].s.free.CPU
+	slices.SortStableFunc(fit, func(a, b choice) int {
+		if a.rank != b.rank {
+			return b.rank - a.rank
+		}
+		return cmp.Compare(b.s.free.CPU, a.s.free.CPU)
 	})
 	zones := c.zonesOf(j)
 	for _, f := range fit {
