Load bends: a strained controller places, rents and calls less, and refuses early

The engine measures its share of the processor and how late events are taken up. Above three quarters of the share or 150 ms, placements and rentals come at most each 200 to 1,000 ms, starts for machines with running tasks go with the answers to their reports, and submissions get 429 as if their writes waited as long.

--- a/cmd/stairrelay/main.go
+++ b/cmd/stairrelay/main.go
@@ -120,7 +120,7 @@
 		return fmt.Errorf("drawing a boot id: %w", err)
 	}
 	s.Core.Boot = hex.EncodeToString(boot[:])
-	e := engine.New(s.Core, log)
+	e := engine.New(s.Core, s.CoreShare, log)
 	plan := sockets.MakePlan(s.Connections, len(s.Peers))
 	st, cl, wk, pe := store.New(s.State, e.Answer), cloud.New(s.Cloud, e.Answer), workers.New(plan.Calls, e.Answer), peers.New(s.Peers, e.Answer)
 	// Silent connections are closed by the server's time-outs; probing them
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -76,6 +76,7 @@
 	claims       int      // changes of the parts held here
 	found        []Listed // in the cloud's list, without a record
 	placing      bool
+	load         Load // as last told
 }
 
 // Counters are for the periodic log line.
@@ -182,6 +183,8 @@
 		c.onCheckin(e)
 	case PeerAsk:
 		c.onPeer(e)
+	case Load:
+		c.load = e
 	case Reply:
 		if fn := c.calls[e.Call]; fn != nil {
 			delete(c.calls, e.Call)
@@ -196,7 +199,7 @@
 // flush decides once per step on all that the step has changed.
 func (c *Core) flush() {
 	if c.placing && c.now >= c.nextPlace {
-		c.placing, c.nextPlace = false, c.now+placePause
+		c.placing, c.nextPlace = false, c.now+c.pause(placePause)
 		c.place()
 	} else if c.placing && !c.placeWake {
 		c.placeWake = true
@@ -207,6 +210,20 @@
 	c.releaseReports()
 }
 
+// strained tells whether the process is about to use more than its share of
+// the processor. What comes in late then are leases, acceptances and calls of
+// other controllers; placing and renting less often leaves time for those.
+func (c *Core) strained() bool { return c.load.Busy > 0.75 || c.load.Lag > 150*milli }
+
+// pause stretches the time between two decisions that can wait while the
+// process is strained.
+func (c *Core) pause(d Time) Time {
+	if !c.strained() {
+		return d
+	}
+	return min(5*d+c.load.Lag/2, second)
+}
+
 func (c *Core) emit(e Effect) { c.out = append(c.out, e) }
 
 func (c *Core) call(fn func(any)) CallID {
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -38,6 +38,11 @@
 		Req ReqID
 		Msg PeerMsg
 	}
+	// Load tells how busy the process is, about once a second while that matters.
+	Load struct {
+		Busy float64 // processor time used of what is allowed
+		Lag  Time    // how late events were taken up at the worst
+	}
 	// Reply answers an outgoing call.
 	Reply struct {
 		Call CallID
@@ -53,6 +58,7 @@
 func (Checkin) isEvent() {}
 func (PeerAsk) isEvent() {}
 func (Reply) isEvent()   {}
+func (Load) isEvent()    {}
 
 // Outcome of a call.
 type Outcome int
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -179,6 +179,16 @@
 	return r
 }
 
+// busy tells whether a report has shown a task that is still running.
+func (m *machine) busy() bool {
+	for _, a := range m.assigns {
+		if a.phase == aSeen && !a.gone {
+			return true
+		}
+	}
+	return false
+}
+
 func (m *machine) liveTasks() int {
 	n := 0
 	for _, a := range m.assigns {
@@ -745,6 +755,11 @@
 			continue
 		}
 		cmds := c.commands(m, true)
+		if c.strained() && m.busy() {
+			// A call costs more than an answer. Where tasks run, reports come with
+			// every change and at least each interval: starts go with their answers.
+			cmds = slices.DeleteFunc(cmds, func(x Command) bool { return x.Verb == Start })
+		}
 		if len(cmds) > 0 {
 			c.sendOrders(m, cmds)
 		}
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -284,14 +284,30 @@
 
 // teamUse sums what each team's tasks take, wherever they are or may be.
 func (c *Core) teamUse(p *part) map[string]Res {
-	use := map[string]Res{}
+	type teamSum struct {
+		name string
+		res  Res
+	}
+	var sums []teamSum // a handful: found faster than in a map, which counts with thousands of tasks
 	for _, m := range p.ms {
+	tasks:
 		for _, a := range m.assigns {
-			if a.live() {
-				use[a.j.spec.Team] = use[a.j.spec.Team].plus(a.need)
+			if !a.live() {
+				continue
 			}
+			for i := range sums {
+				if s := &sums[i]; s.name == a.j.spec.Team {
+					s.res = s.res.plus(a.need)
+					continue tasks
+				}
+			}
+			sums = append(sums, teamSum{a.j.spec.Team, a.need})
 		}
 	}
+	use := make(map[string]Res, len(sums))
+	for _, s := range sums {
+		use[s.name] = s.res
+	}
 	return use
 }
 
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -127,7 +127,7 @@
 		return
 	}
 	c.rentAsked = true
-	c.after(100*milli, func() {
+	c.after(c.pause(100*milli), func() {
 		c.rentAsked = false
 		c.rentSweep()
 	})
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -439,6 +439,7 @@
 func (c *Core) overloaded(prio Priority) int {
 	// A put takes several when many wait.
 	wait := (float64(len(c.w.queues[prioAccept])) + float64(len(c.accepting))/float64(c.cfg.TxnOps)) / max(c.w.puts.rate, 1)
+	wait = max(wait, float64(c.load.Lag)/float64(second)) // a process that falls behind takes on no more
 	limit := [...]float64{BestEffort: 1, Normal: 1.5, Urgent: 2.5, Production: 3}[prio]
 	if wait <= limit {
 		return 0
--- a/internal/core/share.go
+++ b/internal/core/share.go
@@ -15,14 +15,14 @@
 	var out []PartLoad
 	for _, p := range c.parts {
 		if p.held && p.ready {
-			out = append(out, c.load(p))
+			out = append(out, c.loadOf(p))
 		}
 	}
 	c.lastLoads = out
 	return out
 }
 
-func (c *Core) load(p *part) PartLoad {
+func (c *Core) loadOf(p *part) PartLoad {
 	l := PartLoad{Part: p.id}
 	for _, m := range p.ms {
 		if m.returning || m.draining {
--- a/internal/e2e/report_bench_test.go
+++ b/internal/e2e/report_bench_test.go
@@ -27,7 +27,7 @@
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	cfg := core.Config{Self: "n0", Nodes: []core.NodeID{"n0"}, Teams: []core.Team{{Name: "t"}}, ReportEvery: core.Time(5 * time.Second), Lease: core.Time(26 * time.Second),
 		StoreRPS: 100, WriteRPS: 100, ValueBytes: 8192, TxnOps: 16, CloudRPS: 5, Boot: "b", Tuning: core.DefaultTuning()}
-	e := engine.New(cfg, log)
+	e := engine.New(cfg, 0, log)
 	nothing := func(core.Effect) {}
 	// The state service refuses everything: after half a second reports get their 503 at once.
 	refuse := func(f core.Effect) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -26,7 +26,8 @@
 	Listen, Back, Cloud, State string
 	Peers                      map[core.NodeID]string
 	MemoryMB                   float64
-	Connections                int // sockets that the process may have; 0: not limited
+	Connections                int     // sockets that the process may have; 0: not limited
+	CoreShare                  float64 // of a core that it may use; 0: not limited
 	Core                       core.Config
 	Odd                        []string // what is served all the same, for the log
 }
@@ -77,6 +78,7 @@
 		Limits struct {
 			MemMB       float64 `toml:"mem_mb"`
 			Connections int     `toml:"max_connections"`
+			Share       float64 `toml:"core_share"`
 		} `toml:"machine_limits"`
 	} `toml:"cluster"`
 }
@@ -125,7 +127,7 @@
 		return nil, err
 	}
 	s := &Settings{Listen: f.Listen, Back: f.Back, Cloud: f.External.Cloud, State: f.External.State,
-		Peers: map[core.NodeID]string{}, MemoryMB: f.Cluster.Limits.MemMB, Connections: f.Cluster.Limits.Connections}
+		Peers: map[core.NodeID]string{}, MemoryMB: f.Cluster.Limits.MemMB, Connections: f.Cluster.Limits.Connections, CoreShare: f.Cluster.Limits.Share}
 	if f.Host == "" {
 		return nil, errors.New("host_name: missing")
 	}
@@ -193,6 +195,9 @@
 	}
 	k.ReportEvery, k.Lease, k.CancelWithin = seconds(cl.Workers.ReportS), seconds(cl.Workers.LeaseS), seconds(cl.Workers.CancelS)
 	k.StoreRPS, k.WriteRPS, k.ValueBytes, k.TxnOps = cl.State.RPS, cl.State.WriteRPS, int(cl.State.ValueKB*1024), cl.State.TxnOps
+	if s.CoreShare < 0 || math.IsNaN(s.CoreShare) {
+		return nil, errors.New("cluster.machine_limits.core_share: below 0")
+	}
 	if n := s.Connections; n < 0 {
 		return nil, errors.New("cluster.machine_limits.max_connections: below 0")
 	} else if n > 0 && n < 256 {
