A standstill proves nothing of the machines; returns in one line; owners read in pages

A process that stood still longer than a lease returned all machines but the first heard as silent: time not heard counts from its going on (TestStoodStill, story stood_still), and it looks whether it still holds its parts. Owners read in several pages are completed by the changes since the first (TestOwnersInPages).

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -68,6 +68,8 @@
 	foundAt      Time
 	inspecting   map[MachineID]bool // being enlisted
 	returnAsked  bool
+	returns      map[string]int // by why, not logged yet
+	returnTasks  int
 	nextPlace    Time
 	placeWake    bool
 	loadsAt      Time // when lastLoads was worked out; many ask within one interval
@@ -77,6 +79,7 @@
 	found        []Listed // in the cloud's list, without a record
 	placing      bool
 	load         Load // as last told
+	awakeAt      Time // when the process last went on after standing still
 }
 
 // Counters are for the periodic log line.
@@ -160,11 +163,15 @@
 
 // Step takes one event and returns what is to be done about it.
 func (c *Core) Step(now Time, wall Wall, ev Event) []Effect {
+	stood := now-c.now > standstill
 	if now > c.now {
 		c.now = now
 	}
 	c.wall = wall
 	c.out = nil
+	if stood && len(c.timers) > 0 {
+		c.awake()
+	}
 	switch e := ev.(type) {
 	case Tick:
 	case Submit:
@@ -210,6 +217,26 @@
 	c.releaseReports()
 }
 
+// standstill: timers are due several times a second, so a gap between events
+// as long as this means that the process stood still while its clocks ran on.
+const standstill = 3 * second
+
+// awake is called when the process has stood still. What it knows is as old as
+// that: another may hold its parts, and that no machine was heard in the gap
+// says nothing about the machines.
+func (c *Core) awake() {
+	c.awakeAt = c.now
+	c.logf("info", "stood still")
+	for _, p := range c.parts {
+		if p.held {
+			c.rereadPart(p)
+		}
+	}
+}
+
+// silentFor is how long a machine could have been heard and was not.
+func (c *Core) silentFor(m *machine) Time { return c.now - max(m.heard, c.awakeAt) }
+
 // strained tells whether the process is about to use more than its share of
 // the processor. What comes in late then are leases, acceptances and calls of
 // other controllers; placing and renting less often leaves time for those.
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -137,7 +137,8 @@
 	ListReply struct {
 		Out   Outcome
 		Items []KV
-		Epoch Epoch
+		Epoch Epoch // as of the first page
+		Paged bool  // more than one page: records changed between them may be missing
 	}
 	// WatchReply answers a StoreWatch; an item without value was dropped.
 	WatchReply struct {
--- a/internal/core/guards_test.go
+++ b/internal/core/guards_test.go
@@ -92,3 +92,92 @@
 		t.Errorf("the next claim queues %d writes and knows %d groups", len(q), len(c.groups))
 	}
 }
+
+// TestOwnersInPages: groups read in several pages may miss a machine that
+// changed groups meanwhile; taken for nobody's, it would be listed twice. The
+// changes since the first page show it, and without them nothing is concluded.
+func TestOwnersInPages(t *testing.T) {
+	for _, watched := range []Outcome{OK, NotDone} {
+		c := New(Config{Self: "n0", Nodes: []NodeID{"n0"}, StoreRPS: 100, WriteRPS: 100, ValueBytes: 4096, TxnOps: 12, Tuning: DefaultTuning()})
+		record := func(key string, ids ...MachineID) KV {
+			var ms []listedMachine
+			for _, id := range ids {
+				ms = append(ms, listedMachine{id: id, kind: groupKind{"small", "a", false}})
+			}
+			return KV{Key: "groups/" + key, Value: encodeGroup(0, ms, "w"), Mark: 7}
+		}
+		asked, ended := false, false
+		var got map[MachineID]bool
+		c.readOwners(func(_ map[groupKind]bool, listed map[MachineID]bool) { ended, got = true, listed })
+		for i := 0; i < len(c.out); i++ {
+			switch f := c.out[i].(type) {
+			case StoreList:
+				r := ListReply{Out: OK, Epoch: 5}
+				if f.Prefix == "groups/" {
+					r.Items, r.Paged = []KV{record("b", "m-1")}, true
+				}
+				c.calls[f.Call](r)
+			case StoreWatch:
+				if asked = true; f.Since != 5 || f.Prefix != "groups/" {
+					t.Errorf("asked for changes of %s since %d", f.Prefix, f.Since)
+				}
+				c.calls[f.Call](WatchReply{Out: watched, Items: []KV{record("a", "m-2"), {Key: "groups/x"}}, Epoch: 9})
+			}
+		}
+		if !asked || !ended {
+			t.Fatalf("asked %v, ended %v", asked, ended)
+		}
+		if watched == OK && !(got["m-1"] && got["m-2"]) {
+			t.Errorf("listed: %v", got)
+		}
+		if watched != OK && got != nil {
+			t.Errorf("concluded %v without the changes", got)
+		}
+	}
+}
+
+// TestStoodStill: a controller that stood still for longer than a lease has
+// heard no machine meanwhile. The first report after that must not make it
+// return all the others as silent; that they stay silent from then on does.
+func TestStoodStill(t *testing.T) {
+	c := New(Config{Self: "n0", Nodes: []NodeID{"n0"}, ReportEvery: 5 * second, Lease: 26 * second, CancelWithin: 60 * second,
+		StoreRPS: 100, WriteRPS: 100, ValueBytes: 4096, TxnOps: 12, CloudRPS: 5, Tuning: DefaultTuning()})
+	c.Step(0, 0, Tick{})
+	p := c.parts[0]
+	p.held, p.ready = true, true
+	g := c.newGroup(p, "g", 1)
+	var ms []*machine
+	for _, id := range []MachineID{"m-1", "m-2", "m-3"} {
+		m := c.addMachine(g, listedMachine{id: id, kind: groupKind{"small", "a", false}, addr: "x"}, 5)
+		m.idleSince = 1000 * second // not what this is about
+		ms = append(ms, m)
+	}
+	returned := func() (n int) {
+		for _, m := range ms {
+			if m.returning {
+				n++
+			}
+		}
+		return n
+	}
+	report := func(at Time, stamp Stamp) {
+		c.Step(at, 0, Checkin{Req: 1, Report: Report{Machine: "m-1", Addr: "x", Session: 1, Stamp: stamp, Token: 5, Notice: -1}})
+	}
+	report(second, 1)
+	at := 41 * second
+	report(at, 2)
+	for i := range Stamp(4) {
+		at += second
+		report(at, 3+i)
+	}
+	if n := returned(); n > 0 {
+		t.Errorf("%d machines returned after a standstill", n)
+	}
+	for i := range Stamp(60) {
+		at += second
+		report(at, 10+i)
+	}
+	if n := returned(); n != 2 {
+		t.Errorf("%d of the two silent machines returned", n)
+	}
+}
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -132,7 +132,7 @@
 	addr := ""
 	for _, p := range c.parts {
 		for _, m := range p.ms {
-			if !m.booting && c.now-m.since > 3*c.cfg.ReportEvery {
+			if !m.booting && c.now-max(m.since, c.awakeAt) > 3*c.cfg.ReportEvery {
 				silent++
 				addr = m.addr
 			}
--- a/internal/core/random_test.go
+++ b/internal/core/random_test.go
@@ -78,7 +78,9 @@
 	})
 	// A check that passes because its trouble never came would show nothing.
 	for _, k := range []string{"commands to a one-way machine", "answers to a one-way machine", "late copies of reports",
-		"late copies from machines that are gone", "answers of a controller with its workers alone", "ended again during its return"} {
+		"late copies from machines that are gone", "answers of a controller with its workers alone", "ended again during its return",
+		"a controller stood still", "all controllers stood still", "a zone cut off", "half of the machines died", "controllers refused one another",
+		"all controllers ended in an outage"} {
 		t.Logf("%s: %d", k, faults[k])
 		if faults[k] == 0 && to-from >= 20 {
 			t.Errorf("no day had %s", k)
@@ -98,6 +100,7 @@
 	}
 	troubles := 240 * sec
 	plan(w, troubles)
+	planTogether(w, troubles)
 	w.Calmed = troubles + 40*sec
 	w.Run(troubles + 420*sec)
 	for _, b := range w.Broken {
@@ -228,6 +231,46 @@
 	}
 }
 
+// planTogether plans troubles of many at once, as a large fleet has them.
+func planTogether(w *standin.World, until core.Time) {
+	for range 4 {
+		at, d, kind := w.Between(5*sec, until-40*sec), w.Between(5*sec, 30*sec), w.Rand.IntN(6)
+		n := w.Nodes[w.Rand.IntN(len(w.Nodes))]
+		w.After(at, func() {
+			w.Log(fmt.Sprintf("--- together %d on %s for %v at %v", kind, n.ID, time.Duration(d), time.Duration(w.Now)))
+			switch kind {
+			case 0: // longer than a lease, mostly
+				n.Frozen = w.Now + d
+				w.Faults["a controller stood still"]++
+			case 1:
+				for _, n := range w.Nodes {
+					n.Frozen = w.Now + d
+				}
+				w.Faults["all controllers stood still"]++
+			case 2:
+				w.CutZone([]string{"a", "b", "c"}[w.Rand.IntN(3)], d)
+				w.Faults["a zone cut off"]++
+			case 3:
+				w.Die(2)
+				w.Faults["half of the machines died"]++
+			case 4:
+				for _, n := range w.Nodes {
+					n.NoPeers = w.Now + d
+				}
+				w.Faults["controllers refused one another"]++
+			case 5:
+				w.Down = w.Now + min(d, 20*sec)
+				w.After(min(d, 20*sec)/2, func() {
+					for _, n := range w.Nodes {
+						crash(w, n)
+					}
+				})
+				w.Faults["all controllers ended in an outage"]++
+			}
+		})
+	}
+}
+
 func crash(w *standin.World, n *standin.Node) {
 	gap := 6 * sec
 	if w.Chance(0.3) {
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -476,7 +476,7 @@
 			continue
 		}
 		c.checkPace(m)
-		silent := c.now - m.heard
+		silent := c.silentFor(m)
 		t := c.types[m.typ]
 		switch {
 		case m.booting:
@@ -490,7 +490,7 @@
 			c.returnMachine(m, "silent with cancelled tasks")
 		case c.ignoresStop(m):
 			c.returnMachine(m, "does not stop a cancelled task")
-		case !m.acked && !m.bumping && m.session > 0 && c.now-m.unackedAt > c.cfg.Lease+5*second && silent < 3*c.cfg.Lease && c.now-m.since > c.cfg.Lease:
+		case !m.acked && !m.bumping && m.session > 0 && c.now-max(m.unackedAt, c.awakeAt) > c.cfg.Lease+5*second && silent < 3*c.cfg.Lease && c.now-m.since > c.cfg.Lease:
 			// Its reports come, but nothing that is sent to it has an effect.
 			c.returnMachine(m, "deaf")
 		case silent > c.cfg.Lease+5*second && (reporting || silent > 3*c.cfg.Lease) && c.now-m.since > c.cfg.Lease:
@@ -587,11 +587,30 @@
 	if m.returning {
 		return
 	}
-	c.logf("info", "returning machine", "machine", string(m.id), "why", why, "tasks", m.liveTasks())
+	c.logf("debug", "returning machine", "machine", string(m.id), "why", why, "tasks", m.liveTasks())
+	c.noteReturn(why, m.liveTasks())
 	m.returning = true
 	c.writeMachine(m, prioDone)
 }
 
+// noteReturn gathers what is returned within a second into one line: hundreds
+// of machines may fall together.
+func (c *Core) noteReturn(why string, tasks int) {
+	if c.returns == nil {
+		c.returns = map[string]int{}
+		c.after(second, func() {
+			args := make([]any, 0, 2*len(c.returns)+2)
+			for _, why := range sortedKeys(c.returns) {
+				args = append(args, strings.ReplaceAll(why, " ", "_"), c.returns[why])
+			}
+			c.logf("info", "returning machines", append(args, "tasks", c.returnTasks)...)
+			c.returns, c.returnTasks = nil, 0
+		})
+	}
+	c.returns[why]++
+	c.returnTasks += tasks
+}
+
 // returnSoon gathers the machines whose return is recorded into few calls.
 func (c *Core) returnSoon() {
 	if c.returnAsked {
--- a/internal/core/story_test.go
+++ b/internal/core/story_test.go
@@ -210,6 +210,12 @@
 		default:
 			return fmt.Errorf("cut from %q", arg[1])
 		}
+	case "freeze": // freeze all 20s: they stand still while their clocks run on
+		for _, n := range w.Nodes {
+			if arg[0] == "all" || arg[0] == string(n.ID) {
+				n.Frozen = w.Now + dur(arg[1])
+			}
+		}
 	case "outage":
 		w.Down = w.Now + dur(arg[0])
 	case "hang":
--- a/internal/core/strays.go
+++ b/internal/core/strays.go
@@ -75,24 +75,50 @@
 				return
 			}
 			listed := map[MachineID]bool{}
-			for _, kv := range r.Items {
-				part, ms, err := decodeGroup(kv.Value)
-				if err != nil || part < 0 || int(part) >= len(c.parts) {
+			if !c.noteListed(r.Items, listed) {
+				fn(nil, nil)
+				return
+			}
+			if !r.Paged {
+				fn(open, listed)
+				return
+			}
+			// A machine that changed groups between two pages may be on neither. The
+			// record that lists it now was written after the first page was read.
+			c.w.reqs.have--
+			c.counters.Gets++
+			c.emit(StoreWatch{Prefix: "groups/", Since: r.Epoch, Call: c.call(func(b any) {
+				if r := b.(WatchReply); r.Out != OK || !c.noteListed(r.Items, listed) {
 					fn(nil, nil)
 					return
 				}
-				for i := range ms {
-					listed[ms[i].id] = true
-					if c.machines[ms[i].id] == nil {
-						c.owners[ms[i].id] = ownerNote{part, c.now}
-					}
-				}
-			}
-			fn(open, listed)
+				fn(open, listed)
+			})})
 		})
 	})
 }
 
+// noteListed adds the machines that groups' records list, and notes whose they
+// are. It returns false when a record can't be read.
+func (c *Core) noteListed(items []KV, listed map[MachineID]bool) bool {
+	for _, kv := range items {
+		if kv.Value == nil {
+			continue
+		}
+		part, ms, err := decodeGroup(kv.Value)
+		if err != nil || part < 0 || int(part) >= len(c.parts) {
+			return false
+		}
+		for i := range ms {
+			listed[ms[i].id] = true
+			if c.machines[ms[i].id] == nil {
+				c.owners[ms[i].id] = ownerNote{part, c.now}
+			}
+		}
+	}
+	return true
+}
+
 // settleStrange answers the workers whose machines were looked for.
 func (c *Core) settleStrange(ask []Checkin, open map[groupKind]bool, listed map[MachineID]bool) {
 	for _, e := range ask {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -62,6 +62,8 @@
 	WorkerCut core.Time
 	PeerCut   core.Time
 	Refused   core.Time // gets 503 from the store until then
+	NoPeers   core.Time // its connections with the others are refused until then
+	Frozen    core.Time // stands still until then, its clocks run on
 }
 
 // Live is a running worker with its habits.
@@ -187,6 +189,15 @@
 }
 
 func (w *World) step(n *Node, ev core.Event) {
+	if w.Now < n.Frozen { // what comes in waits, and is all taken up at once
+		gen := n.gen
+		w.After(n.Frozen-w.Now, func() {
+			if n.up && n.gen == gen {
+				w.step(n, ev)
+			}
+		})
+		return
+	}
 	w.Steps++
 	before := w.allocs()
 	begun := time.Now()
@@ -385,7 +396,7 @@
 func (w *World) peerCall(n *Node, f core.PeerCall) {
 	to, gen := w.node(f.To), n.gen
 	lost := core.PeerReply{Out: core.Unknown}
-	if !to.up {
+	if !to.up || w.Now < n.NoPeers || w.Now < to.NoPeers {
 		w.reply(n, gen, f.Call, w.delay(), lost) // refused
 		return
 	}
@@ -884,6 +895,24 @@
 	}
 }
 
+// CutZone takes the network away from all machines of a zone.
+func (w *World) CutZone(zone string, d core.Time) {
+	for _, id := range w.liveIDs() {
+		if l := w.Workers[id]; l.Zone == zone {
+			w.Cut(id, d)
+		}
+	}
+}
+
+// Die stops one machine of so many, with all that is on them.
+func (w *World) Die(of int) {
+	for i, id := range w.liveIDs() {
+		if i%of == 0 {
+			w.Remove(id)
+		}
+	}
+}
+
 // Reboot ends a worker that is back at once: its tasks are gone, its next
 // session begins.
 func (w *World) Reboot(id core.MachineID) {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -130,7 +130,7 @@
 		}
 		all = append(all, items...)
 		if !more || len(items) == 0 {
-			return core.ListReply{Out: core.OK, Items: all, Epoch: first}
+			return core.ListReply{Out: core.OK, Items: all, Epoch: first, Paged: page > 0}
 		}
 		since = items[len(items)-1].Key
 	}
