A late copy can't bring back a settled rental, whose machines were then listed twice

The record is now made on condition that the group its machines go into is absent, and that key stays for the claim (TestLateCopyOfRental).

--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -21,6 +21,7 @@
 	count int
 	mark  Mark
 	over  bool
+	group string // that its machines go into, when this claim has made it
 }
 
 type rentalRecord struct {
@@ -327,7 +328,7 @@
 
 func (c *Core) startRental(p *part, o rentOption, n int) {
 	c.rentSeq++
-	r := &rental{name: "r-" + c.cfg.Boot + "-" + strconv.FormatUint(uint64(p.claim), 10) + "-" + strconv.Itoa(c.rentSeq), opt: o, count: n}
+	r := &rental{name: "r-" + c.cfg.Boot + "-" + strconv.FormatUint(uint64(p.claim), 10) + "-" + strconv.Itoa(c.rentSeq), opt: o, count: n, group: c.groupName(p)}
 	p.rentals[r.name] = r
 	p.refused[o] = c.now + 2*second // one request at a time for an option
 	c.w.add(prioRent, &write{
@@ -336,6 +337,10 @@
 			v, _ := json.Marshal(rentalRecord{p.id, o.Type, o.Zone, o.Spot, n, nonce})
 			return []TxnOp{{rentalKey(r.name), v}}, []Mark{0}
 		},
+		// Once it is settled its key is absent again, and a late copy of this would
+		// bring it back; a successor would then record its machines a second time.
+		// The key of its machines' group stays until the next claim fences the copy.
+		also: []Cond{{"groups/" + r.group, 0}},
 		ok: func(e Epoch) {
 			r.mark = Mark(e)
 			c.callRent(p, r)
@@ -384,7 +389,10 @@
 // transaction, so that no crash between the two can lose a machine.
 func (c *Core) settleRental(p *part, r *rental, ids []MachineID) {
 	claim := p.claim
-	id, size := c.groupName(p), 0
+	id, size := r.group, 0
+	if id == "" { // of an earlier claim, whose copies this one has fenced
+		id = c.groupName(p)
+	}
 	ms := make([]listedMachine, 0, len(ids))
 	for _, m := range ids {
 		ms = append(ms, listedMachine{id: m, kind: groupKind{r.opt.Type, r.opt.Zone, r.opt.Spot}, booting: true})
