--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -67,6 +67,7 @@
 	spot      bool
 	token     Token
 	acked     bool  // the worker's highest token is ours
+	taken     bool  // taken over with its part, and not so since
 	unackedAt Time  // since when it is not
 	outbid    bool  // its worker has seen a higher token
 	first     Token // of a machine that only this claim has ever owned: its token; else 0
@@ -465,6 +466,12 @@
 		m.unackedAt = c.now
 	}
 	m.acked = acked
+	if acked && m.taken {
+		p := c.parts[m.part]
+		m.taken = false
+		p.unanswered--
+		p.ackedAt = c.now
+	}
 	if m.acked && !m.bumping {
 		m.unsure = false
 	}
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -36,6 +36,8 @@
 	toEnlist   []listedMachine
 	offerAfter Time
 	preemptAt  Time
+	unanswered int  // machines taken over that have not acknowledged this claim's token
+	ackedAt    Time // when the last one did
 	refused    map[rentOption]Time
 	rentedAt   Time
 
@@ -310,6 +312,17 @@
 		for _, kv := range early {
 			c.learnJob(kv, nil)
 		}
+		p.unanswered, p.ackedAt = len(p.ms), c.now
+		for _, m := range p.ms {
+			m.taken = true
+		}
+		if taken := len(p.ms); taken > 0 {
+			c.after(c.cfg.Lease, func() {
+				if p.held && p.claim == claim {
+					c.logf("info", "machines answered", "part", int(p.id), "machines", taken, "silent", p.unanswered, "took_ms", int((p.ackedAt-p.since)/milli))
+				}
+			})
+		}
 		c.placing = true
 		c.nextList = 0 // the cloud's list shows what the records may lack
 		c.logf("info", "part ready", "part", int(p.id), "machines", len(p.ms), "jobs", len(p.js), "took_ms", int((c.now-p.since)/milli))
