--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -312,11 +312,13 @@
 		for _, kv := range early {
 			c.learnJob(kv, nil)
 		}
-		p.unanswered, p.ackedAt = len(p.ms), c.now
+		p.unanswered, p.ackedAt = 0, c.now
 		for _, m := range p.ms {
-			m.taken = true
+			if m.taken = !m.booting; m.taken {
+				p.unanswered++
+			}
 		}
-		if taken := len(p.ms); taken > 0 {
+		if taken := p.unanswered; taken > 0 {
 			c.after(c.cfg.Lease, func() {
 				if p.held && p.claim == claim {
 					c.logf("info", "machines answered", "part", int(p.id), "machines", taken, "silent", p.unanswered, "took_ms", int((p.ackedAt-p.since)/milli))
