--- a/internal/core/guards_test.go
+++ b/internal/core/guards_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -232,3 +233,83 @@
 		t.Errorf("a late copy of the rental's record was carried out: %v", keys)
 	}
 }
+
+// TestFirstTaskSpared: the first task of a job that had waited too long is not
+// stopped for an urgent job; one of a job that has not waited is.
+func TestFirstTaskSpared(t *testing.T) {
+	for _, waited := range []bool{true, false} {
+		c := New(Config{Self: "n0", Nodes: []NodeID{"n0"}, ReportEvery: 5 * second, StoreRPS: 100, WriteRPS: 100, ValueBytes: 4096, TxnOps: 12,
+			Teams: []Team{{Name: "red", Limit: Res{CPU: 100_000_000}}}, Tuning: DefaultTuning()})
+		c.types["small"] = MachineType{Name: "small", Cap: Res{CPU: 4_000_000, Mem: 16_000_000}, Zones: []string{"a"}}
+		p := c.parts[0]
+		m := c.addMachine(c.newGroup(p, "g", 1), listedMachine{id: "m-1", kind: groupKind{"small", "a", false}}, 5)
+		m.acked = true
+		c.wall = 1_000_000
+		at := c.wall - 1000
+		if waited {
+			at = c.wall - Wall(c.cfg.Tuning.BeginWithin/milli)*3/4
+		}
+		old := newJob(JobSpec{ID: "j-1", Team: "red", Tasks: 9, Need: Res{CPU: 4_000_000}, CheckpntS: 10, Submitted: at}, 0, 0, 0)
+		urgent := newJob(JobSpec{ID: "j-2", Team: "red", Tasks: 1, Need: Res{CPU: 4_000_000}, Priority: Urgent, Submitted: c.wall}, 0, 0, 0)
+		c.addJob(old)
+		c.addJob(urgent)
+		a := &assign{task: TaskID{"j-1", 0}, j: old, need: old.spec.Need, mach: "m-1", phase: aSeen, state: Running}
+		m.addAssign(a)
+		old.setPlaced(0, a)
+		c.preempt(p, []*job{urgent}, map[*job]bool{}, c.teamUse(p))
+		if a.stop == waited {
+			t.Errorf("waited %v: stopped %v", waited, a.stop)
+		}
+	}
+}
+
+// TestStrained: a process near its share of the processor decides less often,
+// refuses what it can't take in time, and sends starts by calls only to
+// machines that would else not report for a while.
+func TestStrained(t *testing.T) {
+	c := New(Config{Self: "n0", Nodes: []NodeID{"n0"}, ReportEvery: 5 * second, StoreRPS: 100, WriteRPS: 100, ValueBytes: 4096, TxnOps: 12,
+		Teams: []Team{{Name: "red", Limit: Res{CPU: 100_000_000}}}, Tuning: DefaultTuning()})
+	p := c.parts[0]
+	j := newJob(JobSpec{ID: "j-1", Team: "red", Tasks: 9, Need: Res{CPU: 1_000_000}}, 0, 0, 0)
+	c.addJob(j)
+	g := c.newGroup(p, "g", 1)
+	put := func(m *machine, i int, ph phase) {
+		a := &assign{task: TaskID{"j-1", i}, j: j, need: j.spec.Need, mach: m.id, phase: ph}
+		m.addAssign(a)
+		j.setPlaced(i, a)
+	}
+	var ms []*machine
+	for i, id := range []MachineID{"busy", "idle"} {
+		m := c.addMachine(g, listedMachine{id: id, kind: groupKind{"small", "a", false}, addr: string(id)}, 5)
+		m.acked = true
+		put(m, i, aReady)
+		ms = append(ms, m)
+	}
+	put(ms[0], 2, aSeen)
+	called := func(l Load) (to []string) {
+		for _, m := range ms {
+			m.ordersBusy = false
+			m.assigns[TaskID{"j-1", slices.Index(ms, m)}].phase = aReady
+			c.poke(m)
+		}
+		c.out, c.load = nil, l
+		c.pushOrders()
+		for _, f := range c.out {
+			to = append(to, f.(Orders).Addr)
+		}
+		return to
+	}
+	if to := called(Load{Busy: 0.4}); len(to) != 2 {
+		t.Errorf("at ease, starts are called to %v", to)
+	}
+	if to := called(Load{Busy: 0.9}); len(to) != 1 || to[0] != "idle" {
+		t.Errorf("strained, starts are called to %v", to)
+	}
+	if d := c.pause(placePause); d <= placePause || d > second {
+		t.Errorf("strained, placements are %v apart", time.Duration(d))
+	}
+	c.load = Load{Lag: 2 * second}
+	if c.overloaded(BestEffort) == 0 || c.overloaded(Normal) == 0 || c.overloaded(Production) != 0 {
+		t.Errorf("2 s behind: refused for %d, %d, %d s", c.overloaded(BestEffort), c.overloaded(Normal), c.overloaded(Production))
+	}
+}
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -161,6 +161,14 @@
 		float64(c.wall)-float64(j.spec.Submitted) > float64(c.cfg.Tuning.BeginWithin/milli)/2
 }
 
+// spared tells whether a job's only task must not give way to others: it began
+// because the job had waited too long, and stopped at once it would put the job
+// back to waiting as one that has begun (seed 1362: 110 s more).
+func (c *Core) spared(j *job) bool {
+	return j.done == 0 && j.placed == 1 &&
+		float64(c.wall)-float64(j.spec.Submitted) > float64(c.cfg.Tuning.BeginWithin/milli)/2
+}
+
 // starving tells whether a job has waited too long without anything of it
 // running: its first task, or, when it is older than twice its horizon, its
 // next.
--- a/internal/core/share.go
+++ b/internal/core/share.go
@@ -219,7 +219,7 @@
 		return
 	}
 	for _, a := range m.assigns {
-		if a.live() && (a.j.spec.Priority >= top || a.j.spec.CheckpntS == 0) {
+		if a.live() && (a.j.spec.Priority >= top || a.j.spec.CheckpntS == 0 || c.spared(a.j)) {
 			return
 		}
 	}
@@ -320,6 +320,9 @@
 // more important urgent one, or, if it is beyond its own team's guarantee, for
 // one within its team's.
 func (c *Core) givesWay(victim, j *job, owed map[*job]bool, use map[string]Res) bool {
+	if c.spared(victim) {
+		return false
+	}
 	if j.spec.Priority >= Urgent && victim.spec.Priority < j.spec.Priority {
 		return true
 	}
@@ -341,7 +344,7 @@
 			if need.CPU <= room.CPU && need.GPU <= room.GPU {
 				return
 			}
-			if a.phase != aSeen || a.gone || a.j.spec.Team != j.spec.Team || a.j.spec.Priority >= j.spec.Priority || a.j.spec.CheckpntS == 0 {
+			if a.phase != aSeen || a.gone || a.j.spec.Team != j.spec.Team || a.j.spec.Priority >= j.spec.Priority || a.j.spec.CheckpntS == 0 || c.spared(a.j) {
 				continue
 			}
 			room = room.plus(a.need)
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -131,7 +131,7 @@
 	if took < time.Second {
 		return core.Load{}, false
 	}
-	cpu, ok := used()
+	cpu, ok := usedSoFar()
 	if !ok {
 		return core.Load{}, false
 	}
@@ -146,8 +146,8 @@
 	return l, tell || g.told
 }
 
-// used is the processor time that the process has taken so far.
-func used() (time.Duration, bool) {
+// usedSoFar is the processor time that the process has taken so far.
+func usedSoFar() (time.Duration, bool) {
 	var u syscall.Rusage
 	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
 		return 0, false
@@ -158,7 +158,7 @@
 // cost is what the process has used since the last time, so that a day can be
 // judged from its log.
 func (e *Engine) cost() []any {
-	cpu, ok := used()
+	cpu, ok := usedSoFar()
 	if !ok {
 		return nil
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -69,6 +69,14 @@
 	if err != nil || len(odd.Odd) != 1 || !strings.Contains(odd.Odd[0], "red") {
 		t.Errorf("a guarantee above the limit: %v, %v", odd, err)
 	}
+	limits := good + "\n[cluster.machine_limits]\ncore_share = 0.18\nmax_connections = "
+	few, err := Load(write(t, "s.toml", limits+"200\n"), "")
+	if err != nil || few.CoreShare != 0.18 || few.Connections != 200 || len(few.Odd) != 1 || !strings.Contains(few.Odd[0], "max_connections") {
+		t.Errorf("few sockets: %+v, %v", few, err)
+	}
+	if _, err := Load(write(t, "s.toml", limits+"-1\n"), ""); err == nil || !strings.Contains(err.Error(), "max_connections") {
+		t.Errorf("sockets below 0: %v", err)
+	}
 	if s.Core.Tuning != core.DefaultTuning() {
 		t.Errorf("defaults changed: %+v", s.Core.Tuning)
 	}
