--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -89,7 +89,11 @@
 	case http.StateNew:
 		if f.most > 0 && len(f.open) > f.most {
 			if e := f.idle.Front(); e != nil {
-				_ = e.Value.(*conn).c.Close() // the server notices, and says so below
+				// The server notices, and says so below; until then the next new
+				// connection must not count on the same one.
+				old := f.idle.Remove(e).(*conn)
+				old.at = nil
+				_ = old.c.Close()
 			}
 		}
 	case http.StateIdle:
--- a/internal/sockets/sockets_test.go
+++ b/internal/sockets/sockets_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -121,3 +123,27 @@
 		t.Errorf("without a limit: %+v", p)
 	}
 }
+
+// Connections that come at once each get room of their own: the second must
+// not count on the one that is being closed for the first.
+func TestRoomForEach(t *testing.T) {
+	f := NewFront(2)
+	var far []net.Conn
+	for range 2 {
+		near, other := net.Pipe()
+		far = append(far, other)
+		f.state(near, http.StateNew)
+		f.open[near].user = true
+		f.state(near, http.StateIdle)
+	}
+	for range 2 {
+		c, _ := net.Pipe()
+		f.state(c, http.StateNew)
+	}
+	for i, c := range far {
+		_ = c.SetReadDeadline(time.Now().Add(time.Second))
+		if _, err := c.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+			t.Errorf("idle user %d was not closed: %v", i, err)
+		}
+	}
+}
