--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -52,6 +52,9 @@
 // FloorAmount turns a stated quantity that must not be exceeded into an Amount.
 func FloorAmount(x float64) Amount { return Amount(math.Floor(x*1e6 + 1e-4)) }
 
+// NoLimit is the limit of a team that has none. Sums with it don't overflow.
+const NoLimit Amount = math.MaxInt64 / 4
+
 // NoPart is for writes that no claim guards.
 const NoPart Part = -1
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -185,10 +185,11 @@
 		if t.CPUs < 0 || t.GPUs < 0 || t.CPUsMax < 0 || t.GPUsMax < 0 {
 			return nil, fmt.Errorf("cluster.teams: %s has an amount below 0", t.Name)
 		}
-		if t.CPUsMax < t.CPUs || t.GPUsMax < t.GPUs {
+		limit := core.Res{CPU: limitOf(t.CPUsMax), GPU: limitOf(t.GPUsMax)}
+		if guarantee := res(t.CPUs, t.GPUs); limit.CPU < guarantee.CPU || limit.GPU < guarantee.GPU {
 			s.Odd = append(s.Odd, fmt.Sprintf("cluster.teams: %s is guaranteed more than its limit; the limit holds", t.Name))
 		}
-		k.Teams = append(k.Teams, core.Team{Name: t.Name, Guarantee: res(t.CPUs, t.GPUs), Limit: res(t.CPUsMax, t.GPUsMax)})
+		k.Teams = append(k.Teams, core.Team{Name: t.Name, Guarantee: res(t.CPUs, t.GPUs), Limit: limit})
 	}
 	for _, o := range cl.Objectives {
 		k.Objectives = append(k.Objectives, core.Objective{Kind: o.Kind, Class: o.Class, WithinS: o.WithinS, Times: o.Times})
@@ -211,6 +212,15 @@
 	return core.Res{CPU: core.FloorAmount(cpu), GPU: core.FloorAmount(gpu)}
 }
 
+// limitOf reads a team's limit, where 0 means none: the team may use all there
+// is. Read as nothing at all, every job of such a team would get 422.
+func limitOf(most float64) core.Amount {
+	if most == 0 {
+		return core.NoLimit
+	}
+	return core.FloorAmount(most)
+}
+
 type operatorsFile struct {
 	CheckpointS  *float64 `json:"checkpoint_s"`
 	PingS        *float64 `json:"ping_s"`
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -69,6 +69,12 @@
 	if err != nil || len(odd.Odd) != 1 || !strings.Contains(odd.Odd[0], "red") {
 		t.Errorf("a guarantee above the limit: %v, %v", odd, err)
 	}
+	// A team that states neither figure is guaranteed nothing and limited by
+	// nothing; nor is that odd. Taken for a limit of 0, all its jobs got 422.
+	free, err := Load(write(t, "s.toml", strings.Replace(good, "cpus = 4.0\ncpus_max = 8.5\n", "", 1)), "")
+	if err != nil || len(free.Odd) != 0 || free.Core.Teams[0].Guarantee.CPU != 0 || free.Core.Teams[0].Limit.CPU != core.NoLimit || free.Core.Teams[0].Limit.GPU != core.NoLimit {
+		t.Errorf("a team without figures: %+v, %v", free, err)
+	}
 	limits := good + "\n[cluster.machine_limits]\ncore_share = 0.18\nmax_connections = "
 	few, err := Load(write(t, "s.toml", limits+"200\n"), "")
 	if err != nil || few.CoreShare != 0.18 || few.Connections != 200 || len(few.Odd) != 1 || !strings.Contains(few.Odd[0], "max_connections") {
