--- a/internal/core/amend.go
+++ b/internal/core/amend.go
@@ -41,7 +41,7 @@
 		again(wait)
 		return
 	}
-	c.counters.CloudCalls++
+	c.mustCallCloud()
 	c.emit(CloudList{Call: c.call(func(b any) {
 		r := b.(CloudListReply)
 		if r.Out != OK {
@@ -84,7 +84,7 @@
 		return
 	}
 	n := min(len(lost), maxReturn)
-	c.counters.CloudCalls++
+	c.mustCallCloud()
 	c.emit(CloudReturn{IDs: lost[:n], Call: c.call(func(b any) {
 		if b.(ReturnReply).Out != OK {
 			again(2 * second)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -55,7 +55,7 @@
 	beatMark     Mark
 	nextList     Time
 	strays       map[MachineID]Time // listed without a record, since when
-	cloudBucket  bucket
+	cloud        cloudShare
 	lastReport   Time
 	workersLost  bool
 	lastAddr     string // of a worker, to find out whether workers can be reached
@@ -128,9 +128,9 @@
 			}
 		}
 	}
-	share := cfg.CloudRPS * cfg.Tuning.BudgetShare / float64(len(cfg.Nodes))
-	// The cloud allows bursts worth two seconds.
-	c.cloudBucket = bucket{rate: share, cap: max(2*share, 1), have: max(2*share, 1)}
+	c.divideCloud()
+	c.cloud.have = c.cloud.cap
+	c.nextList = c.firstList()
 	c.after(0, c.boot)
 	return c
 }
@@ -359,6 +359,7 @@
 	c.fetchTypes()
 	c.every(fixed(t.Checkpoint), c.checkpoint)
 	c.every(fixed(second), c.w.measure)
+	c.every(fixed(second), c.measureCloud)
 	c.every(fixed(second/2), c.machineSweep)
 	c.every(fixed(second), c.rentSweep)
 	c.every(fixed(2*second), c.inspectWorker)
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -271,6 +271,7 @@
 	Offer     []Part           // parts that their home may claim back now
 	Groups    []GroupOffer
 	Puts      float64 // a second that the sender could use
+	Cloud     float64 // calls of the cloud a second that the sender could use
 	Loads     []PartLoad
 }
 
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -89,7 +89,7 @@
 		}
 	}
 	c.w.setShare(n)
-	c.cloudBucket.rate = c.cfg.CloudRPS * c.cfg.Tuning.BudgetShare / float64(n)
+	c.divideCloud()
 }
 
 func (c *Core) makePing(to *peer) *Ping {
@@ -110,7 +110,7 @@
 		}
 	}
 	g.Groups = c.offers()
-	g.Puts = c.w.demand
+	g.Puts, g.Cloud = c.w.demand, c.cloud.demand
 	g.Loads = c.loads()
 	return g
 }
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -21,6 +22,8 @@
 	count int
 	mark  Mark
 	over  bool
+	got   int // machines of an answer that is not recorded yet
+	tries int
 	group string // that its machines go into, when this claim has made it
 }
 
@@ -41,7 +44,7 @@
 func rentalKey(name string) string { return "rentals/" + name }
 
 func (c *Core) fetchTypes() {
-	c.counters.CloudCalls++
+	c.mustCallCloud()
 	c.emit(CloudTypes{Call: c.call(func(b any) {
 		r := b.(TypesReply)
 		if r.Out != OK || len(r.Types) == 0 {
@@ -174,7 +177,11 @@
 	}
 	for _, name := range sortedKeys(p.rentals) {
 		r := p.rentals[name]
-		for i := 0; i < r.count && !r.over; i++ {
+		n := r.count
+		if r.over {
+			n = r.got
+		}
+		for range n {
 			c.fill(work, c.types[r.opt.Type].Cap, func(j *job) bool { return c.optionAllowed(j, r.opt) })
 		}
 	}
@@ -247,7 +254,7 @@
 		if n == 0 {
 			return
 		}
-		if !c.cloudBucket.take(c.now, 1) {
+		if !c.mayCallCloud() {
 			return
 		}
 		flying++
@@ -330,7 +337,6 @@
 	c.rentSeq++
 	r := &rental{name: "r-" + c.cfg.Boot + "-" + strconv.FormatUint(uint64(p.claim), 10) + "-" + strconv.Itoa(c.rentSeq), opt: o, count: n, group: c.groupName(p)}
 	p.rentals[r.name] = r
-	p.refused[o] = c.now + 2*second // one request at a time for an option
 	c.w.add(prioRent, &write{
 		part: p.id, keys: []string{rentalKey(r.name)},
 		build: func(nonce string) ([]TxnOp, []Mark) {
@@ -355,7 +361,9 @@
 	if !c.rentalCurrent(p, r) || r.over {
 		return
 	}
-	c.counters.CloudCalls++
+	if r.tries++; r.tries > 1 { // the first was counted when it was decided
+		c.mustCallCloud()
+	}
 	c.emit(CloudRent{Name: r.name, Type: r.opt.Type, Zone: r.opt.Zone, Spot: r.opt.Spot, Count: r.count, Call: c.call(func(b any) {
 		a := b.(RentReply)
 		if !c.rentalCurrent(p, r) {
@@ -367,7 +375,7 @@
 			if len(a.IDs) < r.count {
 				p.refused[r.opt] = c.now + c.cfg.Tuning.RefusedWait
 			}
-			r.over = true
+			r.over, r.got = true, len(a.IDs)
 			c.settleRental(p, r, a.IDs)
 			c.rentSoon()
 		case Missing:
@@ -379,6 +387,9 @@
 			p.refused[r.opt] = c.now + 300*second
 			r.over = true
 			c.settleRental(p, r, nil)
+		case Throttled:
+			c.cloudThrottled()
+			c.after(second/2, func() { c.callRent(p, r) })
 		default:
 			c.after(3*second, func() { c.callRent(p, r) })
 		}
@@ -644,13 +655,12 @@
 			}
 		}
 	}
-	if len(ms) == 0 || !c.cloudBucket.take(c.now, 1) {
+	if len(ms) == 0 || !c.mayCallCloud() {
 		return
 	}
 	for _, m := range ms {
 		m.calling = true
 	}
-	c.counters.CloudCalls++
 	c.emit(CloudReturn{IDs: ids, Call: c.call(func(b any) {
 		if b.(ReturnReply).Out != OK {
 			c.after(2*second, func() {
@@ -693,21 +703,43 @@
 	}
 }
 
+// listPage is how many machines the protocol lets one answer list.
+const listPage = 500
+
+// listPause is the time between two readings of the cloud's list. A controller
+// without machines has only strays to look for, which takes a minute anyway.
+func (c *Core) listPause() Time {
+	d := max(c.cfg.ListLag, 8*second)
+	if len(c.machines) == 0 {
+		d *= 4
+	}
+	return d
+}
+
+// firstList spreads the controllers' first readings: they start together, at
+// the moment at which a fleet may have to be rented.
+func (c *Core) firstList() Time {
+	at := slices.Index(c.cfg.Nodes, c.cfg.Self)
+	return 2*second + c.listPause()*Time(max(at, 0))/Time(len(c.cfg.Nodes))
+}
+
 // listCloud reads the machine list now and then: it shows machines that died
 // and strays that no record lists.
 func (c *Core) listCloud() {
-	if c.listed.busy || c.now < c.nextList || !c.cloudBucket.take(c.now, 1) {
+	if c.listed.busy || c.now < c.nextList || !c.mayCallCloud() {
 		return
 	}
-	c.nextList = c.now + max(c.cfg.ListLag, 8*second)
+	c.nextList = c.now + c.listPause()
 	c.listed.busy = true
-	c.counters.CloudCalls++
 	c.emit(CloudList{Call: c.call(func(b any) {
 		c.listed.busy = false
 		r := b.(CloudListReply)
 		if r.Out != OK {
 			return
 		}
+		for n := len(r.Items); n > listPage; n -= listPage {
+			c.mustCallCloud() // each further page is a call too
+		}
 		listed := make(map[MachineID]bool, len(r.Items))
 		for _, l := range r.Items {
 			listed[l.ID] = true
--- a/internal/core/writer.go
+++ b/internal/core/writer.go
@@ -106,25 +106,7 @@
 // demand from their calls; where they differ for a moment the store refuses.
 func (w *writer) divide() {
 	c := w.c
-	total := c.cfg.WriteRPS * c.cfg.Tuning.BudgetShare
-	even := total / float64(w.live)
-	need := func(demand float64) float64 { return demand*1.25 + even/5 }
-	mine := need(w.demand)
-	sum := mine
-	for _, p := range c.peers {
-		switch {
-		case p.failed:
-		case p.heard && c.now-p.pingAt < 3*second:
-			sum += need(p.ping.Puts)
-		default:
-			sum += even
-		}
-	}
-	share := mine + (total-sum)/float64(w.live)
-	if sum > total {
-		share = mine * total / sum
-	}
-	w.puts.rate = min(max(share, even/5), total)
+	w.puts.rate = c.shareByNeed(c.cfg.WriteRPS*c.cfg.Tuning.BudgetShare, w.demand, func(g *Ping) float64 { return g.Puts })
 	w.puts.cap = max(w.puts.rate, float64(c.cfg.TxnOps))
 }
 
