Of equal machines, work that can't save gets ordinary ones, work that saves spot ones

Ruled out: waiting (first tasks began at once). Change: a tie-break after the cached image and before free room; load line with spot and idle CPUs. Test: TestSuits.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -377,7 +377,7 @@
 			held++
 		}
 	}
-	var room, recording, ready, fetching, running, ended, waiting, booting Amount
+	var room, spot, recording, ready, fetching, running, ended, waiting, booting, idle Amount
 	sizes := 0
 	for _, p := range c.parts {
 		for _, m := range p.ms {
@@ -386,6 +386,12 @@
 				continue
 			}
 			room += c.types[m.typ].Cap.CPU
+			if m.spot {
+				spot += c.types[m.typ].Cap.CPU
+			}
+			if m.liveTasks() == 0 {
+				idle += c.types[m.typ].Cap.CPU
+			}
 			for _, a := range m.assigns {
 				switch {
 				case a.phase == aEnded:
@@ -411,7 +417,7 @@
 		sizes += g.size
 	}
 	cpus := func(a Amount) int { return int(a / 1_000_000) }
-	c.logf("info", "load", "cpus", cpus(room), "running", cpus(running), "fetching", cpus(fetching), "ready", cpus(ready),
+	c.logf("info", "load", "cpus", cpus(room), "spot", cpus(spot), "idle", cpus(idle), "running", cpus(running), "fetching", cpus(fetching), "ready", cpus(ready),
 		"recording", cpus(recording), "ended", cpus(ended), "waiting", cpus(waiting), "booting", cpus(booting), "groups", len(c.groups),
 		"group_bytes", sizes/max(len(c.groups), 1), "puts_share", int(c.w.puts.rate*10)/10)
 	c.logf("info", "stats", "reports", k.Reports, "submits", k.Submits, "queries", k.Queries, "cancels", k.Cancels,
--- a/internal/core/guards_test.go
+++ b/internal/core/guards_test.go
@@ -313,3 +313,13 @@
 		t.Errorf("2 s behind: refused for %d, %d, %d s", c.overloaded(BestEffort), c.overloaded(Normal), c.overloaded(Production))
 	}
 }
+
+// TestSuits: of two machines that are equal otherwise, work that can't save
+// gets the one that is not taken back, and work that saves the other.
+func TestSuits(t *testing.T) {
+	spot, own := &machine{spot: true}, &machine{}
+	saves, not := &job{spec: JobSpec{CheckpntS: 30}}, &job{}
+	if !suits(saves, spot) || suits(saves, own) || suits(not, spot) || !suits(not, own) {
+		t.Error("work that can't save is sent to spot machines, or the other way round")
+	}
+}
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -501,6 +501,9 @@
 		if a.rank != b.rank {
 			return b.rank - a.rank
 		}
+		if x, y := suits(j, a.s.m), suits(j, b.s.m); x != y {
+			return before(x)
+		}
 		return cmp.Compare(b.s.free.CPU, a.s.free.CPU)
 	})
 	zones := c.zonesOf(j)
@@ -541,6 +544,11 @@
 	}
 }
 
+// suits tells which of two machines that are equal otherwise a job should have:
+// what can't save loses all its work when a spot machine is taken, and with
+// many tasks nearly every job loses one; what saves loses little.
+func suits(j *job, m *machine) bool { return m.spot == (j.spec.CheckpntS > 0) }
+
 // keepMachine picks the machine that is kept free for a starving job: the one
 // that it has been kept already, else the one with most room.
 func (c *Core) keepMachine(p *part, j *job) *machine {
