Submissions are handed on by a controller that has lost the store or knows no machine types

Cause: a controller cut from the state service alone (hold or refuse) kept its users until the load balancer noticed; an idle one asks the store so seldom that it did not know of the cut itself: 3.5 s, then 503. Change: silence of 0.6 s, or errors for 0.25 s, and a submission goes to another controller that has the store and is answered as that says. Nothing is held back. Ruled out: crashes and outages for all, which nobody can serve.

--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -258,7 +258,16 @@
 	Ask     *Ask
 	Views   []JobView
 	Cancel  JobID
+	Submit  *HandedOn
 	Status  int
+	After   int // seconds until a refused submission should come again
+	Why     string
+}
+
+// HandedOn is a submission that its sender can't store now.
+type HandedOn struct {
+	ID   JobID
+	Spec JobSpec
 }
 
 // Ping is both the call and the answer of failure detection.
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -322,6 +322,20 @@
 		reply(PeerMsg{Status: 200})
 	case m.Ask != nil:
 		c.answerAsk(m.Ask.IDs, func(v []JobView) { reply(PeerMsg{Views: v}) })
+	case m.Submit != nil:
+		spec := m.Submit.Spec
+		spec.ID = m.Submit.ID
+		if spec.ID == "" || spec.Tasks < 1 {
+			c.refuse(e.Req, 400, 0, "no job")
+			return
+		}
+		c.submit(spec, 0, "", func(r Respond) {
+			a := PeerMsg{Status: r.Status, After: r.RetryAfter, Why: r.Error}
+			if r.View != nil {
+				a.Views = []JobView{*r.View}
+			}
+			reply(a)
+		})
 	case m.Cancel != "":
 		c.cancelHere(m.Cancel, func(status int, v *JobView) {
 			r := PeerMsg{Status: status}
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"strconv"
 )
 
@@ -196,47 +197,93 @@
 }
 
 func (c *Core) onSubmit(e Submit) {
-	id := e.Job.ID
+	answer := func(r Respond) {
+		if r.View == nil {
+			c.logf("debug", "submission refused", "job", string(e.Job.ID), "status", r.Status, "why", r.Error)
+		}
+		r.Req = e.Req
+		c.emit(r)
+	}
+	if c.known[e.Job.ID] == nil && e.Bad == 0 && (c.storeSilent() || len(c.types) == 0) && c.handOn(e.Job, answer) {
+		return
+	}
+	c.submit(e.Job, e.Bad, e.Why, answer)
+}
+
+// handOn passes a submission to another controller, where this one has lost
+// the store or does not know the machine types yet: any of them may store it, and its user would else come back
+// to this one until the load balancer has noticed. It is answered as that
+// controller says; a doubled one finds the job known. False: nobody can.
+func (c *Core) handOn(spec JobSpec, answer func(Respond)) bool {
+	n := len(c.cfg.Nodes)
+	for i := 1; i < n; i++ {
+		p := c.peers[c.cfg.Nodes[(slices.Index(c.cfg.Nodes, c.cfg.Self)+i)%n]]
+		if p == nil || p.failed || p.prone || !p.heard || c.now-p.pingAt > 2*second || !p.ping.StoreOK {
+			continue
+		}
+		c.ask(p.id, 2500*milli, PeerMsg{Submit: &HandedOn{spec.ID, spec}}, func(r PeerReply) {
+			switch {
+			case r.Out != OK:
+				answer(Respond{Status: 503, RetryAfter: retrySoon, Error: "store out of reach"})
+			case len(r.Msg.Views) == 1:
+				if t := c.teams[spec.Team]; t != nil && c.known[spec.ID] == nil {
+					c.known[spec.ID] = &knownJob{part: t.part, tasks: spec.Tasks, team: spec.Team}
+				}
+				answer(Respond{Status: r.Msg.Status, View: &r.Msg.Views[0]})
+			default:
+				answer(Respond{Status: r.Msg.Status, RetryAfter: r.Msg.After, Error: r.Msg.Why})
+			}
+		})
+		return true
+	}
+	return false
+}
+
+// submit takes a job, or says why not; what is accepted is stored first.
+func (c *Core) submit(spec JobSpec, bad int, why string, answer func(Respond)) {
+	id := spec.ID
 	if c.known[id] != nil {
-		c.repeat(e.Req, id)
+		c.repeat(answer, id)
 		return
 	}
+	refuse := func(status, after int, why string) {
+		answer(Respond{Status: status, RetryAfter: after, Error: why})
+	}
 	if c.storeLost(second) {
-		c.refuse(e.Req, 503, 2, "store out of reach")
+		refuse(503, 2, "store out of reach")
 		return
 	}
-	bad := e.Bad
 	if bad == 0 {
 		if len(c.types) == 0 {
-			c.refuse(e.Req, 503, 2, "machine types not known yet")
+			refuse(503, 2, "machine types not known yet")
 			return
 		}
-		bad = c.neverRuns(&e.Job)
+		bad = c.neverRuns(&spec)
 	}
 	if bad != 0 {
 		// An accepted id never gets 400 or 422 later, whatever the repeat says.
 		c.lookInStore(id, func(status int, v JobView) {
 			switch status {
 			case 200:
-				c.answerView(e.Req, 200, v)
+				answer(Respond{Status: 200, View: &v})
 			case 404:
-				c.refuse(e.Req, bad, 0, e.Why)
+				refuse(bad, 0, why)
 			default:
-				c.refuse(e.Req, 503, 2, "store out of reach")
+				refuse(503, 2, "store out of reach")
 			}
 		})
 		return
 	}
-	if after := c.overloaded(e.Job.Priority); after > 0 {
-		c.refuse(e.Req, 429, after, "too many submissions of this priority")
+	if after := c.overloaded(spec.Priority); after > 0 {
+		refuse(429, after, "too many submissions of this priority")
 		return
 	}
-	e.Job.Submitted = c.wall
-	a := &acceptance{spec: e.Job, req: e.Req, given: c.now + 3500*milli}
-	c.after(3500*milli, func() {
-		if !a.over {
-			a.over = true
-			c.refuse(a.req, 503, retrySoon, "not stored in time")
+	spec.Submitted = c.wall
+	a := &acceptance{spec: spec, tell: answer, given: c.now + 3500*milli}
+	c.after(3500*milli, func() { a.answer(Respond{Status: 503, RetryAfter: retrySoon, Error: "not stored in time"}) })
+	c.after(storeSlow+50*milli, func() {
+		if !a.over && c.storeSilent() {
+			c.handOn(a.spec, a.answer)
 		}
 	})
 	c.accepting = append(c.accepting, a)
@@ -248,11 +295,19 @@
 // acceptance is a submission that waits for its record.
 type acceptance struct {
 	spec  JobSpec
-	req   ReqID
+	tell  func(Respond)
 	given Time // too late after that
 	over  bool // answered
 }
 
+// answer tells the user, once.
+func (a *acceptance) answer(r Respond) {
+	if !a.over {
+		a.over = true
+		a.tell(r)
+	}
+}
+
 // acceptRecord is what accepts/<name> holds: jobs that came in together. A
 // record each would cost a put each, and when many come at once their users
 // would wait for the write rate. A job has a record of its own, jobs/<id>, from
@@ -278,8 +333,7 @@
 		a := c.accepting[0]
 		if !a.over && c.now <= a.given {
 			if c.known[a.spec.ID] != nil { // the same id came in twice at once
-				a.over = true
-				c.repeat(a.req, a.spec.ID)
+				c.repeat(a.answer, a.spec.ID)
 			} else {
 				v, _ := json.Marshal(a.spec)
 				size += len(v) + len(a.spec.ID) + 20
@@ -340,10 +394,7 @@
 			kv := KV{Key: "jobs/" + string(id), Value: values[i], Mark: mark}
 			c.learnJob(kv, nil)
 			c.tell(c.teams[a.spec.Team].part, kv)
-			if !a.over {
-				a.over = true
-				c.answerView(a.req, 201, JobView{ID: id, Status: StPending})
-			}
+			a.answer(Respond{Status: 201, View: &JobView{ID: id, Status: StPending}})
 		}
 	}
 	x.conflict = func() {
@@ -353,16 +404,14 @@
 				continue
 			}
 			if len(jobs) == 1 {
-				a.over = true
-				c.repeat(a.req, a.spec.ID)
+				c.repeat(a.answer, a.spec.ID)
 				continue
 			}
 			c.lookInStore(a.spec.ID, func(status int, v JobView) {
 				switch {
 				case a.over:
 				case status == 200:
-					a.over = true
-					c.answerView(a.req, 200, v)
+					a.answer(Respond{Status: 200, View: &v})
 				default: // not this one: it is tried again
 					c.accepting = append(c.accepting, a)
 					c.writeAccepted()
@@ -448,13 +497,13 @@
 }
 
 // repeat answers a submission of a job that is known already.
-func (c *Core) repeat(req ReqID, id JobID) {
+func (c *Core) repeat(answer func(Respond), id JobID) {
 	c.lookUp(id, func(status int, v JobView) {
 		if status == 200 {
-			c.answerView(req, 200, v)
+			answer(Respond{Status: 200, View: &v})
 			return
 		}
-		c.refuse(req, 503, retrySoon, "")
+		answer(Respond{Status: 503, RetryAfter: retrySoon})
 	})
 }
 
--- a/internal/core/writer.go
+++ b/internal/core/writer.go
@@ -75,6 +75,8 @@
 	failing bool
 	since   Time // of the failing
 	okSince Time
+	waiting int  // requests without an answer yet, but for watches
+	quiet   Time // since when there have been some and none was answered
 }
 
 func (w *writer) init(c *Core) {
@@ -278,6 +280,7 @@
 	for i, n := range t.kinds {
 		c.counters.Kinds[i] += n
 	}
+	c.storeAsked()
 	c.emit(StoreTxn{Call: c.call(func(b any) { w.answered(t, b.(TxnReply)) }), When: t.when, Then: t.then})
 }
 
@@ -415,6 +418,7 @@
 	c.w.reqs.refill(c.now)
 	c.w.reqs.have--
 	c.counters.Gets++
+	c.storeAsked()
 	c.emit(StoreGet{Call: c.call(func(b any) {
 		r := b.(GetReply)
 		c.storeResult(r.Out)
@@ -425,6 +429,7 @@
 func (c *Core) list(prefix string, fn func(ListReply)) {
 	c.w.reqs.have--
 	c.counters.Gets++
+	c.storeAsked()
 	c.emit(StoreList{Call: c.call(func(b any) {
 		r := b.(ListReply)
 		c.storeResult(r.Out)
@@ -432,7 +437,25 @@
 	}), Prefix: prefix})
 }
 
+// storeAsked notes a request that the store should answer soon.
+func (c *Core) storeAsked() {
+	if c.storeUp.waiting++; c.storeUp.waiting == 1 {
+		c.storeUp.quiet = c.now
+	}
+}
+
+// storeSilent tells whether the store owes answers and has given none for
+// longer than the slow ones take. A cut that holds packets shows so long before
+// any request is given up, and on a controller that asks for little only now.
+func (c *Core) storeSilent() bool {
+	return c.storeLost(second/4) || c.storeUp.waiting > 0 && c.now-c.storeUp.quiet > storeSlow
+}
+
+// storeSlow is well above the few hundred milliseconds that some answers take.
+const storeSlow = 600 * milli
+
 func (c *Core) storeResult(o Outcome) {
+	c.storeUp.waiting, c.storeUp.quiet = c.storeUp.waiting-1, c.now
 	switch o {
 	case NotDone, Unknown:
 		if !c.storeUp.failing {
