--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -100,7 +100,7 @@
 		}
 		g.Parts = append(g.Parts, PartTerm{p.id, p.term})
 		if to != nil && p.home == to.id && p.ready && !to.failed && to.goodFrom > 0 &&
-			c.now-to.goodFrom > c.cfg.Tuning.HandBackAfter && c.now-p.since > c.cfg.Tuning.HandBackAfter {
+			c.now-to.goodFrom > c.cfg.Tuning.HandBackAfter && c.now-p.since > c.cfg.Tuning.HandBackAfter && c.relieves(p) {
 			g.Offer = append(g.Offer, p.id)
 		}
 	}
@@ -115,6 +115,21 @@
 	return g
 }
 
+// relieves tells whether handing a part back would take work off this
+// controller that it does beside other work. A part that has all the work would
+// only change hands: its machines and users would wait for that for nothing.
+func (c *Core) relieves(p *part) bool {
+	if len(p.js)+len(p.ms) == 0 {
+		return true
+	}
+	for _, q := range c.parts {
+		if q != p && q.held && len(q.js)+len(q.ms) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // startGrace is how long a new process may take to reach the store before it
 // counts as unable to: one that is back within a fraction of a second should
 // claim its own part again, not lose it to a neighbour that it tells so.
--- /dev/null
+++ b/internal/core/seven_test.go
@@ -0,0 +1,94 @@
+package core
+
+import "testing"
+
+// TestCloudRateByNeed: where one of seven controllers has all the work it gets
+// most of the cloud's rate, the idle ones keep enough to begin with, and
+// together they stay within the limit.
+func TestCloudRateByNeed(t *testing.T) {
+	view := func(self NodeID, demand map[NodeID]float64) float64 {
+		cfg := sevenCores().cfg
+		cfg.Self = self
+		c := New(cfg)
+		c.Step(0, 0, Tick{})
+		for id, p := range c.peers {
+			p.heard, p.pingAt, p.ping = true, c.now, Ping{Cloud: demand[id]}
+		}
+		c.cloud.demand = demand[self]
+		c.divideCloud()
+		return c.cloud.rate
+	}
+	demand := map[NodeID]float64{"n0": 4}
+	busy := view("n0", demand)
+	if busy < 0.75*3.6 {
+		t.Errorf("the one with work may call the cloud %.2f times a second of 3.6", busy)
+	}
+	sum := 0.0
+	for _, n := range sevenCores().cfg.Nodes {
+		r := view(n, demand)
+		if r < 0.05 {
+			t.Errorf("%s could not even begin: %.3f calls a second", n, r)
+		}
+		sum += r
+	}
+	if sum > 3.601 {
+		t.Errorf("together %.2f calls a second, over 3.6", sum)
+	}
+	// A call that had to wait shows as demand at once.
+	c := sevenCores()
+	c.cloud.have = 0
+	if c.mayCallCloud() || !c.cloud.denied {
+		t.Error("a call without a share was let through, or not noted")
+	}
+	before := c.cloud.rate
+	if c.measureCloud(); c.cloud.rate <= before {
+		t.Errorf("rate %.2f before and %.2f after calls had to wait", before, c.cloud.rate)
+	}
+}
+
+// sevenCores is a cluster's first controller whose one team has no limit.
+func sevenCores() *Core {
+	return New(Config{Self: "n0", Nodes: []NodeID{"n0", "n1", "n2", "n3", "n4", "n5", "n6"}, Teams: []Team{{Name: "red", Limit: Res{CPU: NoLimit, GPU: NoLimit}}},
+		CloudRPS: 4, StoreRPS: 100, WriteRPS: 25, TxnOps: 20, ValueBytes: 16384, Lease: 14 * second, ReportEvery: 5 * second / 2, Tuning: DefaultTuning()})
+}
+
+// TestNoDebtAfterCut: what is sent again and again while the store is out of
+// reach does not keep the controller from writing when it is back.
+func TestNoDebtAfterCut(t *testing.T) {
+	c := sevenCores()
+	x := &txn{then: make([]TxnOp, 20), part: NoPart}
+	before := c.w.puts.have
+	c.w.send(x)
+	for i, out := range []Outcome{Unknown, NotDone, Unknown, Throttled, Unknown} {
+		c.w.answered(x, TxnReply{Out: out})
+		c.w.inflight--
+		c.w.send(x)
+		if c.w.puts.have < before-21 {
+			t.Fatalf("after %d tries %.0f puts in debt", i+2, -c.w.puts.have)
+		}
+	}
+}
+
+// TestHandBackRelieves: a part goes back to its home only where that takes work
+// off a controller that has other work too; with all the work in one part it
+// would only change hands.
+func TestHandBackRelieves(t *testing.T) {
+	c := sevenCores()
+	c.Step(20*second, 0, Tick{})
+	mine, theirs, home := c.parts[0], c.parts[1], c.peers["n1"]
+	for _, p := range []*part{mine, theirs} {
+		p.held, p.ready, p.holder = true, true, "n0"
+	}
+	home.heard, home.pingAt, home.goodFrom = true, c.now, second
+	if len(c.makePing(home).Offer) != 1 {
+		t.Error("a part without work is not offered to its home")
+	}
+	c.addJob(newJob(JobSpec{ID: "j-1", Team: "red", Tasks: 1}, theirs.id, 0, 0))
+	if len(c.makePing(home).Offer) != 0 {
+		t.Error("the only part with work is offered to its home")
+	}
+	c.addJob(newJob(JobSpec{ID: "j-2", Team: "red", Tasks: 1}, mine.id, 0, 0))
+	if len(c.makePing(home).Offer) != 1 {
+		t.Error("one of two parts with work is not offered to its home")
+	}
+}
--- a/internal/core/writer.go
+++ b/internal/core/writer.go
@@ -291,6 +291,11 @@
 	}
 }
 
+// refund gives back what a sending took that is going to be repeated. Charged
+// for each, a controller that was cut from the store for half a minute came back
+// with a debt of hundreds of puts and stored no submission for a minute.
+func (w *writer) refund(t *txn) { w.puts.have = min(w.puts.have+float64(len(t.then)), w.puts.cap) }
+
 func (w *writer) retry(t *txn) {
 	d := 100 * milli << min(t.tries, 4)
 	w.c.after(d, func() {
@@ -315,6 +320,7 @@
 		w.finish(t)
 		w.failed(t, r.Failed)
 	case Throttled, NotDone:
+		w.refund(t) // not carried out: it cost nothing
 		w.retry(t)
 	case Invalid:
 		c.logf("error", "store calls our transaction malformed", "keys", len(t.then), "first", t.then[0].Key)
@@ -324,6 +330,7 @@
 		}
 	default:
 		t.unsure = true
+		w.refund(t)
 		w.retry(t)
 	}
 }
