--- a/internal/core/guards_test.go
+++ b/internal/core/guards_test.go
@@ -323,3 +323,38 @@
 		t.Error("work that can't save is sent to spot machines, or the other way round")
 	}
 }
+
+// TestUnlistedAndSilent: a machine that is silent and gone from the cloud's
+// list is returned without waiting for its lease; one that only is silent, or
+// only is missing from a list that may be old, is not.
+func TestUnlistedAndSilent(t *testing.T) {
+	for _, x := range []struct {
+		listed, silent, returned bool
+	}{{false, true, true}, {true, true, false}, {false, false, false}} {
+		c := New(Config{Self: "n0", Nodes: []NodeID{"n0"}, ReportEvery: 2 * second, Lease: 14 * second, StoreRPS: 100, WriteRPS: 100, ValueBytes: 4096, TxnOps: 12,
+			CloudRPS: 4, ListLag: 8 * second, Teams: []Team{{Name: "red", Limit: Res{CPU: NoLimit}}}, Tuning: DefaultTuning()})
+		c.Step(0, 0, Tick{})
+		p := c.parts[0]
+		p.held, p.ready = true, true
+		g := c.newGroup(p, "g", 1)
+		m := c.addMachine(g, listedMachine{id: "m-1", kind: groupKind{"small", "a", false}}, 5)
+		for c.now < 8*second {
+			c.lastReport = c.now
+			if !x.silent {
+				m.heard = c.now
+			}
+			for _, f := range c.Step(c.now+second/4, 0, Tick{}) {
+				if f, ok := f.(CloudList); ok {
+					r := CloudListReply{Out: OK}
+					if x.listed {
+						r.Items = []Listed{{ID: "m-1", Status: "running", AgeS: 100}}
+					}
+					c.calls[f.Call](r)
+				}
+			}
+		}
+		if m.returning != x.returned {
+			t.Errorf("listed %v, silent %v: returned %v", x.listed, x.silent, m.returning)
+		}
+	}
+}
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -82,9 +82,10 @@
 	kill    map[start]bool // running without being listed
 	stored  int            // tasks in the stored record
 
-	bumping bool // a higher token is to be stored
-	unsure  bool // a start sent by /orders may yet arrive
-	dead    bool // the cloud has taken it back; the record has to say so
+	bumping  bool // a higher token is to be stored
+	unsure   bool // a start sent by /orders may yet arrive
+	unlisted bool // not in the cloud's list when it was last read
+	dead     bool // the cloud has taken it back; the record has to say so
 
 	returning  bool
 	returned   bool // the record says so, the cloud may be called
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -512,6 +512,8 @@
 		case !m.acked && !m.bumping && m.session > 0 && c.now-max(m.unackedAt, c.awakeAt) > c.cfg.Lease+5*second && silent < 3*c.cfg.Lease && c.now-m.since > c.cfg.Lease:
 			// Its reports come, but nothing that is sent to it has an effect.
 			c.returnMachine(m, "deaf")
+		case m.unlisted && silent > 5*c.cfg.ReportEvery/2 && reporting:
+			c.returnMachine(m, "silent and not listed")
 		case silent > c.cfg.Lease+5*second && (reporting || silent > 3*c.cfg.Lease) && c.now-m.since > c.cfg.Lease:
 			c.returnMachine(m, "silent")
 		case m.draining && len(m.assigns) == 0 && c.now > m.noticeAt:
@@ -745,6 +747,12 @@
 			listed[l.ID] = true
 			c.heardOf(l)
 		}
+		// Once listed, a machine stays listed until it is gone. A list may be old
+		// or the machine new, so this is no proof; but one that is silent too is
+		// not worth waiting for, and its return will be the proof.
+		for id, m := range c.machines {
+			m.unlisted = !listed[id] && !m.booting
+		}
 		for id := range c.strays {
 			if !listed[id] || c.machines[id] != nil {
 				delete(c.strays, id)
