--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -25,6 +25,8 @@
 	failedAt Time
 	wroteAt  Time // when a record it wrote was last seen
 	beat     Mark // of its nodes/<id>
+	beatRead bool // since it failed
+	aliveAt  Time // when a new sign of life of it came after it had failed
 }
 
 // pingLoop is the design's detection: a call each second, then retries with
@@ -56,7 +58,7 @@
 				c.logf("debug", "peer failure-prone", "peer", string(p.id))
 			}
 			if miss > t.Retries+t.Probes && !p.failed {
-				p.failed, p.failedAt = true, c.now
+				p.failed, p.failedAt, p.beatRead = true, c.now, false
 				c.logf("info", "peer failed", "peer", string(p.id))
 				c.livenessChanged()
 			}
@@ -249,15 +251,17 @@
 		}
 		any = true
 		c.get(nodeKey(id), func(r GetReply) {
-			if r.Out == OK && r.KV.Mark != p.beat {
-				if p.beat != 0 || nonceBoot(nonceOf(r.KV.Value)) == p.boot {
-					p.wroteAt = c.now
-				}
-				p.beat = r.KV.Mark
+			if r.Out != OK && r.Out != Missing {
+				return
 			}
+			// The first reading only shows what was written before it failed.
+			if p.beatRead && r.KV.Mark != p.beat {
+				p.wroteAt, p.aliveAt = c.now, c.now
+			}
+			p.beatRead, p.beat = true, r.KV.Mark
 		})
 	}
-	if !any || c.beating || c.storeLost(second) {
+	if !any || c.beating || c.storeLost(second) || !c.workersOK() { // without workers it serves nobody
 		return
 	}
 	c.beating = true
@@ -289,6 +293,12 @@
 		return false
 	}
 	if p.failed {
+		// It serves, though calls don't reach it. Where all links between
+		// controllers were refused, the first to be heard again would else take
+		// the parts of those that are not heard yet.
+		if p.aliveAt > 0 && c.now-p.aliveAt < 6*second {
+			return false
+		}
 		alone := len(c.peers) > 1
 		for _, o := range c.cfg.Nodes {
 			q := c.peers[o]
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -784,14 +784,7 @@
 	if !p.held || !p.ready || c.storeLost(second) {
 		return
 	}
-	// The list still shows for a while what has been returned.
-	if first, ok := c.strays[l.ID]; !ok {
-		c.strays[l.ID] = c.now
-		return
-	} else if c.now-first < 3*c.cfg.ListLag+45*second { // the dead stay listed a while too
-		return
-	}
-	if c.inspecting[l.ID] {
+	if first, ok := c.strays[l.ID]; ok && c.now-first < c.strayFor() || c.inspecting[l.ID] {
 		return
 	}
 	c.inspecting[l.ID] = true
@@ -802,8 +795,14 @@
 	c.after(0, c.enlistFound)
 }
 
+// strayFor is how long a machine must have been in the list and in no record:
+// the list still shows for a while what has been returned or has died.
+func (c *Core) strayFor() Time { return 3*c.cfg.ListLag + 45*second }
+
 // enlistFound looks whether records list the machines that the cloud shows,
-// and takes those that are nobody's.
+// and takes those that have been nobody's for long enough. That they were
+// listed long ago says nothing: they may have been somebody's until now, and
+// then a machine just returned would be taken in as a ghost.
 func (c *Core) enlistFound() {
 	found := c.found
 	c.found = nil
@@ -813,6 +812,13 @@
 			p := c.partFor(l.ID)
 			kind := groupKind{l.Type, l.Zone, l.Spot}
 			if listed == nil || listed[l.ID] || open[kind] || c.machines[l.ID] != nil || !p.held || !p.ready {
+				delete(c.strays, l.ID)
+				continue
+			}
+			if first, ok := c.strays[l.ID]; !ok {
+				c.strays[l.ID] = c.now
+				continue
+			} else if c.now-first < c.strayFor() {
 				continue
 			}
 			c.logf("info", "adopted stray machine", "machine", string(l.ID))
--- a/internal/core/seven_test.go
+++ b/internal/core/seven_test.go
@@ -92,3 +92,45 @@
 		t.Error("one of two parts with work is not offered to its home")
 	}
 }
+
+// TestReturnedIsNoStray: a machine that was another part's until it was
+// returned is listed for a while longer; it is not taken in as nobody's because
+// it was first seen long ago.
+func TestReturnedIsNoStray(t *testing.T) {
+	c := sevenCores()
+	c.cfg.ListLag = 8 * second
+	c.Step(0, 0, Tick{})
+	p := c.partFor("m-000007")
+	p.held, p.ready = true, true
+	owned, enlisted, reads := true, false, 0
+	for c.now < 300*second {
+		if c.now > 70*second {
+			owned = false // returned; the list shows it for 16 s more
+		}
+		if c.now < 86*second && c.now%(8*second) == 0 {
+			c.heardOf(Listed{ID: "m-000007", Type: "small", Zone: "a", AgeS: 500})
+		}
+		queue := c.Step(c.now+second/2, 0, Tick{})
+		for len(queue) > 0 {
+			f := queue[0]
+			queue = queue[1:]
+			switch f := f.(type) {
+			case StoreList:
+				reads++
+				r := ListReply{Out: OK}
+				if f.Prefix == "groups/" && owned {
+					r.Items = []KV{{Key: "groups/x", Value: encodeGroup(3, []listedMachine{{id: "m-000007", kind: groupKind{"small", "a", false}}}, "n")}}
+				}
+				queue = append(queue, c.Step(c.now, 0, Reply{Call: f.Call, Body: r})...)
+			case Log:
+				enlisted = enlisted || f.Text == "adopted stray machine"
+			}
+		}
+	}
+	if reads < 2 {
+		t.Error("nobody looked whose the machine is")
+	}
+	if enlisted || len(p.toEnlist) > 0 {
+		t.Error("a returned machine was taken in as a stray")
+	}
+}
