--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -75,6 +75,8 @@
 	loadsAt      Time // when lastLoads was worked out; many ask within one interval
 	loadsEpoch   int
 	lastLoads    []PartLoad
+	spotLost     float64 // spot machines taken back or lost, and what they served in all, in seconds
+	spotTime     float64
 	claims       int      // changes of the parts held here
 	found        []Listed // in the cloud's list, without a record
 	placing      bool
@@ -360,7 +362,7 @@
 	c.every(fixed(t.Checkpoint), c.checkpoint)
 	c.every(fixed(second), c.w.measure)
 	c.every(fixed(second), c.measureCloud)
-	c.every(fixed(second/2), c.machineSweep)
+	c.every(fixed(sweepEvery), c.machineSweep)
 	c.every(fixed(second), c.rentSweep)
 	c.every(fixed(2*second), c.inspectWorker)
 	c.every(fixed(2*second), c.beat)
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -108,6 +108,7 @@
 	poked        bool
 	idleSince    Time
 	yield        bool // gets nothing new: another part needs it more
+	retire       bool // as before, but only because it costs more than others
 }
 
 func (c *Core) addMachine(g *group, l listedMachine, token Token) *machine {
@@ -670,6 +671,7 @@
 // what can't finish starts anew elsewhere, what can finish is left alone.
 func (c *Core) onNotice(m *machine, left float64) {
 	if !m.draining {
+		c.spotLost++
 		c.logf("debug", "spot notice", "machine", string(m.id), "left_s", left)
 		m.draining = true
 	}
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -347,7 +347,7 @@
 	var l []slot
 	var kinds []groupKind
 	for _, m := range p.ms {
-		if m.yield || !c.usable(m) || m.g.offer != nil {
+		if m.yield && !m.retire || !c.usable(m) || m.g.offer != nil {
 			continue
 		}
 		t, ok := c.types[m.typ]
@@ -490,14 +490,18 @@
 	var fit []choice
 	for i := range slots {
 		s := &slots[i]
-		if !allowed[s.kind] || !j.spec.Need.fits(s.free) || !c.room(s.m.g, j) || c.avoids(j, s.m) {
+		if !allowed[s.kind] || !j.spec.Need.fits(s.free) || !c.room(s.m.g, j) || c.avoids(j, s.m) || !c.mayUse(j, s.m) {
 			continue
 		}
 		if r := s.rank(j); r >= 0 {
 			fit = append(fit, choice{s, r})
 		}
 	}
+	risky := c.risky(j)
 	slices.SortStableFunc(fit, func(a, b choice) int {
+		if risky && a.s.m.spot != b.s.m.spot {
+			return before(!a.s.m.spot)
+		}
 		if a.rank != b.rank {
 			return b.rank - a.rank
 		}
@@ -544,6 +548,32 @@
 	}
 }
 
+// risky tells whether a job's tasks would lose so much time on spot machines
+// that an ordinary one is worth fetching the image anew: they can't save, and a
+// taken machine costs half a run in the mean. That counts four times, as a job
+// of many tasks waits for its unluckiest.
+func (c *Core) risky(j *job) bool {
+	if !j.spec.Spot || j.spec.CheckpntS > 0 {
+		return false
+	}
+	fetch := 0.0
+	for _, t := range c.types {
+		if t.FetchGBs > 0 {
+			fetch = max(fetch, j.spec.ImageGB/t.FetchGBs)
+		}
+	}
+	run := c.expectedRun(j)
+	return 4*c.spotLossRate()*run*run/2 > fetch
+}
+
+// spotLossRate is how often a spot machine goes in a second, as far as seen
+// here; before anything was seen, once in an hour.
+func (c *Core) spotLossRate() float64 { return (c.spotLost + 1) / (c.spotTime + 3600) }
+
+// mayUse tells whether a job may go to a machine that is to run empty because
+// it is dear: only one to which the cheaper ones are a risk.
+func (c *Core) mayUse(j *job, m *machine) bool { return !m.retire || !m.spot && c.risky(j) }
+
 // suits tells which of two machines that are equal otherwise a job should have:
 // what can't save loses all its work when a spot machine is taken, and with
 // many tasks nearly every job loses one; what saves loses little.
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -158,7 +158,7 @@
 	slots, _ := c.slots(p, 1)
 	for i := range slots {
 		s := &slots[i]
-		c.fill(work, s.free, func(j *job) bool { return c.allowedOn(j, s.m) })
+		c.fill(work, s.free, func(j *job) bool { return c.allowedOn(j, s.m) && c.mayUse(j, s.m) })
 	}
 	for _, m := range p.ms {
 		if !m.booting && !m.acked && !m.returning && c.now-m.since < 5*second {
@@ -462,6 +462,8 @@
 	c.placing = true
 }
 
+const sweepEvery = second / 2
+
 // maxTokenCalls bounds how many workers are called at once to raise their
 // tokens, so that a take-over of hundreds does not use up sockets and
 // processor: the others get theirs in the answers to their reports.
@@ -480,6 +482,9 @@
 	asked := 0
 	idle := c.idleJudge()
 	for _, m := range ms {
+		if m.spot && !m.booting {
+			c.spotTime += sweepEvery.seconds()
+		}
 		if m.returning {
 			if m.returned && !m.calling {
 				c.returnSoon()
@@ -513,8 +518,10 @@
 			// Its reports come, but nothing that is sent to it has an effect.
 			c.returnMachine(m, "deaf")
 		case m.unlisted && silent > 5*c.cfg.ReportEvery/2 && reporting:
+			c.lostSpot(m)
 			c.returnMachine(m, "silent and not listed")
 		case silent > c.cfg.Lease+5*second && (reporting || silent > 3*c.cfg.Lease) && c.now-m.since > c.cfg.Lease:
+			c.lostSpot(m)
 			c.returnMachine(m, "silent")
 		case m.draining && len(m.assigns) == 0 && c.now > m.noticeAt:
 			c.returnMachine(m, "drained")
@@ -528,6 +535,13 @@
 	}
 }
 
+// lostSpot notes a spot machine that went without notice.
+func (c *Core) lostSpot(m *machine) {
+	if m.spot && !m.draining {
+		c.spotLost++
+	}
+}
+
 func (c *Core) holdsCancelled(m *machine) bool {
 	for _, a := range m.assigns {
 		if a.live() && a.j.final == StCancelled {
--- a/internal/core/share.go
+++ b/internal/core/share.go
@@ -122,7 +122,7 @@
 			if m.yield && spare <= 0 {
 				c.placing = true
 			}
-			m.yield = false
+			m.yield, m.retire = false, false
 			if c.usable(m) {
 				ms = append(ms, m)
 			}
@@ -166,7 +166,7 @@
 			continue
 		}
 		spare -= size
-		m.yield = true
+		m.yield, m.retire = true, true
 	}
 }
 
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -49,6 +49,8 @@
 	Amount int64
 )
 
+func (t Time) seconds() float64 { return time.Duration(t).Seconds() }
+
 // FloorAmount turns a stated quantity that must not be exceeded into an Amount.
 func FloorAmount(x float64) Amount { return Amount(math.Floor(x*1e6 + 1e-4)) }
 
