Machine types kept in the store: a start in a cloud outage accepts and places jobs

Cause: without the types no submission can be judged and no task placed; a controller that (re)starts while the cloud's interface is down answered 503 until the outage was over, all of them after a crash of all. The stand-in's cloud gave types in its outages, so no test saw it. Now the first live controller keeps them under types, one put a start. Random clusters gain seven controllers with one team without limits, no machine at the start and a lease of 14 s, sick machines in a cloud outage, and the busiest controller ended three times in 25 s.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -36,6 +36,10 @@
 	teams    map[string]*team
 	types    map[string]MachineType
 	listed   cloudView
+	kept     []MachineType // the catalogue in the store
+	keptMark Mark
+	keptRead bool
+	keeping  bool
 
 	accepting    []*acceptance // submissions that wait for their record
 	acceptWrites int           // writes queued for them
@@ -359,6 +363,7 @@
 	c.loadJobs()
 	c.loadAccepted()
 	c.fetchTypes()
+	c.readTypes()
 	c.every(fixed(t.Checkpoint), c.checkpoint)
 	c.every(fixed(second), c.w.measure)
 	c.every(fixed(second), c.measureCloud)
--- a/internal/core/random_test.go
+++ b/internal/core/random_test.go
@@ -31,6 +31,17 @@
 	}
 }
 
+// sevenConfig is a place with more controllers than teams: one team without
+// guarantee or limit, a short lease, and a slow cloud list.
+func sevenConfig() core.Config {
+	c := testConfig()
+	c.Nodes = []core.NodeID{"n0", "n1", "n2", "n3", "n4", "n5", "n6"}
+	c.Teams = []core.Team{{Name: "red", Limit: core.Res{CPU: core.NoLimit, GPU: core.NoLimit}}}
+	c.ReportEvery, c.Lease, c.CancelWithin = 5*sec/2, 14*sec, 34*sec
+	c.StoreRPS, c.WriteRPS, c.ValueBytes, c.TxnOps, c.CloudRPS, c.ListLag = 100, 25, 16384, 20, 4, 8*sec
+	return c
+}
+
 func testCloud(w func() *standin.World) *standin.Cloud {
 	types := []core.MachineType{
 		{Name: "small", Cap: core.Res{CPU: 4 * cpu, Mem: 16 * cpu}, CacheGB: 20, FetchGBs: 0.3, Price: 0.2, SpotPrice: 0.07, BootS: 15, Zones: []string{"a", "b", "c"}},
@@ -67,7 +78,7 @@
 		for seed := from; seed <= to; seed++ {
 			t.Run(strconv.Itoa(seed), func(t *testing.T) {
 				t.Parallel()
-				f := playDay(t, uint64(seed))
+				f := playDay(t, uint64(seed), testConfig())
 				mu.Lock()
 				defer mu.Unlock()
 				for k, n := range f {
@@ -76,11 +87,19 @@
 			})
 		}
 	})
+	t.Run("seven", func(t *testing.T) {
+		for seed := from; seed <= from+(to-from)/2; seed++ {
+			t.Run(strconv.Itoa(seed), func(t *testing.T) {
+				t.Parallel()
+				playDay(t, uint64(seed), sevenConfig())
+			})
+		}
+	})
 	// A check that passes because its trouble never came would show nothing.
 	for _, k := range []string{"commands to a one-way machine", "answers to a one-way machine", "late copies of reports",
 		"late copies from machines that are gone", "answers of a controller with its workers alone", "ended again during its return",
 		"a controller stood still", "all controllers stood still", "a zone cut off", "half of the machines died", "controllers refused one another",
-		"all controllers ended in an outage"} {
+		"all controllers ended in an outage", "sick machines in an outage of the cloud", "the busiest controller ended again and again"} {
 		t.Logf("%s: %d", k, faults[k])
 		if faults[k] == 0 && to-from >= 20 {
 			t.Errorf("no day had %s", k)
@@ -88,18 +107,24 @@
 	}
 }
 
-func playDay(t *testing.T, seed uint64) map[string]int {
+func playDay(t *testing.T, seed uint64, cfg core.Config) map[string]int {
 	var w *standin.World
-	w = standin.NewWorld(seed, testConfig(), testCloud(func() *standin.World { return w }))
+	w = standin.NewWorld(seed, cfg, testCloud(func() *standin.World { return w }))
 	w.Late, w.Copies = true, 0.03
 	if os.Getenv("STAIRRELAY_LOG") != "" {
 		w.Log = func(s string) { t.Log(time.Duration(w.Now), s) }
 	}
-	for _, z := range []string{"a", "b", "c"} {
-		w.AddMachine("small", z, false)
+	if len(cfg.Nodes) == 3 { // else no machine is up at the start
+		for _, z := range []string{"a", "b", "c"} {
+			w.AddMachine("small", z, false)
+		}
+	}
+	var teams []string
+	for _, t := range cfg.Teams {
+		teams = append(teams, t.Name)
 	}
 	troubles := 240 * sec
-	plan(w, troubles)
+	plan(w, teams, troubles)
 	planTogether(w, troubles)
 	w.Calmed = troubles + 40*sec
 	// The least important work of a team at its limit is through after some eight minutes
@@ -140,15 +165,14 @@
 	return out
 }
 
-func plan(w *standin.World, until core.Time) {
-	teams := []string{"red", "green", "blue"}
+func plan(w *standin.World, teams []string, until core.Time) {
 	for i := 0; i < 45; i++ {
 		at := w.Between(0, until)
 		if i < 10 {
 			at = w.Between(0, 3*sec)
 		}
 		run := w.Between(3*sec, 30*sec)
-		s := core.JobSpec{ID: core.JobID(fmt.Sprintf("j-%06d", i)), Class: "c" + strconv.Itoa(i%3), Team: teams[w.Rand.IntN(3)],
+		s := core.JobSpec{ID: core.JobID(fmt.Sprintf("j-%06d", i)), Class: "c" + strconv.Itoa(i%3), Team: teams[w.Rand.IntN(len(teams))],
 			Priority: core.Priority(w.Rand.IntN(4)), Tasks: 1 + w.Rand.IntN(9), Need: core.Res{CPU: cpu + core.Amount(w.Rand.IntN(2_000_000)), Mem: 2 * cpu},
 			Image: "img-" + strconv.Itoa(w.Rand.IntN(3)), ImageGB: 1, RuntimeS: float64(run) / 1e9 * 0.8, Spot: w.Chance(0.6)}
 		info := standin.JobInfo{Need: s.Need, Run: run, Tasks: s.Tasks, Image: s.Image}
@@ -174,7 +198,7 @@
 	}
 	for i := 0; i < 14; i++ {
 		at, d, kind := w.Between(5*sec, until-40*sec), w.Between(sec, 40*sec), w.Rand.IntN(16)
-		n := w.Nodes[w.Rand.IntN(3)]
+		n := w.Nodes[w.Rand.IntN(len(w.Nodes))]
 		w.After(at, func() {
 			w.Log(fmt.Sprintf("--- trouble %d on %s for %v at %v", kind, n.ID, time.Duration(d), time.Duration(w.Now)))
 			switch kind {
@@ -236,7 +260,7 @@
 // planTogether plans troubles of many at once, as a large fleet has them.
 func planTogether(w *standin.World, until core.Time) {
 	for range 4 {
-		at, d, kind := w.Between(5*sec, until-40*sec), w.Between(5*sec, 30*sec), w.Rand.IntN(6)
+		at, d, kind := w.Between(5*sec, until-40*sec), w.Between(5*sec, 30*sec), w.Rand.IntN(8)
 		n := w.Nodes[w.Rand.IntN(len(w.Nodes))]
 		w.After(at, func() {
 			w.Log(fmt.Sprintf("--- together %d on %s for %v at %v", kind, n.ID, time.Duration(d), time.Duration(w.Now)))
@@ -260,6 +284,19 @@
 					n.NoPeers = w.Now + d
 				}
 				w.Faults["controllers refused one another"]++
+			case 6:
+				w.Sicken(3, d)
+				w.CloudDn = w.Now + d
+				w.Faults["sick machines in an outage of the cloud"]++
+			case 7: // again within a minute, whoever has it then
+				for _, at := range []core.Time{0, 12 * sec, 25 * sec} {
+					w.After(at, func() {
+						if n := w.Busiest(); n != nil {
+							crash(w, n)
+						}
+					})
+				}
+				w.Faults["the busiest controller ended again and again"]++
 			case 5:
 				w.Down = w.Now + min(d, 20*sec)
 				w.After(min(d, 20*sec)/2, func() {
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -43,22 +43,6 @@
 
 func rentalKey(name string) string { return "rentals/" + name }
 
-func (c *Core) fetchTypes() {
-	c.mustCallCloud()
-	c.emit(CloudTypes{Call: c.call(func(b any) {
-		r := b.(TypesReply)
-		if r.Out != OK || len(r.Types) == 0 {
-			c.after(2*second, c.fetchTypes)
-			return
-		}
-		for _, t := range r.Types {
-			c.types[t.Name] = t
-		}
-		c.placing = true
-		c.after(60*second, c.fetchTypes)
-	})})
-}
-
 func (c *Core) learnRental(kv KV, p *part) {
 	var rec rentalRecord
 	if json.Unmarshal(kv.Value, &rec) != nil {
--- a/internal/core/story_test.go
+++ b/internal/core/story_test.go
@@ -218,6 +218,8 @@
 		}
 	case "outage":
 		w.Down = w.Now + dur(arg[0])
+	case "cloud": // cloud 30s: its interface is down
+		w.CloudDn = w.Now + dur(arg[0])
 	case "hang":
 		w.Hang(core.MachineID(arg[0]), dur(arg[1]))
 	case "corrupt": // the record that lists a machine makes no sense any more
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -39,6 +39,7 @@
 	Jobs    func(core.JobID) (JobInfo, bool)
 	Done    map[core.TaskID]bool // results are kept outside the machine
 	OnStart func(w *Worker, t *Task)
+	Sick    core.Time // fails every task until then
 
 	Session core.Session
 	Stamp   core.Stamp
@@ -84,7 +85,7 @@
 			w.run(t, info)
 		case core.Running:
 			t.State, t.Cause = core.Ended, core.CauseDone
-			if info.Fails {
+			if info.Fails || now < w.Sick {
 				t.Cause = core.CauseError
 			} else {
 				w.Done[t.ID] = true
@@ -98,7 +99,7 @@
 
 func (w *Worker) run(t *Task, info JobInfo) {
 	t.State, t.Left = core.Running, info.Run
-	if w.Done[t.ID] {
+	if w.Done[t.ID] || w.last < w.Sick { // a sick machine fails it at once
 		t.Left = 0
 	}
 	w.OnStart(w, t)
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -302,6 +302,10 @@
 	case core.StoreWatch:
 		w.watch(n, gen, f, w.Now+f.Wait)
 	case core.CloudTypes:
+		if w.Now < w.CloudDn {
+			w.reply(n, gen, f.Call, w.delay(), core.TypesReply{Out: core.NotDone})
+			return
+		}
 		w.reply(n, gen, f.Call, w.delay(), core.TypesReply{Out: core.OK, Types: w.Cloud.Types})
 	case core.CloudRent:
 		if w.Now < w.CloudDn {
@@ -913,6 +917,33 @@
 	}
 }
 
+// Busiest is the controller to which most workers report; nil: none is up.
+func (w *World) Busiest() *Node {
+	count := make([]int, len(w.Nodes))
+	for _, id := range w.liveIDs() {
+		count[w.Workers[id].node]++
+	}
+	best := -1
+	for i, n := range w.Nodes {
+		if n.up && (best < 0 || count[i] > count[best]) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return nil
+	}
+	return w.Nodes[best]
+}
+
+// Sicken makes some machines fail every task that they start.
+func (w *World) Sicken(n int, d core.Time) {
+	for range n {
+		if l := w.Workers[w.AnyMachine()]; l != nil {
+			l.Sick = w.Now + d
+		}
+	}
+}
+
 // Reboot ends a worker that is back at once: its tasks are gone, its next
 // session begins.
 func (w *World) Reboot(id core.MachineID) {
