--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -61,6 +61,7 @@
 	strays       map[MachineID]Time // listed without a record, since when
 	cloud        cloudShare
 	lastReport   Time
+	checkinAt    Time // when any worker last reported here, also another's
 	workersLost  bool
 	lastAddr     string // of a worker, to find out whether workers can be reached
 	heldReports  []*machine
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -261,6 +261,7 @@
 
 func (c *Core) onCheckin(e Checkin) {
 	r := &e.Report
+	c.checkinAt = c.now
 	if c.isolated() {
 		// A 200 would hold the worker here, though a successor may be entitled.
 		c.redirect(e.Req, "")
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -141,7 +141,11 @@
 // for several intervals, as when it is cut from the workers. It stays false
 // until a worker has been reached again, also after the parts are given up.
 func (c *Core) workersOK() bool {
-	if c.now-c.lastReport < 3*c.cfg.ReportEvery {
+	patience := 3 * c.cfg.ReportEvery
+	if len(c.machines) >= manyMachines {
+		patience /= 2
+	}
+	if c.now-c.lastReport < patience {
 		c.workersLost = false
 		return true
 	}
@@ -149,7 +153,7 @@
 	addr := ""
 	for _, p := range c.parts {
 		for _, m := range p.ms {
-			if !m.booting && c.now-max(m.since, c.awakeAt) > 3*c.cfg.ReportEvery {
+			if !m.booting && c.now-max(m.since, c.awakeAt) > patience {
 				silent++
 				addr = m.addr
 			}
@@ -161,6 +165,10 @@
 	return !c.workersLost
 }
 
+// manyMachines report so often between them that half the patience is enough:
+// a short lease leaves a successor little time to answer them.
+const manyMachines = 20
+
 // inspectWorker asks a worker for its state while the workers seem lost.
 func (c *Core) inspectWorker() {
 	if !c.workersLost || c.lastAddr == "" {
@@ -322,7 +330,7 @@
 	// after an outage the first to be served would else take all the parts.
 	storeSteady := !c.storeUp.failing && c.storeUp.lastOK > 0 && c.now-c.storeUp.okSince > 4*second
 	return !p.ping.StoreOK && storeSteady ||
-		!p.ping.WorkersOK && c.workersOK() && c.now-c.lastReport < 2*c.cfg.ReportEvery
+		!p.ping.WorkersOK && c.workersOK() && c.checkinAt > 0 && c.now-c.checkinAt < 2*c.cfg.ReportEvery
 }
 
 func (c *Core) onPeer(e PeerAsk) {
--- a/internal/core/seven_test.go
+++ b/internal/core/seven_test.go
@@ -134,3 +134,39 @@
 		t.Error("a returned machine was taken in as a stray")
 	}
 }
+
+// TestWorkersLostToOwner: the controller with all machines loses its workers.
+// It says so when a few seconds have passed without any report, and another,
+// which has no machines but hears the workers look for their owner, takes over.
+func TestWorkersLostToOwner(t *testing.T) {
+	c := sevenCores()
+	c.Step(30*second, 0, Tick{})
+	p := c.parts[0]
+	p.held, p.ready = true, true
+	g := c.newGroup(p, "g", 1)
+	for i := range manyMachines {
+		m := c.addMachine(g, listedMachine{id: MachineID(rune('a' + i)), kind: groupKind{"small", "a", false}}, 5)
+		m.since = 0
+	}
+	c.awakeAt = 0 // the step to 30 s was no standstill
+	c.lastReport = c.now - 3*second
+	if !c.workersOK() {
+		t.Error("workers count as lost while reports may still be on their way")
+	}
+	c.lastReport = c.now - 4*second
+	if c.workersOK() {
+		t.Error("20 machines silent for 4 s, reports each 2.5 s: the workers count as in reach")
+	}
+
+	o := sevenCores()
+	o.Step(30*second, 0, Tick{})
+	owner := o.peers["n1"]
+	owner.heard, owner.pingAt, owner.ping = true, o.now, Ping{StoreOK: true, WorkersOK: false}
+	if o.lost("n1") {
+		t.Error("an owner without workers is lost to one that hears no worker either")
+	}
+	o.Step(o.now, 0, Checkin{Req: 1, Report: Report{Machine: "m-1", Session: 1, Stamp: 1}})
+	if !o.lost("n1") {
+		t.Error("an owner without workers is kept though its workers report here")
+	}
+}
