--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -29,7 +29,7 @@
 		return Plan{}
 	}
 	rest := max(most-own-perPeer*peers, 8)
-	calls := max(rest/8, 2)
+	calls := max(rest/10, 2) // an eighth left 900 workers of 1,200 sockets no room
 	return Plan{Calls: calls, Front: rest - 2*calls}
 }
 
--- a/internal/sockets/sockets_test.go
+++ b/internal/sockets/sockets_test.go
@@ -119,6 +119,10 @@
 			t.Errorf("%d sockets: %+v, too few for %d workers and some hundred users", c.most, p, c.workers)
 		}
 	}
+	// One of seven controllers with all 900 machines: they and all calls must fit.
+	if p := MakePlan(1200, 6); p.Front < 900 || 900+2*p.Calls > 1200-own-6*perPeer {
+		t.Errorf("1,200 sockets: %+v, too few for 900 workers", p)
+	}
 	if p := MakePlan(0, 2); p != (Plan{}) {
 		t.Errorf("without a limit: %+v", p)
 	}
