The store is asked while it matters: no claims from healthy holders after an outage

Now a controller asks twice a second while its store fails or another says that its own does, and what it heard more than 3 s ago says nothing of the present.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -61,6 +61,7 @@
 	strays       map[MachineID]Time // listed without a record, since when
 	cloud        cloudShare
 	lastReport   Time
+	proveStore   Time // the store is asked until then
 	checkinAt    Time // when any worker last reported here, also another's
 	workersLost  bool
 	lastAddr     string // of a worker, to find out whether workers can be reached
@@ -372,6 +373,7 @@
 	c.every(fixed(second), c.rentSweep)
 	c.every(fixed(2*second), c.inspectWorker)
 	c.every(fixed(2*second), c.beat)
+	c.every(fixed(second/2), c.askStore)
 	c.every(fixed(second/4), func() { c.placing = true })
 	c.every(fixed(30*second), c.stats)
 }
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -275,6 +275,7 @@
 	Boot      string
 	Parts     []PartTerm
 	StoreOK   bool
+	StoreBad  bool // the last request failed; StoreOK follows if that lasts
 	WorkersOK bool
 	Heard     map[NodeID]int64 // ms since each other node last answered
 	Offer     []Part           // parts that their home may claim back now
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -95,7 +95,7 @@
 }
 
 func (c *Core) makePing(to *peer) *Ping {
-	g := &Ping{Boot: c.cfg.Boot, StoreOK: !c.storeLost(2500*milli) && (c.storeUp.lastOK > 0 || c.now < startGrace), WorkersOK: c.workersOK(), Heard: map[NodeID]int64{}}
+	g := &Ping{Boot: c.cfg.Boot, StoreOK: !c.storeLost(2500*milli) && (c.storeUp.lastOK > 0 || c.now < startGrace), WorkersOK: c.workersOK(), Heard: map[NodeID]int64{}, StoreBad: c.storeUp.failing}
 	for _, p := range c.parts {
 		if !p.held {
 			continue
@@ -202,6 +202,9 @@
 	} else if p.goodFrom == 0 {
 		p.goodFrom = c.now
 	}
+	if g.StoreBad || !g.StoreOK {
+		c.proveStore = c.now + 3*second
+	}
 	for key := range p.taken {
 		if !slices.ContainsFunc(g.Groups, func(o GroupOffer) bool { return o.Key == key }) {
 			delete(p.taken, key)
@@ -245,6 +248,16 @@
 	}
 }
 
+// askStore keeps in touch with the store while it matters whether it serves
+// this controller: while it does not, to know when it does again, and while
+// another says that it has lost it, to tell a cut of that one from an outage.
+// Of an idle controller nothing else would ask for minutes.
+func (c *Core) askStore() {
+	if (c.storeUp.failing || c.now < c.proveStore) && c.storeUp.waiting == 0 {
+		c.rereadPart(c.parts[max(slices.Index(c.cfg.Nodes, c.cfg.Self), 0)])
+	}
+}
+
 func nodeKey(id NodeID) string { return "nodes/" + string(id) }
 
 // beat shows signs of life through the store while a peer seems to have
@@ -328,7 +341,8 @@
 	}
 	// Its store counts as lost to it alone only if ours has served us all along:
 	// after an outage the first to be served would else take all the parts.
-	storeSteady := !c.storeUp.failing && c.storeUp.lastOK > 0 && c.now-c.storeUp.okSince > 4*second
+	// What an idle controller heard of the store long ago says nothing.
+	storeSteady := !c.storeUp.failing && c.storeUp.lastOK > 0 && c.now-c.storeUp.lastOK < 3*second/2 && c.now-c.storeUp.okSince > 3*second
 	return !p.ping.StoreOK && storeSteady ||
 		!p.ping.WorkersOK && c.workersOK() && c.checkinAt > 0 && c.now-c.checkinAt < 2*c.cfg.ReportEvery
 }
--- a/internal/core/writer.go
+++ b/internal/core/writer.go
@@ -471,7 +471,7 @@
 	case Throttled:
 		c.w.reqs.have = min(c.w.reqs.have, -1)
 	default:
-		if c.storeUp.failing || c.storeUp.lastOK == 0 {
+		if c.storeUp.failing || c.storeUp.lastOK == 0 || c.now-c.storeUp.lastOK > 3*second {
 			c.storeUp.okSince = c.now
 		}
 		c.storeUp.failing = false
