Ordinary machines only where much is at stake: short tasks are no longer scattered

Change: the tie-break holds from 2 s at stake (run, rate at which spot machines are seen to go), for work that saves only while other work has that much at stake.

--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -219,6 +219,7 @@
 		room += c.types[m.typ].Cap.CPU
 	}
 	p.owed = c.withinGuarantee(p)
+	p.atStake = slices.ContainsFunc(p.js, func(j *job) bool { return j.active() && c.stake(j) > worthSparing })
 	q := make([]ranked, 0, len(p.js))
 	for _, j := range p.js {
 		// What is held back for a moment may be let go before the next ranking.
@@ -505,7 +506,7 @@
 		if a.rank != b.rank {
 			return b.rank - a.rank
 		}
-		if x, y := suits(j, a.s.m), suits(j, b.s.m); x != y {
+		if x, y := c.suits(p, j, a.s.m), c.suits(p, j, b.s.m); x != y {
 			return before(x)
 		}
 		return cmp.Compare(b.s.free.CPU, a.s.free.CPU)
@@ -548,22 +549,32 @@
 	}
 }
 
-// risky tells whether a job's tasks would lose so much time on spot machines
-// that an ordinary one is worth fetching the image anew: they can't save, and a
-// taken machine costs half a run in the mean. That counts four times, as a job
-// of many tasks waits for its unluckiest.
-func (c *Core) risky(j *job) bool {
+// stake is what a job's tasks must expect to lose on spot machines, in seconds:
+// those that can't save lose half a run in the mean when theirs is taken. That
+// counts four times, as a job of many tasks waits for its unluckiest.
+func (c *Core) stake(j *job) float64 {
 	if !j.spec.Spot || j.spec.CheckpntS > 0 {
-		return false
+		return 0
 	}
+	run := c.expectedRun(j)
+	return 4 * c.spotLossRate() * run * run / 2
+}
+
+// worthSparing is the stake, in seconds, from which a job should rather have
+// ordinary machines. Below it the choice would only scatter its tasks over
+// machines with little room, each of which has to fetch the image.
+const worthSparing = 2
+
+// risky tells whether so much is at stake that an ordinary machine is worth
+// fetching the image anew.
+func (c *Core) risky(j *job) bool {
 	fetch := 0.0
 	for _, t := range c.types {
 		if t.FetchGBs > 0 {
 			fetch = max(fetch, j.spec.ImageGB/t.FetchGBs)
 		}
 	}
-	run := c.expectedRun(j)
-	return 4*c.spotLossRate()*run*run/2 > fetch
+	return c.stake(j) > max(fetch, worthSparing)
 }
 
 // spotLossRate is how often a spot machine goes in a second, as far as seen
@@ -575,9 +586,14 @@
 func (c *Core) mayUse(j *job, m *machine) bool { return !m.retire || !m.spot && c.risky(j) }
 
 // suits tells which of two machines that are equal otherwise a job should have:
-// what can't save loses all its work when a spot machine is taken, and with
-// many tasks nearly every job loses one; what saves loses little.
-func suits(j *job, m *machine) bool { return m.spot == (j.spec.CheckpntS > 0) }
+// with much at stake an ordinary one; where others have, what saves makes room
+// for them and goes to spot machines. Else neither matters.
+func (c *Core) suits(p *part, j *job, m *machine) bool {
+	if j.spec.CheckpntS > 0 {
+		return m.spot || !p.atStake
+	}
+	return !m.spot || c.stake(j) <= worthSparing
+}
 
 // keepMachine picks the machine that is kept free for a starving job: the one
 // that it has been kept already, else the one with most room.
