--- a/internal/core/groups.go
+++ b/internal/core/groups.go
@@ -58,8 +58,6 @@
 	return g.size+g.added+len(j.spec.ID)+28 <= c.cfg.ValueBytes*17/20
 }
 
-// --- writing ---
-
 // snapshot remembers what a built record says, for when it is stored.
 type snapshot struct {
 	ms   []machineSnap
--- /dev/null
+++ b/internal/core/reports.go
@@ -0,0 +1,492 @@
+package core
+
+import "sort"
+
+// What workers report, and what they are answered.
+
+func (c *Core) onCheckin(e Checkin) {
+	r := &e.Report
+	c.checkinAt = c.now
+	if c.isolated() {
+		// A 200 would hold the worker here, though a successor may be entitled.
+		c.redirect(e.Req, "")
+		return
+	}
+	m := c.machines[r.Machine]
+	if m == nil {
+		c.strangeReport(e)
+		return
+	}
+	p := c.parts[m.part]
+	switch {
+	case !p.held || !p.ready:
+		c.refuse(e.Req, 503, 0, "")
+		return
+	case r.Token > m.token:
+		// Somebody later is entitled: a 200 with our token would be dropped
+		// and hold the worker here while its lease runs out.
+		c.checkOwner(m)
+		c.redirect(e.Req, c.parts[m.part].holder)
+		return
+	case r.Session < m.session:
+		c.redirect(e.Req, "")
+		return
+	}
+	if m.pending != 0 {
+		c.redirect(m.pending, "")
+	}
+	m.pending, m.pendingStamp, m.deadline = e.Req, r.Stamp, c.now+reportHold
+	if c.reconcile(m, r, false) {
+		c.lastReport = c.now
+		c.placing = true
+	}
+	c.heldReports = append(c.heldReports, m)
+}
+
+// reportHold is how long a report's answer waits for the record that lists its
+// starts. The worker waits 4 s for it, and its lease counts from the sending.
+const reportHold = 600 * milli
+
+// isolated tells whether this node has had neither the store nor any other
+// controller for so long that a successor may hold its parts.
+func (c *Core) isolated() bool {
+	if len(c.peers) == 0 || !c.storeLost(max(c.cfg.Lease, 10*second)) {
+		return false
+	}
+	for _, p := range c.peers {
+		if p.heard && c.now-p.answered < max(c.cfg.Lease, 10*second) {
+			return false
+		}
+	}
+	return true
+}
+
+// releaseReports answers the reports whose machine has no start on its way to
+// the record; the others wait for it a moment, so that the answer carries it.
+func (c *Core) releaseReports() {
+	rest := c.heldReports[:0]
+	for _, m := range c.heldReports {
+		if m.pending == 0 {
+			continue
+		}
+		wait := false
+		if c.now < m.deadline && !c.storeLost(500*milli) {
+			for _, a := range m.assigns {
+				wait = wait || a.phase == aRecording && !a.gone
+			}
+		}
+		if wait {
+			rest = append(rest, m)
+			continue
+		}
+		c.answerReport(m)
+	}
+	c.heldReports = rest
+	if len(rest) > 0 && !c.holdWake {
+		c.holdWake = true
+		c.after(100*milli, func() { c.holdWake = false })
+	}
+}
+
+func (c *Core) answerReport(m *machine) {
+	req := m.pending
+	m.pending = 0
+	w := &WorkerAnswer{Token: m.token}
+	if !m.bumping {
+		w.Commands = c.commands(m, false)
+		for _, cmd := range w.Commands {
+			if cmd.Verb == Start {
+				a := m.assigns[cmd.Task]
+				a.phase, a.viaOrders, a.sentStamp = aSent, false, m.pendingStamp
+			}
+		}
+	}
+	m.poked = false
+	c.emit(Respond{Req: req, Status: 200, Worker: w})
+}
+
+// commands lists what the machine is to do now.
+func (c *Core) commands(m *machine, urgentOnly bool) []Command {
+	var out []Command
+	var starts []Command
+	for _, a := range m.sorted() {
+		switch {
+		case a.gone:
+		case a.stop && a.phase != aEnded && a.phase != aReady && a.phase != aRecording:
+			if urgentOnly && a.stopSent > 0 {
+				continue
+			}
+			if a.state == Saving && a.grace > 0 && !a.expired(c.now) {
+				continue
+			}
+			g := a.grace
+			if a.expired(c.now) {
+				g = 0
+			}
+			if a.stopSent == 0 {
+				a.stopSent = c.now
+			}
+			out = append(out, Command{Verb: Stop, Task: a.task, Attempt: a.attempt, Grace: g})
+		case a.phase == aReady && !m.unsure && !m.returning && c.now >= m.notBefore && a.j.active():
+			if m.holds(a.task) {
+				continue
+			}
+			starts = append(starts, Command{Verb: Start, Task: a.task, Attempt: a.attempt})
+		case a.phase == aEnded && a.cause == CauseDone && !m.unsure && !urgentOnly && c.storedDone(a):
+			out = append(out, Command{Verb: Forget, Task: a.task, Attempt: a.attempt})
+		}
+	}
+	if !urgentOnly {
+		for _, t := range sortedStarts(m.kill) {
+			out = append(out, Command{Verb: Stop, Task: t.task, Attempt: t.attempt})
+		}
+		if !m.unsure {
+			for _, t := range sortedStarts(m.reap) {
+				out = append(out, Command{Verb: Forget, Task: t.task, Attempt: t.attempt})
+			}
+		}
+	}
+	return append(out, starts...)
+}
+
+func (a *assign) expired(now Time) bool {
+	return a.stopSent > 0 && float64(now-a.stopSent)/float64(second) > a.grace+2
+}
+
+func (c *Core) storedDone(a *assign) bool {
+	return a.j.final != "" || a.j.state[a.task.Index] == tStored
+}
+
+// holds tells whether an earlier start of a task is still being cleared away.
+func (m *machine) holds(t TaskID) bool {
+	for s := range m.reap {
+		if s.task == t {
+			return true
+		}
+	}
+	for s := range m.kill {
+		if s.task == t {
+			return true
+		}
+	}
+	return false
+}
+
+func sortedStarts(m map[start]bool) []start {
+	l := make([]start, 0, len(m))
+	for t := range m {
+		l = append(l, t)
+	}
+	sort.Slice(l, func(i, k int) bool {
+		a, b := l[i], l[k]
+		if a.task != b.task {
+			return a.task.Job < b.task.Job || a.task.Job == b.task.Job && a.task.Index < b.task.Index
+		}
+		return a.attempt < b.attempt
+	})
+	return l
+}
+
+// reconcile compares a worker's account with what is believed of it. It
+// returns false for an account older than one already taken in.
+func (c *Core) reconcile(m *machine, r *Report, viaOrders bool) bool {
+	fresh := r.Session > m.session
+	if r.Session < m.session || !fresh && r.Stamp <= m.stamp {
+		return false
+	}
+	// A lease that ran out, or a start in an answer without effect, may mean
+	// that what is sent to the machine does not reach it though its reports
+	// come. A higher token, once acknowledged, proves that it does; until then
+	// the machine gets no new work, and in the end it is returned.
+	deaf := fresh && m.session > 0
+	m.session, m.stamp, m.heard = r.Session, r.Stamp, c.now
+	if m.booting {
+		m.booting = false
+		c.booted(m)
+	}
+	if m.addr != r.Addr && r.Addr != "" {
+		m.addr = r.Addr
+	}
+	// A worker that has seen no token at all, on a machine that nobody but this
+	// claim has ever owned, can have no older command on its way to it.
+	acked := r.Token == m.token || r.Token == 0 && m.token == m.first && !m.unsure && !m.bumping
+	if m.acked && !acked {
+		m.unackedAt = c.now
+	}
+	m.acked = acked
+	if acked && m.taken {
+		p := c.parts[m.part]
+		m.taken = false
+		p.unanswered--
+		p.ackedAt = c.now
+	}
+	if m.acked && !m.bumping {
+		m.unsure = false
+	}
+	if fresh {
+		m.images = nil
+	}
+	if r.Notice >= 0 {
+		c.onNotice(m, r.Notice)
+	}
+	// By start, not by task: an old report may show an earlier attempt of a
+	// task that runs here now, and must not make that one look gone.
+	present := make(map[start]bool, len(r.Tasks))
+	for i := range r.Tasks {
+		t := &r.Tasks[i]
+		present[start{t.Task, t.Attempt}] = true
+		a := m.assigns[t.Task]
+		if a == nil || a.attempt != t.Attempt {
+			c.strayTask(m, t)
+			continue
+		}
+		c.seen(m, a, t)
+	}
+	for _, a := range m.sorted() {
+		// Only under our token is absence proof: the report may be minutes
+		// old, or an earlier holder's late start may still be executed.
+		if present[a.start()] || a.gone || !m.acked {
+			continue
+		}
+		switch a.phase {
+		case aDoubt:
+			c.setGone(m, a)
+		case aSent:
+			switch {
+			case fresh,
+				a.viaOrders && !m.unsure && !m.ordersBusy,
+				!a.viaOrders && !viaOrders && r.Stamp > a.sentStamp:
+				a.phase = aReady
+				deaf = deaf || !a.viaOrders
+				if !a.j.active() {
+					c.setGone(m, a)
+				}
+			}
+		case aSeen:
+			c.setGone(m, a)
+		case aEnded:
+			if a.cause != CauseDone || c.storedDone(a) {
+				c.setGone(m, a)
+			}
+		}
+	}
+	if deaf && m.acked {
+		c.bump(m)
+	}
+	for t := range m.reap {
+		if !present[t] {
+			delete(m.reap, t)
+		}
+	}
+	for t := range m.kill {
+		if !present[t] {
+			delete(m.kill, t)
+		}
+	}
+	return true
+}
+
+// setGone notes that a task is proven to be off the machine. The record must
+// say so before it may start elsewhere; when nobody waits for that, it can
+// share a later write.
+func (c *Core) setGone(m *machine, a *assign) {
+	if a.gone {
+		return
+	}
+	a.gone = true
+	if a.j.where[a.task.Index] == a && a.j.active() {
+		c.writeMachine(m, prioStart)
+		return
+	}
+	// Nobody waits for it: the next checkpoint takes it along.
+}
+
+// strayTask is a task that the machine's record does not list.
+func (c *Core) strayTask(m *machine, t *TaskReport) {
+	s := start{t.Task, t.Attempt}
+	if t.State == Ended {
+		delete(m.kill, s)
+		m.reap[s] = true
+		return
+	}
+	if !m.kill[s] {
+		c.logf("info", "stray task", "machine", string(m.id), "task", t.Task.String(), "attempt", uint64(t.Attempt))
+	}
+	m.kill[s] = true
+}
+
+// seen takes in one listed task's state.
+func (c *Core) seen(m *machine, a *assign, t *TaskReport) {
+	if a.phase == aEnded {
+		return
+	}
+	a.partial = a.partial || a.phase == aDoubt
+	a.phase = aSeen
+	a.state = t.State
+	switch t.State {
+	case Running:
+		if a.runAt == 0 {
+			a.runAt = c.now
+			if a.j.firstRun == 0 {
+				a.j.firstRun = c.now
+			}
+			a.j.lastRun = c.now
+			m.addImage(a.j, c.types[m.typ].CacheGB)
+		}
+	case Ended:
+		c.ended(m, a, t)
+	}
+}
+
+func (m *machine) addImage(j *job, cache float64) {
+	for i, im := range m.images {
+		if im.name == j.spec.Image {
+			m.images = append(append(m.images[:i:i], m.images[i+1:]...), im)
+			return
+		}
+	}
+	m.images = append(m.images, image{j.spec.Image, j.spec.ImageGB})
+	sum := 0.0
+	for _, im := range m.images {
+		sum += im.gb
+	}
+	for len(m.images) > 1 && sum > cache {
+		sum -= m.images[0].gb
+		m.images = m.images[1:]
+	}
+}
+
+func (m *machine) hasImage(name string) bool {
+	for _, im := range m.images {
+		if im.name == name {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Core) ended(m *machine, a *assign, t *TaskReport) {
+	j := a.j
+	a.phase, a.cause = aEnded, t.Cause
+	if t.Cause == CauseDone {
+		j.setDone(a.task.Index)
+		c.learnRuntime(m, a)
+		if j.final == "" && j.loading == 0 && j.done == j.spec.Tasks {
+			c.writeJob(j, prioAccept)
+		}
+		return
+	}
+	switch t.Cause {
+	case CauseError:
+		c.onTaskError(m, a)
+	case CauseFull, CauseBusy:
+		m.notBefore = c.now + 3*second
+	case CauseNoSuch:
+		j.holdUntil = c.now + 3*second
+	}
+	c.setGone(m, a)
+	if !j.active() {
+		m.reap[a.start()] = true
+	}
+}
+
+// onTaskError tells a faulty machine from a faulty job: several jobs failing
+// on one machine speak against the machine, one job failing on several
+// machines against the job, which is then retried ever more slowly.
+func (c *Core) onTaskError(m *machine, a *assign) {
+	j := a.j
+	m.errors++
+	m.failedJobs[j.spec.ID] = true
+	j.errors++
+	j.failedOn[m.id] = true
+	if len(j.failedOn) >= 2 {
+		j.holdUntil = c.now + min(second<<min(len(j.failedOn)+j.errors/2, 6), 60*second)
+	}
+	if len(m.failedJobs) >= 2 && !m.draining {
+		c.logf("info", "machine fails tasks", "machine", string(m.id), "errors", m.errors)
+		c.drain(m)
+	}
+}
+
+func (c *Core) drain(m *machine) {
+	m.draining = true
+	c.placing = true
+}
+
+// onNotice: the cloud will take the machine. What can save does so in time,
+// what can't finish starts anew elsewhere, what can finish is left alone.
+func (c *Core) onNotice(m *machine, left float64) {
+	if !m.draining {
+		c.spotLost++
+		c.logf("debug", "spot notice", "machine", string(m.id), "left_s", left)
+		m.draining = true
+	}
+	m.noticeAt = c.now + Time(left*float64(second))
+	for _, a := range m.sorted() {
+		if !a.live() || a.stop {
+			continue
+		}
+		rest := c.expectedRest(a)
+		s := a.j.spec
+		if s.CheckpntS > 0 {
+			if rest > left-2 && left < s.SaveS+10 {
+				c.stopTask(m, a, s.SaveS+1)
+			}
+		} else if rest > left*1.5+5 {
+			c.stopTask(m, a, 0)
+		}
+	}
+}
+
+func (c *Core) stopTask(m *machine, a *assign, grace float64) {
+	if a.stop {
+		return
+	}
+	a.stop, a.grace = true, grace
+	if a.phase == aReady || a.phase == aRecording {
+		// Never sent: only the record has to forget it.
+		if a.phase == aReady {
+			c.setGone(m, a)
+		} else {
+			a.stop = false
+		}
+		return
+	}
+	if a.stopAt == 0 {
+		a.stopAt = c.now
+	}
+	c.poke(m)
+}
+
+// held lists a job's tasks that are, or may be, on machines.
+func (j *job) held() []*assign {
+	l := make([]*assign, 0, len(j.on))
+	for a := range j.on {
+		l = append(l, a)
+	}
+	sort.Slice(l, func(i, k int) bool {
+		a, b := l[i], l[k]
+		return a.task.Index < b.task.Index || a.task.Index == b.task.Index && a.mach < b.mach
+	})
+	return l
+}
+
+// unplan withdraws the starts that have not been sent.
+func (c *Core) unplan(j *job) {
+	for _, a := range j.held() {
+		if m := c.machines[a.mach]; m != nil && a.phase == aReady {
+			c.setGone(m, a)
+		}
+	}
+}
+
+// stopAll stops every task of a job that is cancelled.
+func (c *Core) stopAll(j *job) {
+	for _, a := range j.held() {
+		if m := c.machines[a.mach]; m != nil && a.live() && a.phase != aRecording {
+			a.stop = false
+			c.stopTask(m, a, 0)
+			a.grace, a.stopSent = 0, 0
+		}
+	}
+}
