Jobs with little time to spare keep ordinary machines too, whatever their length

A task of 35 s begun anew misses a deadline of 2 runs and 10 s as well. Change: also where the first aim is below three runs. Test: TestSuits.

--- a/internal/core/guards_test.go
+++ b/internal/core/guards_test.go
@@ -332,6 +332,11 @@
 	if c.suits(p, short, own) != c.suits(p, short, spot) || c.suits(p, saves, own) != c.suits(p, saves, spot) {
 		t.Error("the kind of machine matters where nothing is at stake")
 	}
+	c.cfg.Objectives = []Objective{{Kind: "deadline", Class: "tight", Times: 1}, {Kind: "finished", Class: "c", WithinS: 80}}
+	due := like(15, 0)
+	if due.spec.Class, due.spec.DeadlineS = "tight", 40; c.suits(p, due, spot) || !c.suits(p, short, spot) {
+		t.Error("a job that could not make its deadline with a task begun anew goes to spot machines, or one with time to spare does not")
+	}
 	if p.atStake = true; c.suits(p, saves, own) || !c.suits(p, saves, spot) {
 		t.Error("work that saves does not leave the ordinary machine to others")
 	}
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -219,7 +219,7 @@
 		room += c.types[m.typ].Cap.CPU
 	}
 	p.owed = c.withinGuarantee(p)
-	p.atStake = slices.ContainsFunc(p.js, func(j *job) bool { return j.active() && c.stake(j) > worthSparing })
+	p.atStake = slices.ContainsFunc(p.js, func(j *job) bool { return j.active() && c.spares(j) })
 	q := make([]ranked, 0, len(p.js))
 	for _, j := range p.js {
 		// What is held back for a moment may be let go before the next ranking.
@@ -561,10 +561,31 @@
 }
 
 // worthSparing is the stake, in seconds, from which a job should rather have
-// ordinary machines. Below it the choice would only scatter its tasks over
-// machines with little room, each of which has to fetch the image.
+// ordinary machines, however much time its aims give it.
 const worthSparing = 2
 
+// spares tells whether a job should rather have ordinary machines: much is at
+// stake, or its first aim gives it so little time that a task begun anew would
+// miss it. For others the choice would only scatter their tasks over machines
+// with little room, each of which has to fetch the image.
+func (c *Core) spares(j *job) bool {
+	stake := c.stake(j)
+	if stake == 0 || stake > worthSparing {
+		return stake > 0
+	}
+	aim := 0.0
+	for _, o := range c.cfg.Objectives {
+		within := o.WithinS
+		if o.Kind == "deadline" {
+			within = j.spec.DeadlineS * max(o.Times, 0.1)
+		}
+		if o.Class == j.spec.Class && o.Kind != "wait" && within > 0 && (aim == 0 || within < aim) {
+			aim = within
+		}
+	}
+	return aim > 0 && aim < 3*c.expectedRun(j)
+}
+
 // risky tells whether so much is at stake that an ordinary machine is worth
 // fetching the image anew.
 func (c *Core) risky(j *job) bool {
@@ -586,13 +607,13 @@
 func (c *Core) mayUse(j *job, m *machine) bool { return !m.retire || !m.spot && c.risky(j) }
 
 // suits tells which of two machines that are equal otherwise a job should have:
-// with much at stake an ordinary one; where others have, what saves makes room
+// one that spares its time an ordinary one; where others have, what saves makes room
 // for them and goes to spot machines. Else neither matters.
 func (c *Core) suits(p *part, j *job, m *machine) bool {
 	if j.spec.CheckpntS > 0 {
 		return m.spot || !p.atStake
 	}
-	return !m.spot || c.stake(j) <= worthSparing
+	return !m.spot || !c.spares(j)
 }
 
 // keepMachine picks the machine that is kept free for a starving job: the one
