--- a/internal/core/guards_test.go
+++ b/internal/core/guards_test.go
@@ -334,6 +334,12 @@
 	}
 	c.cfg.Objectives = []Objective{{Kind: "deadline", Class: "tight", Times: 1}, {Kind: "finished", Class: "c", WithinS: 80}}
 	due := like(15, 0)
+	due.spec.Tasks = 20
+	few := like(15, 0)
+	few.spec.Class, few.spec.DeadlineS, few.spec.Tasks = "tight", 40, 3
+	if !c.suits(p, few, spot) {
+		t.Error("three short tasks, of which hardly ever one is lost, are scattered over ordinary machines")
+	}
 	if due.spec.Class, due.spec.DeadlineS = "tight", 40; c.suits(p, due, spot) || !c.suits(p, short, spot) {
 		t.Error("a job that could not make its deadline with a task begun anew goes to spot machines, or one with time to spare does not")
 	}
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -564,15 +564,22 @@
 // ordinary machines, however much time its aims give it.
 const worthSparing = 2
 
+// likelyLoss is how many of its tasks a job must expect to lose on spot
+// machines for its deadline to be at risk: a few small tasks are hardly ever hit.
+const likelyLoss = 0.1
+
 // spares tells whether a job should rather have ordinary machines: much is at
-// stake, or its first aim gives it so little time that a task begun anew would
-// miss it. For others the choice would only scatter their tasks over machines
+// stake, or it is likely to lose a task and its first aim gives it so little time
+// that a task begun anew would miss it. For others the choice would only scatter their tasks over machines
 // with little room, each of which has to fetch the image.
 func (c *Core) spares(j *job) bool {
 	stake := c.stake(j)
 	if stake == 0 || stake > worthSparing {
 		return stake > 0
 	}
+	if c.spotLossRate()*c.expectedRun(j)*float64(j.spec.Tasks) < likelyLoss {
+		return false
+	}
 	aim := 0.0
 	for _, o := range c.cfg.Objectives {
 		within := o.WithinS
