--- a/internal/standin/effects.go
+++ b/internal/standin/effects.go
@@ -17,7 +17,7 @@
 			w.After(w.delay(), func() { fn(f) })
 		}
 	case core.StoreTxn:
-		w.store(n, f.Call, core.TxnReply{Out: core.NotDone}, core.TxnReply{Out: core.Unknown}, func() any {
+		w.store(n, f.Call, true, core.TxnReply{Out: core.NotDone}, core.TxnReply{Out: core.Unknown}, func() any {
 			r := w.State.Txn(f.When, f.Then)
 			what := "writes"
 			if r.Out != core.OK {
@@ -30,12 +30,15 @@
 				}
 				w.Log(fmt.Sprintf("%s %s %s@%d %s", n.ID, what, o.Key, r.Epoch, v))
 			}
+			if r.Out == core.OK {
+				w.claimed(f.Then)
+			}
 			return r
 		})
 	case core.StoreGet:
-		w.store(n, f.Call, core.GetReply{Out: core.NotDone}, core.GetReply{Out: core.Unknown}, func() any { return w.State.Get(f.Key) })
+		w.store(n, f.Call, false, core.GetReply{Out: core.NotDone}, core.GetReply{Out: core.Unknown}, func() any { return w.State.Get(f.Key) })
 	case core.StoreList:
-		w.store(n, f.Call, core.ListReply{Out: core.NotDone}, core.ListReply{Out: core.Unknown}, func() any { return w.State.List(f.Prefix) })
+		w.store(n, f.Call, false, core.ListReply{Out: core.NotDone}, core.ListReply{Out: core.Unknown}, func() any { return w.State.List(f.Prefix) })
 	case core.StoreWatch:
 		w.watch(n, gen, f, w.Now+f.Wait)
 	case core.CloudTypes:
@@ -92,7 +95,7 @@
 	}
 }
 
-func (w *World) store(n *Node, id core.CallID, refused, unknown any, do func() any) {
+func (w *World) store(n *Node, id core.CallID, txn bool, refused, unknown any, do func() any) {
 	gen := n.gen
 	switch {
 	case w.Now < w.Down || w.Now < n.Refused:
@@ -102,6 +105,8 @@
 			w.After(d, func() { do() })
 		}
 		w.reply(n, gen, id, 1200*milli, unknown)
+	case txn && w.lateWrite(n, do):
+		w.reply(n, gen, id, 1200*milli, unknown)
 	case w.Chance(0.01): // lost on the way, or delivered late
 		if d, ok := w.lateBy(w.Now); ok {
 			w.After(d, func() { do() })
@@ -114,7 +119,7 @@
 				w.reply(n, gen, id, 1200*milli, unknown)
 				return
 			}
-			w.reply(n, gen, id, w.delay()+w.Slow, body)
+			w.reply(n, gen, id, w.delay()+w.Slow+w.more.slowNow(w.Now), body)
 		})
 	}
 }
@@ -146,17 +151,25 @@
 		return
 	}
 	answered := false
-	w.Ask(to, func(id core.ReqID) core.Event { return core.PeerAsk{Req: id, Msg: f.Msg} }, func(r core.Respond) {
-		if answered {
-			return
-		}
-		answered = true
-		if r.Peer == nil {
-			w.reply(n, gen, f.Call, 0, lost)
-			return
-		}
-		w.reply(n, gen, f.Call, w.delay(), core.PeerReply{Out: core.OK, Msg: *r.Peer})
-	})
+	send := func() {
+		w.Ask(to, func(id core.ReqID) core.Event { return core.PeerAsk{Req: id, Msg: f.Msg} }, func(r core.Respond) {
+			if answered {
+				return
+			}
+			answered = true
+			if r.Peer == nil {
+				w.reply(n, gen, f.Call, 0, lost)
+				return
+			}
+			w.reply(n, gen, f.Call, w.delay(), core.PeerReply{Out: core.OK, Msg: *r.Peer})
+		})
+	}
+	if w.SlowPeers > 0 && w.Chance(w.SlowPeers) { // else what one controller tells another would always be there before its user asks there
+		w.Faults["slow messages between controllers"]++
+		w.After(w.Between(50*milli, 400*milli), send)
+	} else {
+		send()
+	}
 	w.After(f.Timeout, func() {
 		if !answered {
 			answered = true
@@ -184,6 +197,9 @@
 		return
 	}
 	cut := max(n.WorkerCut, l.cut, l.hang, l.deaf)
+	if w.Now < l.mute && w.Now >= cut {
+		w.Faults["commands to a mute machine"]++
+	}
 	if w.Now < l.deaf {
 		w.Faults["commands to a one-way machine"]++
 	}
@@ -218,6 +234,9 @@
 		w.After(l.hang-w.Now+milli, func() { w.late(l, f) })
 		return
 	}
+	if w.Now-l.renewed > l.Lease { // it notices that first when it goes on
+		l.Advance(w.Now)
+	}
 	l.Orders(f)
 }
 
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -39,7 +39,8 @@
 	Jobs    func(core.JobID) (JobInfo, bool)
 	Done    map[core.TaskID]bool // results are kept outside the machine
 	OnStart func(w *Worker, t *Task)
-	Sick    core.Time // fails every task until then
+	OnDone  func(t core.TaskID) // may be nil
+	Sick    core.Time           // fails every task until then
 
 	Session core.Session
 	Stamp   core.Stamp
@@ -89,6 +90,9 @@
 				t.Cause = core.CauseError
 			} else {
 				w.Done[t.ID] = true
+				if w.OnDone != nil {
+					w.OnDone(t.ID)
+				}
 			}
 		case core.Saving:
 			t.State, t.Cause, t.Saved = core.Ended, core.CauseStopped, true
