--- a/internal/core/random_test.go
+++ b/internal/core/random_test.go
@@ -55,6 +55,9 @@
 	capacity[standin.Slot("big", "a", true)] = 1
 	capacity[standin.Slot("big", "b", false)] = 1
 	return standin.NewCloud(types, capacity, func() core.Time {
+		if w().BootsQuickly() {
+			return w().Between(sec, 2*sec)
+		}
 		if w().Chance(0.1) {
 			return w().Between(sec, 200*sec)
 		}
@@ -99,18 +102,27 @@
 	for _, k := range []string{"commands to a one-way machine", "answers to a one-way machine", "late copies of reports",
 		"late copies from machines that are gone", "answers of a controller with its workers alone", "ended again during its return",
 		"a controller stood still", "all controllers stood still", "a zone cut off", "half of the machines died", "controllers refused one another",
-		"all controllers ended in an outage", "sick machines in an outage of the cloud", "the busiest controller ended again and again"} {
+		"all controllers ended in an outage", "sick machines in an outage of the cloud", "the busiest controller ended again and again",
+		"late writes", "late writes carried out", "answers lost though carried out", "old reports at every controller as a part changes hands",
+		"reports of a mute machine", "commands to a mute machine", "running jobs cancelled at once", "machines of cancelled jobs hang", "jobs cancelled as they end",
+		"close looks: questions", "close looks: repeats", "close looks: cancellations", "odd requests: repeats of unfinished jobs",
+		"odd requests: cancellations of done jobs", "odd requests: jobs that fit no machine", "odd requests: malformed jobs",
+		"a controller refused alone, then everybody", "a controller ended within a second of a claim", "an outage within a second of a claim", "machines up within two seconds",
+		"quick boots with a slow store as the busiest controller ends", "a slow store that refuses one controller",
+		"slow messages between controllers"} {
 		t.Logf("%s: %d", k, faults[k])
 		if faults[k] == 0 && to-from >= 20 {
 			t.Errorf("no day had %s", k)
 		}
 	}
+	// Allowed within the time for a cancellation; told, for they cost work.
+	t.Logf("starts after a confirmed cancellation: %d", faults["starts after a confirmed cancellation"])
 }
 
 func playDay(t *testing.T, seed uint64, cfg core.Config) map[string]int {
 	var w *standin.World
 	w = standin.NewWorld(seed, cfg, testCloud(func() *standin.World { return w }))
-	w.Late, w.Copies = true, 0.03
+	w.Late, w.Copies, w.SlowPeers = true, 0.03, 0.03
 	if os.Getenv("STAIRRELAY_LOG") != "" {
 		w.Log = func(s string) { t.Log(time.Duration(w.Now), s) }
 	}
@@ -125,7 +137,7 @@
 	}
 	troubles := 240 * sec
 	plan(w, teams, troubles)
-	planTogether(w, troubles)
+	planTogether(w, troubles, cfg.CancelWithin)
 	w.Calmed = troubles + 40*sec
 	// The least important work of a team at its limit is through after some eight minutes
 	// where half of the machines died more than once.
@@ -172,8 +184,12 @@
 			at = w.Between(0, 3*sec)
 		}
 		run := w.Between(3*sec, 30*sec)
+		tasks := 1 + w.Rand.IntN(9)
+		if i%9 == 4 { // longer than a cancellation may take: what is not stopped then shows
+			run, tasks = w.Between(50*sec, 90*sec), 1+w.Rand.IntN(3)
+		}
 		s := core.JobSpec{ID: core.JobID(fmt.Sprintf("j-%06d", i)), Class: "c" + strconv.Itoa(i%3), Team: teams[w.Rand.IntN(len(teams))],
-			Priority: core.Priority(w.Rand.IntN(4)), Tasks: 1 + w.Rand.IntN(9), Need: core.Res{CPU: cpu + core.Amount(w.Rand.IntN(2_000_000)), Mem: 2 * cpu},
+			Priority: core.Priority(w.Rand.IntN(4)), Tasks: tasks, Need: core.Res{CPU: cpu + core.Amount(w.Rand.IntN(2_000_000)), Mem: 2 * cpu},
 			Image: "img-" + strconv.Itoa(w.Rand.IntN(3)), ImageGB: 1, RuntimeS: float64(run) / 1e9 * 0.8, Spot: w.Chance(0.6)}
 		info := standin.JobInfo{Need: s.Need, Run: run, Tasks: s.Tasks, Image: s.Image}
 		if w.Chance(0.3) {
@@ -192,12 +208,13 @@
 		j := &standin.Job{Spec: s, Info: info}
 		w.After(at, func() { w.Submit(j) })
 		if w.Chance(0.2) {
+			j.MayCancel = true
 			w.After(at+w.Between(0, 30*sec), func() { w.Cancel(j) })
 		}
 		w.After(w.Between(0, until), func() { w.Unknown(core.JobID(fmt.Sprintf("j-9%05d", w.Rand.IntN(1000)))) })
 	}
-	for i := 0; i < 14; i++ {
-		at, d, kind := w.Between(5*sec, until-40*sec), w.Between(sec, 40*sec), w.Rand.IntN(16)
+	for i := 0; i < 18; i++ {
+		at, d, kind := w.Between(5*sec, until-40*sec), w.Between(sec, 40*sec), w.Rand.IntN(24)
 		n := w.Nodes[w.Rand.IntN(len(w.Nodes))]
 		w.After(at, func() {
 			w.Log(fmt.Sprintf("--- trouble %d on %s for %v at %v", kind, n.ID, time.Duration(d), time.Duration(w.Now)))
@@ -244,6 +261,32 @@
 					w.Faults["ended again during its return"]++
 					restart(w, n, w.Between(sec/20, sec/2))
 				})
+			case 16: // transactions without an answer are carried out after newer ones
+				w.LateWrites(0.3, d, false)
+			case 17: // or at once, and only the answer is lost
+				w.LateWrites(0.3, d, true)
+			case 18: // direct commands reach them, they reach no controller
+				w.Mute(w.AnyMachine(), d)
+				w.Mute(w.AnyMachine(), d)
+			case 19: // old reports everywhere as the next holder begins
+				w.KeepForNext(0.5, d)
+				w.After(d, func() { crash(w, n) })
+			case 20: // running jobs called off while their machines hang
+				w.CancelNow(8, w.Between(10*sec, 45*sec))
+				switch w.Rand.IntN(3) {
+				case 0:
+					if n := w.Busiest(); n != nil {
+						w.After(w.Between(0, sec), func() { crash(w, n) })
+					}
+				case 1:
+					w.Down = w.Now + min(d, 20*sec)
+				}
+			case 21:
+				w.CancelAtEnd(0.5, d)
+			case 22:
+				w.CloseLooks(d)
+			case 23:
+				w.OddRequests(d)
 			case 11:
 				for range 3 {
 					if w.Chance(0.5) {
@@ -258,9 +301,9 @@
 }
 
 // planTogether plans troubles of many at once, as a large fleet has them.
-func planTogether(w *standin.World, until core.Time) {
-	for range 4 {
-		at, d, kind := w.Between(5*sec, until-40*sec), w.Between(5*sec, 30*sec), w.Rand.IntN(8)
+func planTogether(w *standin.World, until, cancelWithin core.Time) {
+	for range 5 {
+		at, d, kind := w.Between(5*sec, until-40*sec), w.Between(5*sec, 30*sec), w.Rand.IntN(11)
 		n := w.Nodes[w.Rand.IntN(len(w.Nodes))]
 		w.After(at, func() {
 			w.Log(fmt.Sprintf("--- together %d on %s for %v at %v", kind, n.ID, time.Duration(d), time.Duration(w.Now)))
@@ -297,6 +340,21 @@
 					})
 				}
 				w.Faults["the busiest controller ended again and again"]++
+			case 8:
+				refusedThenOut(w, n, cancelWithin)
+			case 9: // machines get work at once while writes lag
+				w.QuickBoots(d)
+				w.SlowStore(w.Between(sec/5, 4*sec/5), d)
+				w.After(w.Between(sec, d), func() {
+					if n := w.Busiest(); n != nil {
+						w.Faults["quick boots with a slow store as the busiest controller ends"]++
+						crash(w, n)
+					}
+				})
+			case 10:
+				n.Refused = w.Now + d
+				w.SlowStore(w.Between(sec/5, 4*sec/5), d)
+				w.Faults["a slow store that refuses one controller"]++
 			case 5:
 				w.Down = w.Now + min(d, 20*sec)
 				w.After(min(d, 20*sec)/2, func() {
@@ -310,6 +368,53 @@
 	}
 }
 
+// refusedThenOut has the state service refuse one controller alone, and a few
+// seconds later everybody, for longer than a cancellation may take, while users
+// cancel all along. In most of these the outage waits for the next holder's
+// claim, which takes some five seconds, and comes within a second of it; in
+// some of those another controller ends as well, so that nobody may be left who knows
+// what users were told. Once a day is enough.
+func refusedThenOut(w *standin.World, n *standin.Node, cancelWithin core.Time) {
+	if w.Faults["a controller refused alone, then everybody"] > 0 {
+		return
+	}
+	w.Faults["a controller refused alone, then everybody"]++
+	out := false
+	begin := func() {
+		if !out {
+			out = true
+			w.Down = w.Now + cancelWithin + w.Between(sec, 5*sec)
+		}
+	}
+	n.Refused = w.Now + w.Between(3*sec, 8*sec)
+	if w.Chance(0.33) {
+		w.After(w.Between(2*sec, 6*sec), begin)
+	} else {
+		n.Refused = w.Now + 10*sec
+		ends := w.Chance(0.8)
+		w.OnClaim(10*sec, func(holder core.NodeID) {
+			w.Faults["an outage within a second of a claim"]++
+			w.After(w.Between(0, sec), begin)
+			o := w.Nodes[w.Rand.IntN(len(w.Nodes))]
+			if !ends || o.ID == holder {
+				return
+			}
+			w.After(w.Between(0, sec), func() {
+				w.Faults["a controller ended within a second of a claim"]++
+				crash(w, o)
+			})
+		})
+		w.After(10*sec, begin)
+	}
+	for i := range 10 {
+		at := core.Time(i) * sec
+		if i >= 7 { // the outage goes on
+			at = core.Time(i-5) * 8 * sec
+		}
+		w.After(at+w.Between(0, sec), w.CancelSome)
+	}
+}
+
 func crash(w *standin.World, n *standin.Node) {
 	gap := 6 * sec
 	if w.Chance(0.3) {
