--- a/internal/core/story_test.go
+++ b/internal/core/story_test.go
@@ -232,6 +232,14 @@
 		w.Deafen(core.MachineID(arg[0]), dur(arg[1]))
 	case "copy": // its present report is delivered again later
 		w.CopyReport(core.MachineID(arg[0]), dur(arg[1]))
+	case "refuse": // refuse n0 10s: by the state service, that controller alone
+		node(arg[0]).Refused = w.Now + dur(arg[1])
+	case "mute": // it reaches no controller, direct commands reach it
+		w.Mute(core.MachineID(arg[0]), dur(arg[1]))
+	case "lose": // lose n0 answers 3s: its transactions are carried out, their answers lost
+		node(arg[0]).Unheard = w.Now + dur(arg[2])
+	case "slow": // slow 500ms 30s: the state service answers that much later
+		w.SlowStore(dur(arg[0]), dur(arg[1]))
 	case "reboot": // the worker is back at once, in its next session
 		w.Reboot(core.MachineID(arg[0]))
 	case "stream": // stream red via n0 every=4s for=60s tasks=1 run=10: small jobs that keep coming
