--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -374,6 +374,7 @@
 	c.every(fixed(2*second), c.inspectWorker)
 	c.every(fixed(2*second), c.beat)
 	c.every(fixed(second/2), c.askStore)
+	c.every(fixed(second), c.proveClaims)
 	c.every(fixed(second/4), func() { c.placing = true })
 	c.every(fixed(30*second), c.stats)
 }
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -36,8 +36,9 @@
 	on     map[*assign]bool // all that machines list of it, ended and doubly listed tasks too
 
 	final      Status // stored
-	cancelling bool
-	w          bool // a write is queued
+	cancelling bool   // its user has asked for that, or it is stored
+	ending     bool   // a write of its end is under way: it may be carried out already
+	w          bool   // a write is queued
 	again      bool
 	waiters    []func(Status)
 
@@ -415,6 +416,7 @@
 			case j.cancelling:
 				end = StCancelled
 			}
+			j.ending = end != ""
 			var ops []TxnOp
 			var marks []Mark
 			for k := range j.marks {
@@ -453,7 +455,7 @@
 			return ops, marks
 		},
 		ok: func(e Epoch) {
-			j.w = false
+			j.w, j.ending = false, false
 			for _, k := range wrote {
 				j.marks[k] = Mark(e)
 			}
@@ -479,7 +481,7 @@
 			}
 		},
 		conflict: func() {
-			j.w = false
+			j.w, j.ending = false, false
 			if c.jobs[j.spec.ID] != j {
 				return
 			}
@@ -489,7 +491,7 @@
 			}
 			c.broken(c.parts[j.part], j.key(0), "changed by another writer")
 		},
-		lost: func() { j.w = false },
+		lost: func() { j.w, j.ending = false, false },
 	})
 }
 
--- a/internal/core/orders.go
+++ b/internal/core/orders.go
@@ -17,11 +17,13 @@
 	c.pokes = nil
 	for _, m := range q {
 		m.poked = false
-		if c.machines[m.id] != m || m.pending != 0 || m.ordersBusy || !m.acked || m.bumping || m.addr == "" ||
-			c.now-m.heard > 2*c.cfg.ReportEvery {
+		if c.machines[m.id] != m || m.pending != 0 || m.ordersBusy || m.addr == "" || c.now-m.heard > 2*c.cfg.ReportEvery {
 			continue
 		}
 		cmds := c.commands(m, true)
+		if !m.acked || m.bumping {
+			cmds = onlyStops(cmds)
+		}
 		if c.strained() && m.busy() {
 			// A call costs more than an answer. Where tasks run, reports come with
 			// every change and at least each interval: starts go with their answers.
@@ -72,11 +74,10 @@
 			}
 			c.ordersDone(m, &r.Report)
 		case NotDone:
+			m.resetStops()
 			unsent()
 		default:
-			for _, a := range m.assigns {
-				a.stopSent = 0
-			}
+			m.resetStops()
 			if len(starts) > 0 {
 				// The command may arrive minutes late; a higher token ends that.
 				m.unsure = true
@@ -86,6 +87,13 @@
 	})})
 }
 
+// resetStops notes that the stops sent may not have arrived.
+func (m *machine) resetStops() {
+	for _, a := range m.assigns {
+		a.stopSent = 0
+	}
+}
+
 func (c *Core) ordersDone(m *machine, r *Report) {
 	if r.Machine != m.id {
 		return
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -26,6 +26,7 @@
 	since      Time
 	changes    []Time // when it changed hands, the last minute's
 	claim      Epoch
+	provenAt   Time // when the last exchange with the store began that showed the claim in force
 	attempts   uint64
 	rentals    map[string]*rental
 	ms         []*machine // held here, by id
@@ -167,9 +168,11 @@
 }
 
 func (c *Core) rereadPart(p *part) {
+	begun := c.now
 	c.get(p.key(), func(r GetReply) {
 		if r.Out == OK {
 			c.learnPart(r.KV)
+			c.proven(p, r.KV.Mark, begun)
 		}
 	})
 }
@@ -405,10 +408,12 @@
 			p.confirming = false
 			return
 		}
+		begun := c.now
 		c.get(p.key(), func(r GetReply) {
 			p.confirming = false
 			if r.Out == OK {
 				c.learnPart(r.KV)
+				c.proven(p, r.KV.Mark, begun)
 			}
 			good := r.Out == OK && p.held && r.KV.Mark == mark && p.mark == mark
 			for _, fn := range q {
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -12,7 +12,10 @@
 type peer struct {
 	id       NodeID
 	boot     string
-	answered Time // when it last answered a call
+	bootAt   Time   // when its present run was first heard of
+	wordAt   Time   // when the last call was sent that it has answered
+	terms    []Term // the latest terms that it knew then, by part
+	answered Time   // when it last answered a call
 	heard    bool
 	prone    bool // marked failure-prone, being probed
 	failed   bool
@@ -48,7 +51,7 @@
 		c.ask(p.id, timeout, PeerMsg{Ping: c.makePing(p)}, func(r PeerReply) {
 			if r.Out == OK && r.Msg.Ping != nil {
 				miss = 0
-				c.heardPing(p, *r.Msg.Ping)
+				c.heardPing(p, *r.Msg.Ping, begun)
 				c.after(pause, send)
 				return
 			}
@@ -114,6 +117,7 @@
 	g.Groups = c.offers()
 	g.Puts, g.Cloud = c.w.demand, c.cloud.demand
 	g.Loads = c.loads()
+	g.Terms = c.terms()
 	return g
 }
 
@@ -182,7 +186,9 @@
 	})})
 }
 
-func (c *Core) heardPing(p *peer, g Ping) {
+// heardPing takes in the answer to a call sent at a time. Only answers give a
+// controller's word: its own calls may have been held up for minutes.
+func (c *Core) heardPing(p *peer, g Ping, sent Time) {
 	p.heard, p.answered, p.prone = true, c.now, false
 	if p.failed {
 		p.failed = false
@@ -190,11 +196,13 @@
 		c.livenessChanged()
 	}
 	c.takePing(p, g)
+	p.wordAt, p.terms = sent, g.Terms
 }
 
 func (c *Core) takePing(p *peer, g Ping) {
 	if p.boot != g.Boot {
 		p.boot, p.goodFrom = g.Boot, 0
+		p.bootAt, p.wordAt, p.terms = c.now, 0, nil
 	}
 	p.ping, p.pingAt = g, c.now
 	if !g.StoreOK || !g.WorkersOK {
@@ -219,9 +227,6 @@
 		}
 		q := c.parts[pt.Part]
 		if pt.Term > q.term && q.held {
-			// Its own word for a later claim is enough to give the part up: while
-			// the store is out of reach here, nothing else would tell, and the
-			// workers would be held by answers that mean nothing any more.
 			c.fenced(q.id)
 		}
 		if pt.Term > q.term && !q.held && !q.claiming {
@@ -239,6 +244,7 @@
 			q.offered = true
 		}
 	}
+	c.hearTerms(g.Terms)
 	c.reviewParts()
 }
 
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -24,6 +24,7 @@
 	got   int // machines of an answer that is not recorded yet
 	tries int
 	group string // that its machines go into, when this claim has made it
+	late  bool   // a late copy of its creation may yet be carried out
 }
 
 type rentalRecord struct {
@@ -320,7 +321,7 @@
 	c.rentSeq++
 	r := &rental{name: "r-" + c.cfg.Boot + "-" + strconv.FormatUint(uint64(p.claim), 10) + "-" + strconv.Itoa(c.rentSeq), opt: o, count: n, group: c.groupName(p)}
 	p.rentals[r.name] = r
-	c.w.add(prioRent, &write{
+	x := &write{
 		part: p.id, keys: []string{rentalKey(r.name)},
 		build: func(nonce string) ([]TxnOp, []Mark) {
 			v, _ := json.Marshal(rentalRecord{p.id, o.Type, o.Zone, o.Spot, n, nonce})
@@ -329,13 +330,14 @@
 		// Once it is settled its key is absent again, and a late copy of this would
 		// bring it back; a successor would then record its machines a second time.
 		// The key of its machines' group stays until the next claim fences the copy.
-		also: []Cond{{"groups/" + r.group, 0}},
-		ok: func(e Epoch) {
-			r.mark = Mark(e)
-			c.callRent(p, r)
-		},
+		also:     []Cond{{"groups/" + r.group, 0}},
 		conflict: func() { c.suspect(p, rentalKey(r.name), "name in use") },
-	})
+	}
+	x.ok = func(e Epoch) {
+		r.mark, r.late = Mark(e), x.unsure
+		c.callRent(p, r)
+	}
+	c.w.add(prioRent, x)
 }
 
 func (c *Core) rentalCurrent(p *part, r *rental) bool { return p.held && p.rentals[r.name] == r }
@@ -392,14 +394,20 @@
 		ms = append(ms, listedMachine{id: m, kind: groupKind{r.opt.Type, r.opt.Zone, r.opt.Spot}, booting: true})
 	}
 	keys, prio := []string{rentalKey(r.name)}, prioLazy
+	// A refused one gets no machines, but where a copy of its creation may come
+	// late its group's key has to be there all the same, with nothing listed.
+	made := len(ids) > 0 || r.late
+	if made {
+		keys = append(keys, "groups/"+id)
+	}
 	if len(ids) > 0 {
-		keys, prio = append(keys, "groups/"+id), prioRent
+		prio = prioRent
 	}
 	c.w.add(prio, &write{
 		part: p.id, keys: keys,
 		build: func(nonce string) ([]TxnOp, []Mark) {
 			ops, marks := []TxnOp{{rentalKey(r.name), nil}}, []Mark{r.mark}
-			if len(ms) > 0 {
+			if made {
 				v := encodeGroup(p.id, ms, nonce)
 				size = len(v)
 				ops, marks = append(ops, TxnOp{"groups/" + id, v}), append(marks, 0)
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -1,6 +1,9 @@
 package core
 
-import "sort"
+import (
+	"slices"
+	"sort"
+)
 
 // What workers report, and what they are answered.
 
@@ -22,6 +25,10 @@
 	case !p.held || !p.ready:
 		c.refuse(e.Req, 503, 0, "")
 		return
+	case !c.entitled(p):
+		// Another may have claimed the part unnoticed, and cancelled jobs of it.
+		c.redirect(e.Req, "")
+		return
 	case r.Token > m.token:
 		// Somebody later is entitled: a 200 with our token would be dropped
 		// and hold the worker here while its lease runs out.
@@ -91,14 +98,14 @@
 func (c *Core) answerReport(m *machine) {
 	req := m.pending
 	m.pending = 0
-	w := &WorkerAnswer{Token: m.token}
-	if !m.bumping {
-		w.Commands = c.commands(m, false)
-		for _, cmd := range w.Commands {
-			if cmd.Verb == Start {
-				a := m.assigns[cmd.Task]
-				a.phase, a.viaOrders, a.sentStamp = aSent, false, m.pendingStamp
-			}
+	w := &WorkerAnswer{Token: m.token, Commands: c.commands(m, false)}
+	if m.bumping {
+		w.Commands = onlyStops(w.Commands)
+	}
+	for _, cmd := range w.Commands {
+		if cmd.Verb == Start {
+			a := m.assigns[cmd.Task]
+			a.phase, a.viaOrders, a.sentStamp = aSent, false, m.pendingStamp
 		}
 	}
 	m.poked = false
@@ -109,6 +116,7 @@
 func (c *Core) commands(m *machine, urgentOnly bool) []Command {
 	var out []Command
 	var starts []Command
+	mayStart := c.mayStart(c.parts[m.part])
 	for _, a := range m.sorted() {
 		switch {
 		case a.gone:
@@ -128,7 +136,7 @@
 			}
 			out = append(out, Command{Verb: Stop, Task: a.task, Attempt: a.attempt, Grace: g})
 		case a.phase == aReady && !m.unsure && !m.returning && c.now >= m.notBefore && a.j.active():
-			if m.holds(a.task) {
+			if !mayStart || m.holds(a.task) {
 				continue
 			}
 			starts = append(starts, Command{Verb: Start, Task: a.task, Attempt: a.attempt})
@@ -149,6 +157,13 @@
 	return append(out, starts...)
 }
 
+// onlyStops leaves what may be sent under any token that the worker takes: a
+// task that is to be stopped must not go on until a higher token is stored,
+// which in an outage takes longer than a cancellation may.
+func onlyStops(cmds []Command) []Command {
+	return slices.DeleteFunc(cmds, func(x Command) bool { return x.Verb != Stop })
+}
+
 func (a *assign) expired(now Time) bool {
 	return a.stopSent > 0 && float64(now-a.stopSent)/float64(second) > a.grace+2
 }
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -71,9 +71,9 @@
 		c.confirm(c.parts[j.part], func(good bool) {
 			if k := c.known[id]; k != nil && k.final != "" {
 				fn(200, finalView(id, k))
-			} else if j := c.jobs[id]; good && j != nil {
+			} else if j := c.jobs[id]; good && j != nil && !j.ending {
 				fn(200, j.view())
-			} else {
+			} else { // another may have read and told an end that is on its way here
 				c.lookInStore(id, fn)
 			}
 		})
@@ -178,7 +178,7 @@
 		for _, id := range ids {
 			if k := c.known[id]; k != nil && k.final != "" {
 				out = append(out, finalView(id, k))
-			} else if j := c.jobs[id]; j != nil && good[j.part] {
+			} else if j := c.jobs[id]; j != nil && good[j.part] && !j.ending {
 				out = append(out, j.view())
 			}
 		}
@@ -394,6 +394,12 @@
 			kv := KV{Key: "jobs/" + string(id), Value: values[i], Mark: mark}
 			c.learnJob(kv, nil)
 			c.tell(c.teams[a.spec.Team].part, kv)
+			if x.unsure {
+				// It may have been carried out long before this answer, and others may
+				// have told more of it since.
+				c.repeat(a.answer, id)
+				continue
+			}
 			a.answer(Respond{Status: 201, View: &JobView{ID: id, Status: StPending}})
 		}
 	}
@@ -627,8 +633,11 @@
 	c.after(2800*milli, func() { done("") })
 	j.waiters = append(j.waiters, done)
 	if !j.cancelling {
+		// Its tasks are of no use from now on, and the store's answer may be lost
+		// though others read, and tell, that it is cancelled.
 		j.cancelling = true
 		c.unplan(j)
+		c.stopAll(j)
 	}
 	c.writeJob(j, prioAccept)
 }
--- a/internal/core/upkeep.go
+++ b/internal/core/upkeep.go
@@ -27,28 +27,27 @@
 			ms = append(ms, p.ms...)
 		}
 	}
-	asked := 0
+	c.callMachines(ms)
 	idle := c.idleJudge()
 	for _, m := range ms {
 		if m.spot && !m.booting {
 			c.spotTime += sweepEvery.seconds()
 		}
+		silent := c.silentFor(m)
+		hangs := c.holdsCancelled(m) && (silent > c.cfg.Lease+2*second || silent > 5*second && m.session == 0)
+		if c.storeLost(second) && !m.returned && (hangs || c.ignoresStop(m)) {
+			c.returnUnrecorded(m)
+		}
 		if m.returning {
 			if m.returned && !m.calling {
 				c.returnSoon()
 			}
 			continue
 		}
-		if !m.acked && !m.bumping && !m.ordersBusy && m.addr != "" && c.now-m.ordersAt > 1500*milli &&
-			asked < maxTokenCalls {
-			asked++
-			c.sendOrders(m, nil)
-		}
 		if c.storeLost(second) {
 			continue
 		}
 		c.checkPace(m)
-		silent := c.silentFor(m)
 		t := c.types[m.typ]
 		switch {
 		case m.booting:
@@ -56,7 +55,7 @@
 			if t.BootS > 0 && c.now-m.since > patience {
 				c.returnMachine(m, "never came up")
 			}
-		case c.holdsCancelled(m) && (silent > c.cfg.Lease+2*second || silent > 5*second && m.session == 0):
+		case hangs:
 			// A machine that hangs with a cancelled job's tasks must be gone
 			// before its cancellation's time is up.
 			c.returnMachine(m, "silent with cancelled tasks")
@@ -83,6 +82,28 @@
 	}
 }
 
+// callMachines calls those that have not acknowledged their token, and those
+// that run cancelled tasks and are silent: they may be unable to report and
+// still be reached. Machines with cancelled tasks come first: after a take-over
+// in an outage nothing but these calls may reach them.
+func (c *Core) callMachines(ms []*machine) {
+	asked := 0
+	for _, cancelled := range []bool{true, false} {
+		for _, m := range ms {
+			if m.returned || m.ordersBusy || m.addr == "" || m.booting || c.now-m.ordersAt <= 1500*milli || asked >= maxTokenCalls {
+				continue
+			}
+			if cancelled && c.holdsCancelled(m) && (!m.acked || c.silentFor(m) > 2*c.cfg.ReportEvery) {
+				asked++
+				c.sendOrders(m, onlyStops(c.commands(m, true)))
+			} else if !cancelled && !m.acked && !m.bumping && !m.returning {
+				asked++
+				c.sendOrders(m, nil)
+			}
+		}
+	}
+}
+
 // lostSpot notes a spot machine that went without notice.
 func (c *Core) lostSpot(m *machine) {
 	if m.spot && !m.draining {
@@ -92,7 +113,7 @@
 
 func (c *Core) holdsCancelled(m *machine) bool {
 	for _, a := range m.assigns {
-		if a.live() && a.j.final == StCancelled {
+		if a.live() && a.j.cancelling {
 			return true
 		}
 	}
@@ -103,7 +124,7 @@
 // perhaps they don't reach the machine.
 func (c *Core) ignoresStop(m *machine) bool {
 	for _, a := range m.assigns {
-		if a.live() && a.stopAt > 0 && a.j.final == StCancelled && c.now-a.stopAt > min(c.cfg.Lease+2*second, c.cfg.CancelWithin/2) {
+		if a.live() && a.stopAt > 0 && a.j.cancelling && c.now-a.stopAt > min(c.cfg.Lease+2*second, c.cfg.CancelWithin/2) {
 			return true
 		}
 	}
@@ -176,6 +197,17 @@
 	c.writeMachine(m, prioDone)
 }
 
+// returnUnrecorded gives a machine back before its record says so: it holds
+// cancelled tasks, and an outage of the store may outlast their time. A machine whose record lists tasks can't be taken by another
+// part. One that has been claimed with its part meanwhile may be lost to its new
+// holder, as if it had died: the return itself frees nothing, the record does.
+func (c *Core) returnUnrecorded(m *machine) {
+	if c.entitled(c.parts[m.part]) {
+		c.returnMachine(m, "cancelled tasks in an outage")
+		m.returned = true
+	}
+}
+
 // noteReturn gathers what is returned within a second into one line: hundreds
 // of machines may fall together.
 func (c *Core) noteReturn(why string, tasks int) {
--- a/internal/core/writer.go
+++ b/internal/core/writer.go
@@ -28,6 +28,8 @@
 	// also holds further conditions, which build may set.
 	also []Cond
 	ok   func(Epoch)
+	// unsure is set before ok when a late copy may yet come.
+	unsure bool
 	// conflict is called when another writer changed one of the keys.
 	conflict func()
 	// lost is called when the part's claim was lost.
@@ -42,6 +44,7 @@
 	then   []TxnOp
 	unsure bool // an earlier sending may have been, or may yet be, carried out
 	tries  int
+	sentAt Time       // when it was first sent
 	kinds  [prios]int // puts by priority
 	part   Part
 	pmark  Mark // the claim that guards it
@@ -274,7 +277,9 @@
 	w.sent += len(t.then)
 	w.credit = min(w.credit+lazyShare*float64(len(t.then)), 2)
 	w.reqs.have--
-	t.tries++
+	if t.tries++; t.tries == 1 {
+		t.sentAt = c.now
+	}
 	c.counters.Txns++
 	c.counters.Puts += len(t.then)
 	for i, n := range t.kinds {
@@ -337,8 +342,17 @@
 
 func (w *writer) applied(t *txn, e Epoch) {
 	for _, x := range t.writes {
+		x.unsure = t.unsure
 		x.ok(e)
 	}
+	if t.part != NoPart { // a claim, or a write on condition of one
+		p := w.c.parts[t.part]
+		if t.prio == prioClaim {
+			w.c.proven(p, Mark(e), t.sentAt)
+		} else {
+			w.c.proven(p, t.pmark, t.sentAt)
+		}
+	}
 }
 
 // failed sorts the writes of a refused transaction into those whose own keys
