--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -44,7 +44,7 @@
 	accepting    []*acceptance // submissions that wait for their record
 	acceptWrites int           // writes queued for them
 	acceptSeq    int
-	accepted     map[JobID]bool // by a record of several
+	accepted     map[JobID]Mark // by a record of several, the first one's revision
 	acceptsEpoch Epoch
 	acceptsRead  bool
 	askQueue     map[NodeID][]waitingView
@@ -118,7 +118,7 @@
 func New(cfg Config) *Core {
 	c := &Core{
 		cfg: cfg, calls: map[CallID]func(any){}, jobs: map[JobID]*job{}, known: map[JobID]*knownJob{},
-		machines: map[MachineID]*machine{}, groups: map[string]*group{}, accepted: map[JobID]bool{}, inspecting: map[MachineID]bool{}, owners: map[MachineID]ownerNote{}, peers: map[NodeID]*peer{},
+		machines: map[MachineID]*machine{}, groups: map[string]*group{}, accepted: map[JobID]Mark{}, inspecting: map[MachineID]bool{}, owners: map[MachineID]ownerNote{}, peers: map[NodeID]*peer{},
 		teams: map[string]*team{}, types: map[string]MachineType{}, askQueue: map[NodeID][]waitingView{},
 		askPending: map[NodeID]bool{}, strays: map[MachineID]Time{}, classes: map[string]*classStats{},
 	}
--- a/internal/core/meetings_test.go
+++ b/internal/core/meetings_test.go
@@ -196,4 +196,3 @@
 	}
 	m.rest(120 * sec)
 }
-
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -398,10 +398,22 @@
 				// It may have been carried out long before this answer, and others may
 				// have told more of it since.
 				c.repeat(a.answer, id)
-				continue
 			}
-			a.answer(Respond{Status: 201, View: &JobView{ID: id, Status: StPending}})
 		}
+		if x.unsure {
+			return
+		}
+		// Another controller may have accepted one of them in a record of several a
+		// moment ago: then this was a repeat, which is answered as one.
+		c.readAccepts(func(bool) {
+			for _, a := range jobs {
+				if id := a.spec.ID; c.accepted[id] > 0 && c.accepted[id] < Mark(e) {
+					c.repeat(a.answer, id)
+				} else {
+					a.answer(Respond{Status: 201, View: &JobView{ID: id, Status: StPending}})
+				}
+			}
+		})
 	}
 	x.conflict = func() {
 		// Some of them are known. Each learns which by itself.
@@ -441,7 +453,9 @@
 	}
 	for i := range rec.Jobs {
 		j := &rec.Jobs[i]
-		c.accepted[j.ID] = true
+		if at := c.accepted[j.ID]; at == 0 || kv.Mark < at {
+			c.accepted[j.ID] = kv.Mark
+		}
 		v, _ := json.Marshal(jobRecord{Spec: &j.Spec})
 		c.learnJob(KV{Key: "jobs/" + string(j.ID), Value: v}, loading)
 	}
@@ -465,7 +479,7 @@
 // catchUp calls fn with whether a job was accepted in a record of several, as
 // the store shows it now: what changed since the last reading is read.
 func (c *Core) catchUp(id JobID, fn func(known, ok bool)) {
-	if c.accepted[id] {
+	if c.accepted[id] > 0 {
 		fn(true, true)
 		return
 	}
@@ -473,18 +487,20 @@
 		fn(false, false)
 		return
 	}
+	c.readAccepts(func(ok bool) { fn(c.accepted[id] > 0, ok) })
+}
+
+// readAccepts reads the records of several that were stored since the last
+// reading; fn gets whether that worked.
+func (c *Core) readAccepts(fn func(bool)) {
 	c.w.reqs.have--
 	c.counters.Gets++
 	c.emit(StoreWatch{Call: c.call(func(b any) {
 		r := b.(WatchReply)
-		if r.Out != OK {
-			fn(false, false)
-			return
-		}
 		for _, kv := range r.Items {
 			c.learnAccepted(kv, nil)
 		}
-		fn(c.accepted[id], true)
+		fn(r.Out == OK)
 	}), Prefix: acceptPrefix, Since: c.acceptsEpoch})
 }
 
--- a/internal/core/upkeep.go
+++ b/internal/core/upkeep.go
@@ -34,7 +34,7 @@
 			c.spotTime += sweepEvery.seconds()
 		}
 		silent := c.silentFor(m)
-		hangs := c.holdsCancelled(m) && (silent > c.cfg.Lease+2*second || silent > 5*second && m.session == 0)
+		hangs := c.holdsCancelled(m) && (silent > c.cfg.Lease+2*second || m.taken && c.now-max(m.since, c.awakeAt) > c.takenPatience())
 		if c.storeLost(second) && !m.returned && (hangs || c.ignoresStop(m)) {
 			c.returnUnrecorded(m)
 		}
@@ -104,6 +104,11 @@
 	}
 }
 
+// takenPatience is how long a machine taken over with cancelled tasks may take
+// to acknowledge its token. That a report of it came says nothing by itself: it
+// may be a copy that was held up until now, while the machine hangs.
+func (c *Core) takenPatience() Time { return max(5*second, 2*c.cfg.ReportEvery) }
+
 // lostSpot notes a spot machine that went without notice.
 func (c *Core) lostSpot(m *machine) {
 	if m.spot && !m.draining {
--- a/internal/standin/meetings.go
+++ b/internal/standin/meetings.go
@@ -385,6 +385,14 @@
 // can't run any more: it is ended as the first thing when the machine goes on.
 func (l *Live) lostWhileHung(now core.Time) bool { return now < l.hang && now-l.renewed > l.Lease }
 
+// leaseAlone tells whether nothing but its lease can end a cancelled job's task
+// on a machine: it hangs on past that, and since the cancellation was confirmed
+// either the cloud takes no returns, or a controller ended (at most 6 s before) and the store, which
+// alone knows which machines that one had, is out.
+func (w *World) leaseAlone(j *Job, l *Live) bool {
+	return l.lostWhileHung(w.Now) && (w.CloudDn > j.CancelTold || w.Down > j.CancelTold && w.lastKill+6*second > j.CancelTold)
+}
+
 // checkLeftWaiting: once all troubles are over, no job waits for 90 s, with
 // none of its tasks started meanwhile, while a machine that fits has room and
 // its team is under its limit. It judges by what is on the machines alone.
