--- a/internal/core/meeting_guards_test.go
+++ b/internal/core/meeting_guards_test.go
@@ -53,7 +53,8 @@
 	told  []Respond
 	txns  []StoreTxn
 	// lose tells whether a transaction's answer is lost.
-	lose func(StoreTxn) bool
+	lose      func(StoreTxn) bool
+	failWatch bool
 }
 
 func newBench() *bench {
@@ -89,9 +90,15 @@
 			case StoreGet:
 				b.calls[f.Call](b.store.get(f.Key))
 			case StoreList:
+				if b.failWatch {
+					b.calls[f.Call](ListReply{Out: Unknown})
+					continue
+				}
 				b.calls[f.Call](ListReply{Out: OK, Items: b.store.list(f.Prefix, 0), Epoch: b.store.epoch})
 			case StoreWatch:
-				if f.Wait == 0 {
+				if f.Wait == 0 && b.failWatch {
+					b.calls[f.Call](WatchReply{Out: Unknown})
+				} else if f.Wait == 0 {
 					b.calls[f.Call](WatchReply{Out: OK, Items: b.store.list(f.Prefix, f.Since), Epoch: b.store.epoch})
 				}
 			case Respond:
