--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -83,6 +83,14 @@
 	if _, err := Load(write(t, "s.toml", limits+"-1\n"), ""); err == nil || !strings.Contains(err.Error(), "max_connections") {
 		t.Errorf("sockets below 0: %v", err)
 	}
+	// cancel_s must leave room for a lease after a holder was last certain of its
+	// part: 12 + 2 + 4 s and 0.1% of both are not there with 18, and are with 19.
+	for cancel, want := range map[string]int{"18.0": 1, "19.0": 0} {
+		s, err := Load(write(t, "s.toml", strings.Replace(good, "cancel_s = 37.0", "cancel_s = "+cancel, 1)), "")
+		if err != nil || len(s.Odd) != want || want > 0 && (!strings.Contains(s.Odd[0], "3.97 s") || !strings.HasSuffix(s.Odd[0], "A cancel_s of 19 would do")) {
+			t.Errorf("cancel_s %s with lease_s 12: %+v, %v", cancel, s, err)
+		}
+	}
 	if s.Core.Tuning != core.DefaultTuning() {
 		t.Errorf("defaults changed: %+v", s.Core.Tuning)
 	}
