--- a/internal/core/meeting_guards_test.go
+++ b/internal/core/meeting_guards_test.go
@@ -376,3 +376,41 @@
 		}
 	}
 }
+
+// TestCancelledCalledFirst: machines with cancelled tasks that are silent, or
+// wait for a higher token that an outage keeps from being stored, are called
+// with the stops, before all others.
+func TestCancelledCalledFirst(t *testing.T) {
+	for name, silent := range map[string]bool{"silent": true, "bumping": false} {
+		b := newBench()
+		m, a := b.running(b.job("j-1", 1))
+		a.stop = true
+		a.j.cancelling = true
+		if m.heard = b.now; silent {
+			m.heard -= 2*b.cfg.ReportEvery + second
+		} else {
+			m.bumping, m.acked = true, false
+		}
+		b.callMachines(b.parts[0].ms)
+		var got []Command
+		for _, f := range b.out {
+			if o, ok := f.(Orders); ok && o.Addr == m.addr {
+				got = append(got, o.Commands...)
+			}
+		}
+		if len(got) != 1 || got[0].Verb != Stop {
+			t.Errorf("%s: called with %+v", name, got)
+		}
+	}
+}
+
+// TestClaimProven: while one controller gives no word and the store serves, the
+// mark is read again and again, and the holder stays entitled.
+func TestClaimProven(t *testing.T) {
+	b := newBench()
+	p := b.parts[0]
+	b.play(b.cfg.CancelWithin)
+	if d := b.now - p.provenAt; d > 4*second || !b.entitled(p) || !b.mayStart(p) {
+		t.Errorf("last proven %d s ago: entitled %v, may start %v", d/second, b.entitled(p), b.mayStart(p))
+	}
+}
