--- a/internal/core/meeting_guards_test.go
+++ b/internal/core/meeting_guards_test.go
@@ -414,3 +414,25 @@
 		t.Errorf("last proven %d s ago: entitled %v, may start %v", d/second, b.entitled(p), b.mayStart(p))
 	}
 }
+
+// TestQuotaAfterTakeOver: what a group's record lists counts against the team's
+// limit after a take-over, a cancelled job's tasks too, until it is proven gone.
+func TestQuotaAfterTakeOver(t *testing.T) {
+	for _, acked := range []bool{false, true} {
+		b := newBench()
+		p := b.parts[0]
+		b.learnJob(KV{"jobs/j-1", []byte(`{"st":"cancelled","tm":"red","n":2,"r":{"CPU":3000000,"GPU":0,"Mem":1},"w":"b9-1"}`), 20}, p)
+		l := listedMachine{id: "m-1", kind: groupKind{"small", "a", false}, addr: "m-1", tasks: []listedTask{{TaskID{"j-1", 0}, 7}}}
+		b.learnGroup(KV{"groups/g", encodeGroup(0, []listedMachine{l}, "b9-2"), 25}, p)
+		m := b.machines["m-1"]
+		r := Report{Machine: "m-1", Addr: "m-1", Session: 1, Stamp: 5, Token: 12, Notice: -1} // an old one, without the task
+		want := Amount(3_000_000)
+		if acked {
+			r.Token, want = m.token, 0
+		}
+		b.reconcile(m, &r, false)
+		if use := b.teamUse(p)["red"].CPU; use != want {
+			t.Errorf("acknowledged %v: the team uses %d, want %d", acked, use, want)
+		}
+	}
+}
