--- a/internal/core/holes_test.go
+++ b/internal/core/holes_test.go
@@ -1,6 +1,9 @@
 package core
 
-import "testing"
+import (
+	"fmt"
+	"testing"
+)
 
 // TestLateCopyAfterDrop: a group that one part made and another took and
 // emptied is dropped by the other's next claim, which fences no copy of its
@@ -75,3 +78,54 @@
 		}
 	}
 }
+
+// TestSameIDInOneRecord: the same submission comes in twice before either is
+// written. It is stored once, and one of the two is answered as a repeat.
+func TestSameIDInOneRecord(t *testing.T) {
+	b := newBench()
+	for i := range ReqID(2) {
+		b.onSubmit(Submit{Req: 1 + i, Job: JobSpec{ID: "j-1", Team: "red", Tasks: 1, Need: Res{CPU: 1_000_000, Mem: 1_000_000}}})
+	}
+	b.play(second)
+	n := map[int]int{}
+	for _, r := range b.told {
+		n[r.Status]++
+	}
+	if n[201] != 1 || n[200] != 1 {
+		t.Errorf("answered %v, want one 201 and one 200", n)
+	}
+	for _, f := range b.txns {
+		keys := map[string]bool{}
+		for _, w := range f.When {
+			if keys[w.Key] {
+				t.Errorf("a transaction has two conditions on %s", w.Key)
+			}
+			keys[w.Key] = true
+		}
+	}
+}
+
+// TestConditionsOfBurst: submissions that pile up while the store is slow go out
+// in transactions that the store takes: conditions are limited to four times
+// the puts.
+func TestConditionsOfBurst(t *testing.T) {
+	b := newBench()
+	b.play(second)
+	inflight := b.w.inflight
+	b.w.inflight = maxInflight // the store is slow
+	for i := range ReqID(60) {
+		b.onSubmit(Submit{Req: 1 + i, Job: JobSpec{ID: JobID(fmt.Sprintf("j-%03d", i)), Team: "red", Tasks: 1, Need: Res{CPU: 1_000_000, Mem: 1_000_000}}})
+	}
+	b.w.inflight = inflight
+	b.play(second)
+	for _, f := range b.txns {
+		if len(f.When) > 4*b.cfg.TxnOps {
+			t.Errorf("a transaction of %d puts has %d conditions", len(f.Then), len(f.When))
+		}
+	}
+	for _, r := range b.told {
+		if r.Status != 201 {
+			t.Errorf("answered %+v", r)
+		}
+	}
+}
