--- a/internal/core/meetings_test.go
+++ b/internal/core/meetings_test.go
@@ -215,7 +215,7 @@
 func TestZoneCutLongerThanLease(t *testing.T) {
 	m := newMeeting(t, 2)
 	inside := m.Nodes[1]
-	until := m.Now + 3*m.cfg.Lease
+	until := m.Now + 6*m.cfg.Lease
 	inside.StoreCut, inside.PeerCut = until, until
 	for _, n := range m.Nodes {
 		if n != inside {
