--- /dev/null
+++ b/internal/core/awaits.go
@@ -0,0 +1,334 @@
+package core
+
+import (
+	"encoding/json"
+	"slices"
+)
+
+// Pipelines: jobs that await others. What a job awaits is part of its record;
+// everything else follows from the records of the jobs that it names and is
+// kept nowhere as a second truth.
+//
+// A job is released once all that it awaits is stored as done. The stored
+// cancellation of a job implies that of everything that needs it, directly or
+// through others, as none of those can be done before it: every controller may
+// tell and act on it from that fact alone, and the dependents' own records
+// follow. So whoever calls an unreleased job unfinished must first have read
+// what was stored until then.
+
+// pipelineLevel is what a controller's calls say of its release: from this
+// level on it knows what awaiting means. Absent in releases before.
+const pipelineLevel = 1
+
+// awaits tells which of the jobs that a job names are not known to be done.
+func (c *Core) awaits(k *knownJob) []JobID {
+	var open []JobID
+	for _, id := range k.awaits {
+		if a := c.known[id]; a == nil || a.final != StDone {
+			open = append(open, id)
+		}
+	}
+	return open
+}
+
+// unreleased tells whether a job is known to wait for others.
+func (c *Core) unreleased(id JobID) bool {
+	k := c.known[id]
+	return k != nil && k.final == "" && len(c.awaits(k)) > 0
+}
+
+// learnAwaits takes in what a job awaits, when its record is first seen.
+func (c *Core) learnAwaits(id JobID, k *knownJob, spec *JobSpec) {
+	if k.spec != nil {
+		return
+	}
+	k.spec = spec
+	k.inherit(spec.Priority, due(spec))
+	for _, d := range c.dependents[id] { // learned before it
+		c.passBack(d)
+	}
+	if len(spec.Awaits) == 0 {
+		return
+	}
+	k.awaits = spec.Awaits
+	for _, a := range k.awaits {
+		if !slices.Contains(c.dependents[a], id) {
+			c.dependents[a] = append(c.dependents[a], id)
+		}
+		// Its owner may have learned of the end before it knew that this one waits.
+		if o := c.known[a]; o != nil && o.final != "" && c.parts[o.part].held && o.part != k.part {
+			c.tell(k.part, finalRecord(a, o))
+		}
+	}
+	c.passBack(id)
+	for _, a := range k.awaits {
+		if o := c.known[a]; o != nil && o.final == StCancelled {
+			c.settle(id, k, StCancelled)
+			return
+		}
+	}
+}
+
+// due is when a job's user wants it done, as time of day; 0: no deadline.
+func due(s *JobSpec) float64 {
+	if s.DeadlineS <= 0 {
+		return 0
+	}
+	return float64(s.Submitted) + s.DeadlineS*1000
+}
+
+// inherit notes a priority and the time by which a job has to be done; false:
+// nothing is more urgent than before.
+func (k *knownJob) inherit(prio Priority, by float64) bool {
+	more := false
+	if prio > k.prio {
+		k.prio, more = prio, true
+	}
+	if by > 0 && (k.by == 0 || by < k.by) {
+		k.by, more = by, true
+	}
+	return more
+}
+
+// betweenStages is what passes between the end of a job and the start of one
+// that awaits it, roughly, in milliseconds.
+const betweenStages = 2000
+
+// passBack gives a job's priority and deadline, less its estimated run time, to
+// those that it awaits, and on to those that they await.
+func (c *Core) passBack(id JobID) {
+	k := c.known[id]
+	if k == nil || k.spec == nil {
+		return
+	}
+	by := 0.0
+	if k.by > 0 {
+		by = k.by - c.class(k.spec.Class).ratio*k.spec.RuntimeS*1000 - betweenStages
+	}
+	for _, a := range k.awaits {
+		o := c.known[a]
+		if o == nil || o.final != "" || !o.inherit(k.prio, by) {
+			continue
+		}
+		if j := c.jobs[a]; j != nil {
+			j.prio = max(j.prio, o.prio)
+			c.parts[j.part].order = nil
+		}
+		c.passBack(a)
+	}
+}
+
+// settle notes a job's stored end, or the one that follows from the stored end
+// of a job that it needs, and what follows from it.
+func (c *Core) settle(id JobID, k *knownJob, end Status) {
+	if k.final != "" {
+		return
+	}
+	k.final, k.spec = end, nil
+	j := c.jobs[id]
+	if j != nil && j.final == "" && end == StCancelled && !j.cancelling && len(k.awaits) > 0 {
+		c.cancelImplied(j)
+	}
+	for _, d := range c.dependents[id] {
+		o := c.known[d]
+		if o == nil || o.final != "" {
+			continue
+		}
+		if end == StCancelled {
+			c.settle(d, o, StCancelled)
+		} else if j := c.jobs[d]; j != nil {
+			c.release(j)
+		}
+	}
+}
+
+// cancelImplied stores that a job is cancelled with one that it needs.
+func (c *Core) cancelImplied(j *job) {
+	j.cancelling = true
+	c.unplan(j)
+	c.stopAll(j)
+	c.writeJob(j, prioDone)
+}
+
+// release lets a job's tasks start when nothing is left that it awaits.
+func (c *Core) release(j *job) {
+	k := c.known[j.spec.ID]
+	waiting := k != nil && len(c.awaits(k)) > 0
+	if waiting == j.waiting {
+		return
+	}
+	j.waiting = waiting
+	if waiting {
+		return
+	}
+	j.since = c.wall
+	c.logf("debug", "job released", "job", string(j.spec.ID), "awaited", len(k.awaits))
+	c.parts[j.part].order = nil
+	c.placing = true
+	c.rentSoon()
+}
+
+// finalRecord is a job's final state as another controller learns it.
+func finalRecord(id JobID, k *knownJob) KV {
+	rec := jobRecord{State: k.final, Team: k.team, Tasks: k.tasks}
+	if k.final == StCancelled {
+		rec.Need = &k.need
+	}
+	v, _ := json.Marshal(rec)
+	return KV{Key: "jobs/" + string(id), Value: v}
+}
+
+// tellDependents passes a job's stored end on to the owners of all that needs
+// it; their watches are the safety net.
+func (c *Core) tellDependents(id JobID, k *knownJob) {
+	told := map[Part]bool{}
+	var visit func(JobID)
+	visit = func(at JobID) {
+		for _, d := range c.dependents[at] {
+			o := c.known[d]
+			if o == nil {
+				continue
+			}
+			if p := c.parts[o.part]; !p.held && !told[o.part] {
+				told[o.part] = true
+				c.tell(o.part, finalRecord(id, k))
+			}
+			if k.final == StCancelled {
+				visit(d)
+			}
+		}
+	}
+	visit(id)
+}
+
+// unfinished answers with a job's unfinished state. That of an unreleased one
+// is told only after what was stored until now has been read: a job that it
+// needs may have been cancelled, and others may have told what follows.
+func (c *Core) unfinished(id JobID, v JobView, fn func(int, JobView)) {
+	if k := c.known[id]; k != nil && k.final != "" {
+		fn(200, finalView(id, k))
+		return
+	}
+	if !c.unreleased(id) {
+		fn(200, v)
+		return
+	}
+	c.freshen(func(ok bool) {
+		if k := c.known[id]; k.final != "" {
+			fn(200, finalView(id, k))
+		} else if ok {
+			fn(200, v)
+		} else {
+			fn(503, JobView{})
+		}
+	})
+}
+
+// freshen calls fn after everything has been learned that was stored about jobs
+// before this call, with readings begun after it; false: that could not be read.
+func (c *Core) freshen(fn func(bool)) {
+	if c.storeLost(second) || c.jobsEpoch == 0 || !c.acceptsRead {
+		fn(false)
+		return
+	}
+	c.freshQ = append(c.freshQ, fn)
+	if c.freshening {
+		return
+	}
+	c.freshening = true
+	c.after(max(0, c.freshAt+100*milli-c.now), c.readChanges)
+}
+
+func (c *Core) readChanges() {
+	q := c.freshQ
+	c.freshQ, c.freshAt = nil, c.now
+	left, good := 2, true
+	done := func(ok bool) {
+		good = good && ok
+		if left--; left > 0 {
+			return
+		}
+		for _, fn := range q {
+			fn(good)
+		}
+		if c.freshening = len(c.freshQ) > 0; c.freshening {
+			c.after(max(0, c.freshAt+100*milli-c.now), c.readChanges)
+		}
+	}
+	c.readAccepts(done)
+	c.w.reqs.have--
+	c.counters.Gets++
+	c.emit(StoreWatch{Call: c.call(func(b any) {
+		r := b.(WatchReply)
+		for _, kv := range r.Items {
+			c.learnJob(kv, nil)
+		}
+		done(r.Out == OK)
+	}), Prefix: "jobs/", Since: c.jobsEpoch})
+}
+
+// checkAwaits finds out whether all jobs that a submission names were accepted:
+// 0, or the status that it gets instead. Only the store can show that one never
+// was. While a controller of an earlier release is about, which would start the
+// job at once, it can't be taken.
+func (c *Core) checkAwaits(spec *JobSpec, fn func(int)) {
+	for _, p := range c.peers {
+		if p.heard && p.ping.Level < pipelineLevel {
+			fn(503)
+			return
+		}
+	}
+	left, worst := 1, 0
+	done := func(status int) {
+		worst = max(worst, status)
+		if left--; left == 0 {
+			fn(worst)
+		}
+	}
+	for _, id := range spec.Awaits {
+		if c.known[id] != nil {
+			continue
+		}
+		left++
+		c.lookInStore(id, func(status int, _ JobView) {
+			switch status {
+			case 200:
+				done(0)
+			case 404:
+				done(422)
+			default:
+				done(503)
+			}
+		})
+	}
+	done(0)
+}
+
+// shorten drops what needs no record: repeats, and jobs that are done. Of a list
+// with a cancelled job that one is enough.
+func (c *Core) shorten(spec *JobSpec) {
+	var open []JobID
+	for _, id := range spec.Awaits {
+		k := c.known[id]
+		if k != nil && k.final == StCancelled {
+			spec.Awaits = []JobID{id}
+			return
+		}
+		if (k == nil || k.final != StDone) && !slices.Contains(open, id) {
+			open = append(open, id)
+		}
+	}
+	spec.Awaits = open
+}
+
+// tellAwaited lets the owners of the jobs that a job awaits know of it, so that
+// they tell its owner of their end.
+func (c *Core) tellAwaited(spec *JobSpec, kv KV) {
+	told := map[Part]bool{c.teams[spec.Team].part: true}
+	for _, id := range spec.Awaits {
+		if k := c.known[id]; k != nil && !told[k.part] {
+			told[k.part] = true
+			c.tell(k.part, kv)
+		}
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -51,6 +51,10 @@
 	askQueue     map[NodeID][]waitingView
 	askPending   map[NodeID]bool
 	jobsEpoch    Epoch
+	dependents   map[JobID][]JobID // jobs that await a job
+	freshQ       []func(bool)
+	freshening   bool
+	freshAt      Time
 	partsEpoch   Epoch
 	counters     Counters
 	classes      map[string]*classStats
@@ -103,11 +107,16 @@
 }
 
 type knownJob struct {
-	part  Part
-	final Status
-	tasks int
-	team  string
-	need  Res // of a cancelled job
+	part   Part
+	final  Status
+	stored bool // its own record says so; else it follows from that of a job that it needs
+	tasks  int
+	team   string
+	need   Res      // of a cancelled job
+	spec   *JobSpec // while it is unfinished, and its record was seen
+	awaits []JobID
+	prio   Priority // its own, or that of one that needs it
+	by     float64  // when it has to be done for itself and all that need it, as time of day; 0: any time
 }
 
 type ownerNote struct {
@@ -119,7 +128,7 @@
 func New(cfg Config) *Core {
 	c := &Core{
 		cfg: cfg, calls: map[CallID]func(any){}, jobs: map[JobID]*job{}, known: map[JobID]*knownJob{},
-		machines: map[MachineID]*machine{}, groups: map[string]*group{}, accepted: map[JobID]Mark{}, inspecting: map[MachineID]bool{}, owners: map[MachineID]ownerNote{}, peers: map[NodeID]*peer{},
+		machines: map[MachineID]*machine{}, groups: map[string]*group{}, accepted: map[JobID]Mark{}, dependents: map[JobID][]JobID{}, inspecting: map[MachineID]bool{}, owners: map[MachineID]ownerNote{}, peers: map[NodeID]*peer{},
 		teams: map[string]*team{}, types: map[string]MachineType{}, askQueue: map[NodeID][]waitingView{},
 		askPending: map[NodeID]bool{}, strays: map[MachineID]Time{}, classes: map[string]*classStats{},
 	}
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -283,6 +283,7 @@
 	Puts      float64 // a second that the sender could use
 	Cloud     float64 // calls of the cloud a second that the sender could use
 	Loads     []PartLoad
+	Level     int    // of the sender's release; absent before pipelines
 	Terms     []Term // the latest terms that the sender knows, by part
 }
 
--- a/internal/core/groups.go
+++ b/internal/core/groups.go
@@ -145,6 +145,19 @@
 				c.checkGroup(g)
 			}
 		},
+		tooLarge: func() {
+			g.w, g.sent = false, false
+			if c.groups[g.id] != g || p.claim != claim || !p.held {
+				return
+			}
+			if g.again = min(g.again, prio); len(g.ms) > 1 {
+				again := g.again
+				c.splitGroup(p, g)
+				g.again = again
+				return
+			}
+			c.after(second, func() { c.writeAgain(g) })
+		},
 		lost: func() { g.w, g.sent = false, false },
 	}
 	c.w.add(prio, g.wait)
@@ -332,6 +345,108 @@
 	})
 }
 
+// splitGroup moves machines of a group into new ones, by one transaction on all
+// of them: into two, or as many as a transaction may write where the record is
+// far too large, as one that was written under higher limits may be.
+func (c *Core) splitGroup(p *part, g *group) {
+	if g.sent || len(g.ms) < 2 {
+		return
+	}
+	n := min(max((g.size+g.added)/(c.cfg.ValueBytes/2), 2), c.cfg.TxnOps, len(g.ms))
+	if g.wait != nil {
+		c.w.cancel(g.wait)
+		g.wait = nil
+	}
+	g.w, g.sent, g.again = true, true, prios
+	keys := []string{g.key()}
+	var ids []string
+	for range n - 1 {
+		id := c.groupName(p)
+		ids, keys = append(ids, id), append(keys, "groups/"+id)
+	}
+	claim := p.claim
+	free := func() { g.w, g.sent = false, false }
+	var snaps []*snapshot
+	var bins [][]*machine
+	c.w.add(prioStart, &write{
+		part: p.id, keys: keys,
+		build: func(nonce string) ([]TxnOp, []Mark) {
+			if c.groups[g.id] != g {
+				free()
+				return nil, nil
+			}
+			g.again, g.added = prios, 0
+			bins, snaps = c.bins(g.list(), n), nil
+			var ops []TxnOp
+			var marks []Mark
+			for i, ms := range bins {
+				v, s := c.snap(p.id, ms, nonce)
+				mark := Mark(0)
+				if i == 0 {
+					mark = g.mark
+				}
+				ops, marks, snaps = append(ops, TxnOp{keys[i], v}), append(marks, mark), append(snaps, s)
+			}
+			return ops, marks
+		},
+		ok: func(e Epoch) {
+			free()
+			if c.groups[g.id] != g || !p.held || p.claim != claim {
+				return
+			}
+			again := g.again
+			for i, ms := range bins {
+				to := g
+				if i > 0 {
+					to = c.newGroup(p, ids[i-1], 0)
+					for _, m := range ms {
+						delete(g.ms, m.id)
+						m.g = to
+						to.ms[m.id] = m
+					}
+				}
+				to.mark, to.size = Mark(e), snaps[i].size
+				c.groupStored(to, snaps[i], e)
+				if to.again = again; len(to.ms) > 0 { // what was asked of the whole may concern each
+					c.writeAgain(to)
+				}
+			}
+		},
+		conflict: func() {
+			free()
+			if c.groups[g.id] == g {
+				c.checkGroup(g)
+			}
+		},
+		// Still too large for the store: tasks end, and the record gets shorter.
+		tooLarge: func() {
+			free()
+			c.after(second, func() { c.writeAgain(g) })
+		},
+		lost: free,
+	})
+}
+
+// bins divides machines so that their records are about equally long.
+func (c *Core) bins(ms []*machine, n int) [][]*machine {
+	length := func(m *machine) int { return 40 + 16*len(m.assigns) }
+	rest := 0
+	for _, m := range ms {
+		rest += length(m)
+	}
+	out := make([][]*machine, n)
+	i, sum := 0, 0
+	for k, m := range ms {
+		if i < n-1 && len(out[i]) > 0 && (sum+length(m)/2 > rest/(n-i) || len(ms)-k <= n-1-i) {
+			rest -= sum
+			i, sum = i+1, 0
+		}
+		out[i] = append(out[i], m)
+		sum += length(m)
+	}
+	return out[:i+1]
+}
+
 // tidyGroups keeps records well under the value limit, and few: every group
 // with a change costs a put.
 func (c *Core) tidyGroups(p *part) {
@@ -342,9 +457,7 @@
 			continue
 		}
 		if size := g.size + g.added; size > c.cfg.ValueBytes*4/5 && len(g.ms) > 1 {
-			l := g.list()
-			c.regroup(p, l[len(l)/2:], nil, prioDone, func(*group) {})
-			return
+			c.splitGroup(p, g)
 		} else if size < c.cfg.ValueBytes/2 {
 			small = append(small, g)
 		}
@@ -537,6 +650,16 @@
 	return Epoch(n), err == nil
 }
 
+// dropKey removes a part's key when there is time.
+func (c *Core) dropKey(p *part, key string, mark Mark) {
+	c.w.add(prioLazy, &write{
+		part: p.id, keys: []string{key},
+		build:    func(string) ([]TxnOp, []Mark) { return []TxnOp{{key, nil}}, []Mark{mark} },
+		ok:       func(Epoch) {},
+		conflict: func() {},
+	})
+}
+
 // learnTask takes in a task that an earlier holder's record lists. It returns
 // what makes no sense about it.
 func (c *Core) learnTask(m *machine, t listedTask, p *part) string {
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -44,13 +44,17 @@
 
 	loading   int // chunks still to be read; nothing is placed before
 	errors    int
+	outcomeAt Time // not written before, while starts wait for their records: each interval's would take their puts
 	failedOn  map[MachineID]bool
+	prio      Priority // its own, or that of a job that needs it
 	holdUntil Time
 	preemptAt Time      // not before then again
 	keeps     MachineID // kept free for it while it starves
 	judged    bool
 	owedFirst bool // it fitted into its team's guarantee when it came; for the log
 	arrived   Time
+	waiting   bool         // for jobs that it awaits
+	since     Wall         // its aims' times count from then: its submission, or its release
 	restarted map[int]bool // tasks that did not end at their first start
 	runs      int          // tasks that ran to their end here, and their time in all
 	runSum    float64
@@ -80,7 +84,7 @@
 func newJob(spec JobSpec, part Part, mark Mark, now Time) *job {
 	n := chunks(spec.Tasks)
 	j := &job{spec: spec, part: part, marks: make([]Mark, n), dirty: make([]bool, n), state: make([]uint8, spec.Tasks),
-		where: map[int]*assign{}, on: map[*assign]bool{}, failedOn: map[MachineID]bool{}, restarted: map[int]bool{}, arrived: now}
+		where: map[int]*assign{}, on: map[*assign]bool{}, failedOn: map[MachineID]bool{}, restarted: map[int]bool{}, arrived: now, since: spec.Submitted, prio: spec.Priority}
 	j.marks[0] = mark
 	return j
 }
@@ -150,10 +154,13 @@
 	return v
 }
 
-// encodeDone writes which of the tasks [from, from+chunkTasks) are done, as
+// encodeDone writes which of a chunk's tasks are done, in at most so many bytes:
+// from the index it returns on, what is done did not fit. To list fewer is safe,
+// as a task that is started again after it was done ends at once. It writes
 // ranges or as a bitmap, whichever is shorter.
-func encodeDone(state []uint8) string {
+func encodeDone(state []uint8, limit int) (string, int) {
 	var b strings.Builder
+	full := len(state) // what lies from here on did not fit
 	for i := 0; i < len(state); i++ {
 		if state[i] < tDone {
 			continue
@@ -162,6 +169,10 @@
 		for k+1 < len(state) && state[k+1] >= tDone {
 			k++
 		}
+		if b.Len()+12 > limit {
+			full = i
+			break
+		}
 		if b.Len() > 0 {
 			b.WriteByte(',')
 		}
@@ -172,8 +183,9 @@
 		}
 		i = k
 	}
-	if b.Len() <= len(state)/6+8 {
-		return b.String()
+	bitmap := base64.RawStdEncoding.EncodedLen((len(state)+7)/8) + 1
+	if full == len(state) && b.Len() <= bitmap || bitmap > limit {
+		return b.String(), full
 	}
 	bits := make([]byte, (len(state)+7)/8)
 	for i, s := range state {
@@ -181,7 +193,7 @@
 			bits[i/8] |= 1 << (i % 8)
 		}
 	}
-	return "b" + base64.RawStdEncoding.EncodeToString(bits)
+	return "b" + base64.RawStdEncoding.EncodeToString(bits), len(state)
 }
 
 func decodeDone(s string, n int, set func(int)) bool {
@@ -251,11 +263,16 @@
 		k.need = *rec.Need
 	}
 	if rec.State.Final() {
-		k.final = rec.State
+		k.stored = true
+		c.settle(id, k, rec.State)
 		return
 	}
+	if rec.Spec != nil && k.final == "" {
+		c.learnAwaits(id, k, rec.Spec)
+	}
 	p := c.parts[t.part]
-	if k.final != "" || !p.held || c.jobs[id] != nil || rec.Spec == nil {
+	implied := k.final == StCancelled && !k.stored && len(k.awaits) > 0 // its own record has to follow
+	if k.final != "" && !implied || !p.held || c.jobs[id] != nil || rec.Spec == nil {
 		return
 	}
 	if !p.ready && p != loading {
@@ -276,7 +293,13 @@
 		c.logf("info", "impossible record", "key", kv.Key, "why", "done ranges")
 		j = newJob(*rec.Spec, t.part, kv.Mark, c.now)
 	}
+	j.prio = max(j.prio, k.prio)
 	c.addJob(j)
+	if implied {
+		c.cancelImplied(j)
+		return
+	}
+	c.release(j)
 	c.placing = true
 	c.rentSoon()
 	for n := 1; n < len(j.marks); n++ {
@@ -398,10 +421,7 @@
 		return
 	}
 	j.w, j.again = true, false
-	keys := make([]string, len(j.marks))
-	for k := range keys {
-		keys[k] = j.key(k)
-	}
+	keys, which := j.writeKeys(c.cfg.TxnOps)
 	var snapshot []int
 	var wrote []int
 	var end Status
@@ -419,21 +439,24 @@
 			j.ending = end != ""
 			var ops []TxnOp
 			var marks []Mark
-			for k := range j.marks {
+			for _, k := range which {
 				if end == "" && !j.dirty[k] || k > 0 && end != "" && j.marks[k] == 0 {
 					continue
 				}
-				rec := jobRecord{W: nonce}
+				rec, fits := jobRecord{W: nonce}, chunkTasks
 				if end != "" {
 					rec.State, rec.Team, rec.Tasks = end, j.spec.Team, j.spec.Tasks
 					if end == StCancelled {
 						rec.Need = &j.spec.Need
 					}
 				} else {
-					rec.Done = encodeDone(j.chunk(k))
+					room := c.cfg.ValueBytes * 9 / 10
 					if k == 0 {
 						rec.Spec = &j.spec
+						v, _ := json.Marshal(rec)
+						room -= len(v)
 					}
+					rec.Done, fits = encodeDone(j.chunk(k), room)
 				}
 				v, _ := json.Marshal(rec)
 				if k > 0 && end != "" {
@@ -442,16 +465,16 @@
 				ops = append(ops, TxnOp{j.key(k), v})
 				marks = append(marks, j.marks[k])
 				wrote = append(wrote, k)
+				for i, s := range j.chunk(k) {
+					if s == tDone && i < fits {
+						snapshot = append(snapshot, k*chunkTasks+i)
+					}
+				}
 			}
 			if len(ops) == 0 {
 				j.w = false
 				return nil, nil
 			}
-			for i, s := range j.state {
-				if s == tDone {
-					snapshot = append(snapshot, i)
-				}
-			}
 			return ops, marks
 		},
 		ok: func(e Epoch) {
@@ -475,6 +498,7 @@
 				c.releaseDone(j)
 			}
 			if end != "" {
+				c.dropChunks(j, wrote)
 				c.jobEnded(j, end)
 			} else if j.again {
 				c.writeJob(j, prioDone)
@@ -495,6 +519,31 @@
 	})
 }
 
+// writeKeys picks the keys that a write of a job may set, within the changes that
+// a transaction may have: its own record, and further chunks that have changed or
+// exist. What does not fit has its turn in the next write.
+func (j *job) writeKeys(ops int) ([]string, []int) {
+	keys, chunks := []string{j.key(0)}, []int{0}
+	for _, changed := range []bool{true, false} {
+		for k := 1; k < len(j.marks) && len(keys) < ops; k++ {
+			if j.dirty[k] == changed && (changed || j.marks[k] != 0) {
+				keys, chunks = append(keys, j.key(k)), append(chunks, k)
+			}
+		}
+	}
+	return keys, chunks
+}
+
+// dropChunks removes the outcomes of a job that is over which its last write had
+// no room to remove.
+func (c *Core) dropChunks(j *job, wrote []int) {
+	for k := 1; k < len(j.marks); k++ {
+		if j.marks[k] != 0 && !slices.Contains(wrote, k) {
+			c.dropKey(c.parts[j.part], j.key(k), j.marks[k])
+		}
+	}
+}
+
 // ownRecord follows the conflict of a job's first own record: the job came in
 // twice at once, and its other acceptance has written one. That says no more
 // than the acceptance here.
@@ -547,7 +596,9 @@
 func (c *Core) jobEnded(j *job, end Status) {
 	j.final = end
 	if k := c.known[j.spec.ID]; k != nil {
-		k.final = end
+		k.stored = true
+		c.settle(j.spec.ID, k, end)
+		c.tellDependents(j.spec.ID, k)
 	}
 	for _, fn := range j.waiters {
 		fn(end)
@@ -572,11 +623,12 @@
 // machine records that list more than they need to.
 func (c *Core) checkpoint() {
 	for _, j := range c.heldJobs() {
-		if j.w || j.final != "" {
+		if j.w || j.final != "" || c.now < j.outcomeAt && len(c.w.queues[prioStart]) > 0 {
 			continue
 		}
 		for _, d := range j.dirty {
 			if d {
+				j.outcomeAt = c.now + 4*c.cfg.Tuning.Checkpoint
 				c.writeJob(j, prioLazy)
 				break
 			}
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -41,6 +41,7 @@
 	ackedAt    Time // when the last one did
 	atStake    bool // a job of it would lose much on spot machines
 	refused    map[rentOption]Time
+	refusals   map[rentOption]int // in a row
 	rentedAt   Time
 
 	confirmQ    []func(bool)
@@ -240,7 +241,7 @@
 			p.changed(c.now)
 			p.attempts = 0
 			p.rentals = map[string]*rental{}
-			p.refused = map[rentOption]Time{}
+			p.refused, p.refusals = map[rentOption]Time{}, map[rentOption]int{}
 			c.logf("info", "claimed part", "part", int(p.id), "term", uint64(term), "from", string(prev))
 			c.loadPart(p)
 		},
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -117,7 +117,7 @@
 	g.Groups = c.offers()
 	g.Puts, g.Cloud = c.w.demand, c.cloud.demand
 	g.Loads = c.loads()
-	g.Terms = c.terms()
+	g.Terms, g.Level = c.terms(), pipelineLevel
 	return g
 }
 
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -105,7 +105,7 @@
 // its aims that can still be met, as milliseconds of the time of day: its own
 // deadline, or what the objectives say of its class.
 func (c *Core) latestStart(j *job) float64 {
-	at, run := float64(j.spec.Submitted), c.expectedRun(j)*1000
+	at, run := float64(j.since), c.expectedRun(j)*1000
 	best, known := float64(never), false
 	consider := func(start float64) {
 		known = true
@@ -120,7 +120,7 @@
 		switch o.Kind {
 		case "deadline":
 			if j.spec.DeadlineS > 0 {
-				consider(at + j.spec.DeadlineS*1000*max(o.Times, 0.1) - run)
+				consider(float64(j.spec.Submitted) + j.spec.DeadlineS*1000*max(o.Times, 0.1) - run)
 			}
 		case "finished":
 			consider(at + o.WithinS*1000 - run)
@@ -128,6 +128,9 @@
 			consider(at + o.WithinS*1000)
 		}
 	}
+	if k := c.known[j.spec.ID]; k != nil && k.by > 0 && k.by != due(&j.spec) { // of a job that needs it
+		consider(k.by - run)
+	}
 	if !known {
 		consider(at + max(j.spec.DeadlineS, 600)*1000 - run)
 	}
@@ -158,7 +161,7 @@
 // coming would starve the large.
 func (c *Core) unbegun(j *job) bool {
 	return j.firstRun == 0 && j.done == 0 && j.placed == 0 &&
-		float64(c.wall)-float64(j.spec.Submitted) > float64(c.cfg.Tuning.BeginWithin/milli)/2
+		float64(c.wall)-float64(j.since) > float64(c.cfg.Tuning.BeginWithin/milli)/2
 }
 
 // spared tells whether a job's only task must not give way to others: it began
@@ -166,14 +169,14 @@
 // back to waiting as one that has begun (seed 1362: 110 s more).
 func (c *Core) spared(j *job) bool {
 	return j.done == 0 && j.placed == 1 &&
-		float64(c.wall)-float64(j.spec.Submitted) > float64(c.cfg.Tuning.BeginWithin/milli)/2
+		float64(c.wall)-float64(j.since) > float64(c.cfg.Tuning.BeginWithin/milli)/2
 }
 
 // starving tells whether a job has waited too long without anything of it
 // running: its first task, or, when it is older than twice its horizon, its
 // next.
 func (c *Core) starving(j *job) bool {
-	return c.unbegun(j) || j.placed == 0 && float64(c.wall) > float64(j.spec.Submitted)+2*c.horizon(j)
+	return c.unbegun(j) || j.placed == 0 && float64(c.wall) > float64(j.since)+2*c.horizon(j)
 }
 
 // queued lists a part's jobs with waiting tasks in the order in which they are
@@ -202,7 +205,7 @@
 
 // waits tells whether a job has tasks that could be placed now.
 func (c *Core) waits(j *job) bool {
-	return j.active() && j.loading == 0 && j.pending() > 0 && c.now >= j.holdUntil
+	return j.active() && !j.waiting && j.loading == 0 && j.pending() > 0 && c.now >= j.holdUntil
 }
 
 // rankJobs works out the order in which a part's jobs are served.
@@ -219,17 +222,17 @@
 		room += c.types[m.typ].Cap.CPU
 	}
 	p.owed = c.withinGuarantee(p)
-	p.atStake = slices.ContainsFunc(p.js, func(j *job) bool { return j.active() && c.spares(j) })
+	p.atStake = slices.ContainsFunc(p.js, func(j *job) bool { return j.active() && !j.waiting && c.spares(j) })
 	q := make([]ranked, 0, len(p.js))
 	for _, j := range p.js {
 		// What is held back for a moment may be let go before the next ranking.
-		if !j.active() || j.pending() == 0 && j.placed == 0 {
+		if !j.active() || j.waiting || j.pending() == 0 && j.placed == 0 {
 			continue
 		}
 		r := ranked{j: j, start: c.latestStart(j), owed: p.owed[j]}
-		at, horizon := float64(j.spec.Submitted), c.horizon(j)
-		if j.spec.Priority >= Urgent {
-			r.tier = int(j.spec.Priority)
+		at, horizon := float64(j.since), c.horizon(j)
+		if j.prio >= Urgent {
+			r.tier = int(j.prio)
 		}
 		if r.start == never {
 			r.start = at
@@ -274,11 +277,11 @@
 func (c *Core) withinGuarantee(p *part) map[*job]bool {
 	var js []*job
 	for _, j := range p.js {
-		if j.active() {
+		if j.active() && !j.waiting {
 			js = append(js, j)
 		}
 	}
-	slices.SortStableFunc(js, func(a, b *job) int { return cmp.Compare(a.spec.Submitted, b.spec.Submitted) })
+	slices.SortStableFunc(js, func(a, b *job) int { return cmp.Compare(a.since, b.since) })
 	sum := map[string]Res{}
 	out := make(map[*job]bool, len(js))
 	for _, j := range js {
@@ -387,11 +390,11 @@
 	s.busy += j.spec.Need.CPU
 	for i := range s.fetch {
 		if s.fetch[i].image == j.spec.Image {
-			s.fetch[i].prio = max(s.fetch[i].prio, j.spec.Priority)
+			s.fetch[i].prio = max(s.fetch[i].prio, j.prio)
 			return
 		}
 	}
-	s.fetch = append(s.fetch, fetch{j.spec.Image, j.spec.Priority})
+	s.fetch = append(s.fetch, fetch{j.spec.Image, j.prio})
 }
 
 // rank says how well a machine suits a job: it has the image, is getting it,
@@ -405,7 +408,7 @@
 		if f.image == j.spec.Image {
 			return 1
 		}
-		other = other || f.prio >= min(j.spec.Priority, Urgent)
+		other = other || f.prio >= min(j.prio, Urgent)
 	}
 	// Two fetches share the machine's rate: one after the other lets the first
 	// start sooner and the second no later. But a machine that takes many tasks
@@ -513,7 +516,7 @@
 	})
 	zones := c.zonesOf(j)
 	for _, f := range fit {
-		m := f.s.m
+		m, last := f.s.m, TaskID{}
 		for n > 0 && j.pending() > 0 && j.spec.Need.fits(f.s.free) && c.room(m.g, j) {
 			u := use[j.spec.Team].plus(j.spec.Need)
 			if u.CPU > limit.CPU || u.GPU > limit.GPU {
@@ -532,7 +535,8 @@
 			}
 			a := &assign{task: task, j: j, attempt: p.nextAttempt(), need: j.spec.Need, mach: m.id}
 			m.addAssign(a)
-			m.g.added += len(j.spec.ID) + 28
+			m.g.added += listedBytes(j, m, task, last)
+			last = task
 			j.setPlaced(i, a)
 			zones[m.zone]++
 			use[j.spec.Team] = u
@@ -549,6 +553,21 @@
 	}
 }
 
+// listedBytes is about how much longer a record gets by a task: one that follows
+// on the task placed before on the same machine only widens its range.
+func listedBytes(j *job, m *machine, t, last TaskID) int {
+	if last.Job == t.Job && last.Index+1 == t.Index {
+		return 1
+	}
+	n := 16
+	for a := range j.on {
+		if a.mach == m.id && a.task != t {
+			return n
+		}
+	}
+	return n + len(t.Job) + 3
+}
+
 // stake is what a job's tasks must expect to lose on spot machines, in seconds:
 // those that can't save lose half a run in the mean when theirs is taken. That
 // counts four times, as a job of many tasks waits for its unluckiest.
--- a/internal/core/random_test.go
+++ b/internal/core/random_test.go
@@ -109,7 +109,8 @@
 		"odd requests: cancellations of done jobs", "odd requests: jobs that fit no machine", "odd requests: malformed jobs",
 		"a controller refused alone, then everybody", "a controller ended within a second of a claim", "an outage within a second of a claim", "machines up within two seconds",
 		"quick boots with a slow store as the busiest controller ends", "a slow store that refuses one controller",
-		"slow messages between controllers"} {
+		"slow messages between controllers",
+		"jobs that await others", "jobs started after those that they await", "jobs cancelled with one that they need"} {
 		t.Logf("%s: %d", k, faults[k])
 		if faults[k] == 0 && to-from >= 20 {
 			t.Errorf("no day had %s", k)
@@ -138,6 +139,7 @@
 	troubles := 240 * sec
 	plan(w, teams, troubles)
 	planTogether(w, troubles, cfg.CancelWithin)
+	planPipelines(w, teams, troubles)
 	w.Calmed = troubles + 40*sec
 	// The least important work of a team at its limit is through after some eight minutes
 	// where half of the machines died more than once.
@@ -167,6 +169,9 @@
 func largest(w *standin.World) map[string]*standin.Job {
 	out := map[string]*standin.Job{}
 	for _, j := range w.Jobs {
+		if len(j.Spec.Awaits) > 0 { // its time counts from another moment
+			continue
+		}
 		size := func(j *standin.Job) float64 {
 			return float64(j.Spec.Need.CPU) * float64(j.Spec.Tasks) * j.Spec.RuntimeS
 		}
@@ -427,3 +432,44 @@
 	w.Kill(n)
 	w.After(gap, func() { w.Boot(n) })
 }
+
+// planPipelines plans chains and fans over the teams: some are cancelled at one
+// of their jobs, some have their last job handed in only when the others are over.
+func planPipelines(w *standin.World, teams []string, until core.Time) {
+	n := 0
+	job := func(awaits ...core.JobID) *standin.Job {
+		n++
+		run := w.Between(2*sec, 12*sec)
+		s := core.JobSpec{ID: core.JobID(fmt.Sprintf("j-5%05d", n)), Class: "p" + strconv.Itoa(n%2), Team: teams[w.Rand.IntN(len(teams))],
+			Priority: core.Priority(w.Rand.IntN(4)), Tasks: 1 + w.Rand.IntN(4), Need: core.Res{CPU: cpu, Mem: 2 * cpu}, Awaits: awaits,
+			Image: "img-" + strconv.Itoa(w.Rand.IntN(3)), ImageGB: 1, RuntimeS: float64(run) / 1e9, DeadlineS: 120, Spot: w.Chance(0.6)}
+		return &standin.Job{Spec: s, Info: standin.JobInfo{Need: s.Need, Run: run, Tasks: s.Tasks, Image: s.Image}}
+	}
+	for range 6 {
+		at := w.Between(0, until-60*sec)
+		first := job()
+		line := []*standin.Job{first}
+		var fan []core.JobID
+		for range 1 + w.Rand.IntN(3) {
+			j := job(first.Spec.ID)
+			line, fan = append(line, j), append(fan, j.Spec.ID)
+		}
+		middle := job(fan...)
+		last := job(middle.Spec.ID, first.Spec.ID)
+		line = append(line, middle, last)
+		late := w.Chance(0.25)
+		w.After(at, func() { w.Submit(first) })
+		for _, j := range line[1:] {
+			w.After(at, func() { w.SubmitAfter(j, late && j == last) })
+		}
+		if w.Chance(0.5) {
+			j := line[w.Rand.IntN(len(line))]
+			j.MayCancel = true
+			w.After(at+w.Between(0, 40*sec), func() {
+				if w.Jobs[j.Spec.ID] != nil {
+					w.Cancel(j)
+				}
+			})
+		}
+	}
+}
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -317,6 +317,10 @@
 // one, as it divides prices.
 func slotsFor(room, need Res) int { return max(slotsIn(room, need), 1) }
 
+// mostRefusals bounds how often the pause after a refusal doubles: each request
+// costs two puts, a whole second's worth where the write rate is low.
+const mostRefusals = 2
+
 func (c *Core) startRental(p *part, o rentOption, n int) {
 	c.rentSeq++
 	r := &rental{name: "r-" + c.cfg.Boot + "-" + strconv.FormatUint(uint64(p.claim), 10) + "-" + strconv.Itoa(c.rentSeq), opt: o, count: n, group: c.groupName(p)}
@@ -360,11 +364,13 @@
 			if len(a.IDs) < r.count {
 				p.refused[r.opt] = c.now + c.cfg.Tuning.RefusedWait
 			}
+			delete(p.refusals, r.opt)
 			r.over, r.got = true, len(a.IDs)
 			c.settleRental(p, r, a.IDs)
 			c.rentSoon()
 		case Missing:
-			p.refused[r.opt] = c.now + c.cfg.Tuning.RefusedWait
+			p.refused[r.opt] = c.now + c.cfg.Tuning.RefusedWait<<p.refusals[r.opt]
+			p.refusals[r.opt] = min(p.refusals[r.opt]+1, mostRefusals)
 			r.over = true
 			c.settleRental(p, r, nil)
 			c.rentSoon()
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -72,7 +72,7 @@
 			if k := c.known[id]; k != nil && k.final != "" {
 				fn(200, finalView(id, k))
 			} else if j := c.jobs[id]; good && j != nil && !j.ending {
-				fn(200, j.view())
+				c.unfinished(id, j.view(), fn)
 			} else { // another may have read and told an end that is on its way here
 				c.lookInStore(id, fn)
 			}
@@ -97,18 +97,22 @@
 		switch r.Out {
 		case OK:
 			c.learnJob(r.KV, nil)
-			if v, ok := viewOfRecord(r.KV, id); ok {
+			v, ok := viewOfRecord(r.KV, id)
+			switch {
+			case !ok:
+				fn(503, JobView{})
+			case v.Status.Final():
 				fn(200, v)
-				return
+			default:
+				c.unfinished(id, v, fn)
 			}
-			fn(503, JobView{})
 		case Missing:
 			c.catchUp(id, func(known, ok bool) {
 				switch {
 				case !ok:
 					fn(503, JobView{})
 				case known:
-					fn(200, JobView{ID: id, Status: StPending})
+					c.unfinished(id, JobView{ID: id, Status: StPending}, fn)
 				default:
 					fn(404, JobView{})
 				}
@@ -149,7 +153,7 @@
 			for _, x := range q {
 				if v, ok := got[x.id]; ok {
 					if k := c.known[x.id]; k != nil && v.Status.Final() {
-						k.final = v.Status
+						c.settle(x.id, k, v.Status)
 					}
 					x.fn(200, v)
 				} else {
@@ -170,6 +174,7 @@
 	}
 	left := 1
 	good := map[Part]bool{}
+	fresh := false
 	finish := func() {
 		if left--; left > 0 {
 			return
@@ -178,12 +183,19 @@
 		for _, id := range ids {
 			if k := c.known[id]; k != nil && k.final != "" {
 				out = append(out, finalView(id, k))
-			} else if j := c.jobs[id]; j != nil && good[j.part] && !j.ending {
+			} else if j := c.jobs[id]; j != nil && good[j.part] && !j.ending && (fresh || !c.unreleased(id)) {
 				out = append(out, j.view())
 			}
 		}
 		fn(out)
 	}
+	if slices.ContainsFunc(ids, func(id JobID) bool { return c.jobs[id] != nil && c.unreleased(id) }) {
+		left++
+		c.freshen(func(ok bool) {
+			fresh = ok
+			finish()
+		})
+	}
 	for _, p := range c.parts {
 		if byPart[p.id] {
 			left++
@@ -241,6 +253,11 @@
 
 // submit takes a job, or says why not; what is accepted is stored first.
 func (c *Core) submit(spec JobSpec, bad int, why string, answer func(Respond)) {
+	c.take(spec, bad, why, false, answer)
+}
+
+// take is submit; checked tells whether what the job awaits was looked up.
+func (c *Core) take(spec JobSpec, bad int, why string, checked bool, answer func(Respond)) {
 	id := spec.ID
 	if c.known[id] != nil {
 		c.repeat(answer, id)
@@ -274,10 +291,28 @@
 		})
 		return
 	}
+	if len(spec.Awaits) > 0 && !checked {
+		c.checkAwaits(&spec, func(status int) {
+			switch status {
+			case 0:
+				c.take(spec, 0, "", true, answer)
+			case 422: // unless its id was accepted before
+				c.take(spec, 422, "awaits a job that was never accepted", true, answer)
+			default:
+				refuse(503, 2, "what it awaits can't be looked up now")
+			}
+		})
+		return
+	}
 	if after := c.overloaded(spec.Priority); after > 0 {
 		refuse(429, after, "too many submissions of this priority")
 		return
 	}
+	c.shorten(&spec)
+	if v, _ := json.Marshal(jobRecord{Spec: &spec}); len(v) > c.cfg.ValueBytes*4/5 {
+		refuse(503, 30, "awaits more unfinished jobs than fit into a record")
+		return
+	}
 	spec.Submitted = c.wall
 	a := &acceptance{spec: spec, tell: answer, given: c.now + 3500*milli}
 	c.after(3500*milli, func() { a.answer(Respond{Status: 503, RetryAfter: retrySoon, Error: "not stored in time"}) })
@@ -449,6 +484,7 @@
 			kv := KV{Key: "jobs/" + string(id), Value: values[i], Mark: mark}
 			c.learnJob(kv, nil)
 			c.tell(c.teams[a.spec.Team].part, kv)
+			c.tellAwaited(&a.spec, kv)
 			if x.unsure {
 				// It may have been carried out long before this answer, and others may
 				// have told more of it since.
@@ -463,7 +499,11 @@
 				if id := a.spec.ID; a.unread || c.accepted[id] > 0 && c.accepted[id] < Mark(e) {
 					c.repeat(a.answer, id)
 				} else {
-					a.answer(Respond{Status: 201, View: &JobView{ID: id, Status: StPending}})
+					v := JobView{ID: id, Status: StPending}
+					if k := c.known[id]; k != nil && k.final != "" {
+						v = finalView(id, k)
+					}
+					a.answer(Respond{Status: 201, View: &v})
 				}
 			}
 			a.finish()
@@ -654,7 +694,7 @@
 		c.ask(p.id, 3*second, PeerMsg{Cancel: id}, func(r PeerReply) {
 			if r.Out == OK && len(r.Msg.Views) == 1 {
 				if s := r.Msg.Views[0].Status; s.Final() {
-					k.final = s
+					c.settle(id, k, s)
 					answer(s)
 					return
 				}
--- a/internal/core/share.go
+++ b/internal/core/share.go
@@ -35,12 +35,12 @@
 		l.Have += c.types[m.typ].Cap.CPU
 		for _, a := range m.assigns {
 			if a.live() && a.j.active() {
-				l.Demand[a.j.spec.Priority] += a.need.CPU
+				l.Demand[a.j.prio] += a.need.CPU
 			}
 		}
 	}
 	for _, w := range c.unplaced(p) {
-		prio := w.j.spec.Priority
+		prio := w.j.prio
 		if w.first {
 			prio = max(prio, Urgent) // it goes before all else
 		}
@@ -189,7 +189,7 @@
 	var sum Res
 	var n Amount
 	for _, j := range p.js {
-		if k := Amount(j.pending() + j.placed); j.active() && k > 0 {
+		if k := Amount(j.pending() + j.placed); j.active() && !j.waiting && k > 0 {
 			sum = sum.plus(Res{j.spec.Need.CPU * k, j.spec.Need.GPU * k, j.spec.Need.Mem * k})
 			n += k
 		}
@@ -219,7 +219,7 @@
 		return
 	}
 	for _, a := range m.assigns {
-		if a.live() && (a.j.spec.Priority >= top || a.j.spec.CheckpntS == 0 || c.spared(a.j)) {
+		if a.live() && (a.j.prio >= top || a.j.spec.CheckpntS == 0 || c.spared(a.j)) {
 			return
 		}
 	}
@@ -257,14 +257,14 @@
 	vain := map[like]bool{} // jobs of one kind are decided alike
 	for _, j := range jobs {
 		k := like{j.spec.Class, j.spec.Team, owed[j]}
-		if j.pending() == 0 || j.spec.Priority < Urgent && !owed[j] || c.now < j.preemptAt || vain[k] {
+		if j.pending() == 0 || j.prio < Urgent && !owed[j] || c.now < j.preemptAt || vain[k] {
 			continue
 		}
 		limit := c.teams[j.spec.Team].Limit
 		room := limit.minus(use[j.spec.Team])
 		n := 0
 		if room.CPU < j.spec.Need.CPU || room.GPU < j.spec.Need.GPU {
-			if j.spec.Priority >= Urgent {
+			if j.prio >= Urgent {
 				c.preemptOwn(ms, j, room)
 			}
 			continue
@@ -323,12 +323,12 @@
 	if c.spared(victim) {
 		return false
 	}
-	if j.spec.Priority >= Urgent && victim.spec.Priority < j.spec.Priority {
+	if j.prio >= Urgent && victim.prio < j.prio {
 		return true
 	}
 	t := c.teams[victim.spec.Team]
 	return owed[j] && !owed[victim] && victim.spec.Team != j.spec.Team &&
-		(victim.spec.Priority < Urgent || victim.spec.Priority <= j.spec.Priority) &&
+		(victim.prio < Urgent || victim.prio <= j.prio) &&
 		use[t.Name].CPU > t.Guarantee.CPU
 }
 
@@ -344,7 +344,7 @@
 			if need.CPU <= room.CPU && need.GPU <= room.GPU {
 				return
 			}
-			if a.phase != aSeen || a.gone || a.j.spec.Team != j.spec.Team || a.j.spec.Priority >= j.spec.Priority || a.j.spec.CheckpntS == 0 || c.spared(a.j) {
+			if a.phase != aSeen || a.gone || a.j.spec.Team != j.spec.Team || a.j.prio >= j.prio || a.j.spec.CheckpntS == 0 || c.spared(a.j) {
 				continue
 			}
 			room = room.plus(a.need)
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -128,6 +128,7 @@
 	SaveS     float64  `json:"sv,omitempty"`
 	DeadlineS float64  `json:"dl,omitempty"`
 	Submitted Wall     `json:"at"`
+	Awaits    []JobID  `json:"aw,omitempty"` // have to be done before any task of this one starts
 }
 
 // Task states in a worker's report.
--- a/internal/core/writer.go
+++ b/internal/core/writer.go
@@ -32,6 +32,10 @@
 	ok       func(Epoch)
 	// unsure is set before ok when a late copy may yet come.
 	unsure bool
+	// alone: the store called a transaction with it malformed.
+	alone bool
+	// tooLarge is called when the store refuses the write by itself as malformed.
+	tooLarge func()
 	// conflict is called when another writer changed one of the keys.
 	conflict func()
 	// lost is called when the part's claim was lost.
@@ -211,7 +215,8 @@
 				break
 			}
 			clash := x.part != NoPart && t.part != NoPart && x.part != t.part || len(t.then)+len(x.keys) > c.cfg.TxnOps ||
-				len(t.when)+len(x.keys)+max(x.mostAlso, len(x.also))+1 > condsPerOp*c.cfg.TxnOps
+				len(t.when)+len(x.keys)+max(x.mostAlso, len(x.also))+1 > condsPerOp*c.cfg.TxnOps ||
+				len(t.writes) > 0 && (x.alone || t.writes[0].alone)
 			for _, k := range x.keys {
 				clash = clash || w.busy[k] || used[k]
 			}
@@ -334,10 +339,20 @@
 		w.refund(t) // not carried out: it cost nothing
 		w.retry(t)
 	case Invalid:
-		c.logf("error", "store calls our transaction malformed", "keys", len(t.then), "first", t.then[0].Key)
+		// Perhaps the store's limits were lowered and one of its records is too
+		// large. Each is built anew, by itself, so that this one shows.
 		w.finish(t)
+		c.logf("info", "store refuses our transaction as malformed", "keys", len(t.then), "first", t.then[0].Key, "writes", len(t.writes))
 		for _, x := range t.writes {
-			x.conflict()
+			switch {
+			case len(t.writes) > 1:
+				x.alone = true
+				w.add(t.prio, x)
+			case x.tooLarge != nil:
+				x.tooLarge()
+			default:
+				x.conflict()
+			}
 		}
 	default:
 		t.unsure = true
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -70,6 +70,11 @@
 			WriteRPS float64 `toml:"write_rps"`
 			ValueKB  float64 `toml:"value_kb"`
 			TxnOps   int     `toml:"txn_ops"`
+			Next     *struct {
+				WriteRPS *float64 `toml:"write_rps"`
+				ValueKB  *float64 `toml:"value_kb"`
+				TxnOps   *int     `toml:"txn_ops"`
+			} `toml:"next"`
 		} `toml:"state"`
 		Cloud struct {
 			RPS      float64 `toml:"rps"`
@@ -157,8 +162,30 @@
 			return nil, fmt.Errorf("%s: missing or not above 0", n.name)
 		}
 	}
-	if cl.State.TxnOps < 8 || cl.State.ValueKB < 4 {
-		return nil, errors.New("cluster.state: txn_ops below 8 or value_kb below 4 is more than the records can be cut to")
+	// The limits to come hold without notice from some moment on: nothing larger
+	// than the lower of both is ever written.
+	writeRPS, valueKB, txnOps := cl.State.WriteRPS, cl.State.ValueKB, cl.State.TxnOps
+	if next := cl.State.Next; next != nil {
+		for name, v := range map[string]*float64{"write_rps": next.WriteRPS, "value_kb": next.ValueKB} {
+			if v != nil && (!(*v > 0) || math.IsInf(*v, 0)) {
+				return nil, fmt.Errorf("cluster.state.next.%s: not above 0", name)
+			}
+		}
+		if next.TxnOps != nil && *next.TxnOps <= 0 {
+			return nil, errors.New("cluster.state.next.txn_ops: not above 0")
+		}
+		if next.WriteRPS != nil {
+			writeRPS = min(writeRPS, *next.WriteRPS)
+		}
+		if next.ValueKB != nil {
+			valueKB = min(valueKB, *next.ValueKB)
+		}
+		if next.TxnOps != nil {
+			txnOps = min(txnOps, *next.TxnOps)
+		}
+	}
+	if txnOps < 4 || valueKB < 2 {
+		return nil, errors.New("cluster.state: txn_ops below 4 or value_kb below 2, now or next, is more than the records can be cut to")
 	}
 	if cl.Cloud.ListLagS < 0 {
 		return nil, errors.New("cluster.cloud.list_lag_s: below 0")
@@ -202,7 +229,7 @@
 			"in an outage of the state service a cancelled task may run on past cancel_s. A cancel_s of %g would do",
 			cl.Workers.LeaseS, cl.Workers.CancelS, float64(e)/1e9, float64(core.LeastEntitlement)/1e9, need))
 	}
-	k.StoreRPS, k.WriteRPS, k.ValueBytes, k.TxnOps = cl.State.RPS, cl.State.WriteRPS, int(cl.State.ValueKB*1024), cl.State.TxnOps
+	k.StoreRPS, k.WriteRPS, k.ValueBytes, k.TxnOps = cl.State.RPS, writeRPS, int(valueKB*1024), txnOps
 	if s.CoreShare < 0 || math.IsNaN(s.CoreShare) {
 		return nil, errors.New("cluster.machine_limits.core_share: below 0")
 	}
--- a/internal/standin/meetings.go
+++ b/internal/standin/meetings.go
@@ -429,9 +429,14 @@
 
 func (w *World) couldStart(j *Job, on map[core.TaskID]bool, use map[string]core.Res) bool {
 	s := j.Spec
-	if !j.Accepted || j.AskedCancel || j.Told.Final() || s.SamePlace || s.Scatter {
+	if !j.Accepted || w.mayBeCancelled(j) || j.Told.Final() || s.SamePlace || s.Scatter {
 		return false
 	}
+	for _, a := range w.awaited(j) {
+		if a.Told != core.StDone {
+			return false
+		}
+	}
 	pending := false
 	for i := 0; i < s.Tasks && !pending; i++ {
 		id := core.TaskID{Job: s.ID, Index: i}
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -14,11 +14,12 @@
 			}
 		}
 	}
+	w.checkOrphan(j, s, w.Now)
 	if j.Told.Final() && s != j.Told {
 		w.broke("went_back: %s was %s, now %s", j.Spec.ID, j.Told, s)
 	}
 	if s == core.StCancelled {
-		if !j.AskedCancel {
+		if !w.mayBeCancelled(j) {
 			w.broke("went_back: %s called cancelled unasked", j.Spec.ID)
 		}
 		if j.CancelTold == 0 {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -495,6 +495,7 @@
 		j.Began = w.Now
 	}
 	j.lastStart = w.Now
+	w.checkEarly(j)
 	if j.CancelTold > 0 {
 		w.Faults["starts after a confirmed cancellation"]++
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"math"
 	"regexp"
+	"slices"
 	"strings"
 
 	"stairrelay/internal/core"
@@ -48,6 +49,7 @@
 	Checkpnt  *float64 `json:"waypointS"`
 	Save      *float64 `json:"stowS"`
 	Deadline  *float64 `json:"dueS"`
+	Awaits    []string `json:"awaits"`
 }
 
 var priorities = map[string]core.Priority{
@@ -117,6 +119,14 @@
 	if s.Types != nil && len(s.Types) == 0 {
 		s.Types = []string{"-"} // an empty list allows no type
 	}
+	for _, a := range s.Awaits {
+		if !ValidJobID(a) || core.JobID(a) == spec.ID {
+			return spec, errors.New("awaits names no job that it could wait for")
+		}
+		if id := core.JobID(a); !slices.Contains(spec.Awaits, id) {
+			spec.Awaits = append(spec.Awaits, id)
+		}
+	}
 	spec.Class, spec.Team, spec.Priority, spec.Tasks = *s.Class, *s.Team, prio, int(*s.Tasks)
 	spec.Need = core.Res{CPU: amount(*s.CPU), GPU: amount(*s.GPU), Mem: amount(*s.Mem)}
 	spec.Types, spec.SamePlace, spec.Scatter, spec.Spot = s.Types, *s.SamePlace, *s.Scatter, *s.Spot
