--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -134,7 +134,7 @@
 	}
 	c.w.init(c)
 	for i := range cfg.Nodes {
-		c.parts = append(c.parts, &part{id: Part(i), home: cfg.Nodes[i]})
+		c.parts = append(c.parts, &part{id: Part(i), home: cfg.Nodes[i], refusals: map[rentOption]int{}})
 		if n := cfg.Nodes[i]; n != cfg.Self {
 			c.peers[n] = &peer{id: n}
 		}
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -44,6 +44,7 @@
 
 	loading   int // chunks still to be read; nothing is placed before
 	errors    int
+	tooLong   bool // its record with what it asks for is more than the store takes now
 	outcomeAt Time // not written before, while starts wait for their records: each interval's would take their puts
 	failedOn  map[MachineID]bool
 	prio      Priority // its own, or that of a job that needs it
@@ -515,7 +516,10 @@
 			}
 			c.broken(c.parts[j.part], j.key(0), "changed by another writer")
 		},
-		lost: func() { j.w, j.ending = false, false },
+		// A job accepted under higher limits: its outcomes wait for its end, whose
+		// record is short.
+		tooLarge: func() { j.w, j.ending, j.tooLong = false, false, true },
+		lost:     func() { j.w, j.ending = false, false },
 	})
 }
 
@@ -623,7 +627,7 @@
 // machine records that list more than they need to.
 func (c *Core) checkpoint() {
 	for _, j := range c.heldJobs() {
-		if j.w || j.final != "" || c.now < j.outcomeAt && len(c.w.queues[prioStart]) > 0 {
+		if j.w || j.final != "" || j.tooLong || c.now < j.outcomeAt && len(c.w.queues[prioStart]) > 0 {
 			continue
 		}
 		for _, d := range j.dirty {
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -230,7 +230,8 @@
 	n := len(c.cfg.Nodes)
 	for i := 1; i < n; i++ {
 		p := c.peers[c.cfg.Nodes[(slices.Index(c.cfg.Nodes, c.cfg.Self)+i)%n]]
-		if p == nil || p.failed || p.prone || !p.heard || c.now-p.pingAt > 2*second || !p.ping.StoreOK {
+		if p == nil || p.failed || p.prone || !p.heard || c.now-p.pingAt > 2*second || !p.ping.StoreOK ||
+			len(spec.Awaits) > 0 && p.ping.Level < pipelineLevel { // it would start it at once
 			continue
 		}
 		c.ask(p.id, 2500*milli, PeerMsg{Submit: &HandedOn{spec.ID, spec}}, func(r PeerReply) {
