--- a/internal/core/groups.go
+++ b/internal/core/groups.go
@@ -458,7 +458,7 @@
 		}
 		if size := g.size + g.added; size > c.cfg.ValueBytes*4/5 && len(g.ms) > 1 {
 			c.splitGroup(p, g)
-		} else if size < c.cfg.ValueBytes/2 {
+		} else if size < c.cfg.ValueBytes*3/5 {
 			small = append(small, g)
 		}
 	}
@@ -468,7 +468,7 @@
 	var into *group
 	for i, g := range small {
 		size, n = size+g.size+g.added, n+len(g.ms)
-		if size > c.cfg.ValueBytes*13/20 || n > 2*c.groupMachines() || i == c.cfg.TxnOps-1 {
+		if size > c.cfg.ValueBytes*7/10 || n > 2*c.groupMachines() || i == c.cfg.TxnOps-1 {
 			break
 		}
 		if into != nil {
