--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -146,3 +146,39 @@
 		}
 	}
 }
+
+// TestLimitsToCome: all writes keep under the lower of the present limits and
+// those of state.next, which come into force without notice.
+func TestLimitsToCome(t *testing.T) {
+	for name, c := range map[string]struct {
+		next  string
+		rate  float64
+		bytes int
+		ops   int
+	}{
+		"absent":         {"", 25, 4096, 12},
+		"empty":          {"[cluster.state.next]\n", 25, 4096, 12},
+		"all lower":      {"[cluster.state.next]\nwrite_rps = 18.0\nvalue_kb = 3.5\ntxn_ops = 8\n", 18, 3584, 8},
+		"all higher":     {"[cluster.state.next]\nwrite_rps = 80.0\nvalue_kb = 8.0\ntxn_ops = 16\n", 25, 4096, 12},
+		"each by itself": {"[cluster.state.next]\nwrite_rps = 80.0\nvalue_kb = 2.0\ntxn_ops = 12\n", 25, 2048, 12},
+		"only one":       {"[cluster.state.next]\ntxn_ops = 4\n", 25, 4096, 4},
+	} {
+		s, err := Load(write(t, "s.toml", good+c.next), "")
+		if err != nil {
+			t.Errorf("%s: %v", name, err)
+			continue
+		}
+		if k := s.Core; k.WriteRPS != c.rate || k.ValueBytes != c.bytes || k.TxnOps != c.ops || k.StoreRPS != 150 {
+			t.Errorf("%s: %v changes a second, %d bytes, %d a transaction", name, k.WriteRPS, k.ValueBytes, k.TxnOps)
+		}
+	}
+	for field, values := range map[string][]string{"write_rps": {"0.0", "-1.0", "nan", "inf"}, "value_kb": {"0.0", "-4.0", "nan", "1.5"}, "txn_ops": {"0", "-1", "3", "2.5"}} {
+		for _, v := range values {
+			p := write(t, "s.toml", good+"[cluster.state.next]\n"+field+" = "+v+"\n")
+			_, err := Load(p, "")
+			if err == nil || !strings.Contains(err.Error(), field) || !strings.Contains(err.Error(), p) || strings.Contains(err.Error(), "\n") {
+				t.Errorf("%s = %s: %v", field, v, err)
+			}
+		}
+	}
+}
