--- /dev/null
+++ b/internal/core/limits_test.go
@@ -0,0 +1,299 @@
+package core
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"testing"
+)
+
+// Limits of the store that are lower than those under which a record grew.
+
+// TestOutcomesUnderLimit: what is listed under a limit keeps to it, is never
+// wrong, and is all there is wherever the function says so.
+func TestOutcomesUnderLimit(t *testing.T) {
+	r := rand.New(rand.NewPCG(18, 1))
+	for round := range 400 {
+		state := make([]uint8, 1+r.IntN(5000))
+		density := r.Float64()
+		for i := range state {
+			if state[i] = tPending; r.Float64() < density {
+				state[i] = tDone + uint8(r.IntN(2))
+			} else if r.IntN(3) == 0 {
+				state[i] = tPlaced
+			}
+		}
+		limit := r.IntN(1200) - 50
+		s, fits := encodeDone(state, limit)
+		if len(s) > max(limit, 0) {
+			t.Fatalf("round %d: %d bytes, the limit is %d", round, len(s), limit)
+		}
+		listed := make([]bool, len(state))
+		if !decodeDone(s, len(state), func(i int) { listed[i] = true }) {
+			t.Fatalf("round %d: %q can't be read", round, s)
+		}
+		for i, is := range state {
+			if done := is >= tDone; listed[i] != (done && i < fits) {
+				t.Fatalf("round %d: task %d of %d, done %v, is listed: %v; %d fit", round, i, len(state), done, listed[i], fits)
+			}
+		}
+	}
+	// Without a limit that matters all is listed.
+	if s, fits := encodeDone(append([]uint8{tDone, tStored, tPending, tDone}, make([]uint8, 60)...), 3000); s != "0-1,3" || fits != 64 {
+		t.Errorf("%q, %d fit", s, fits)
+	}
+}
+
+// TestLargestJobInSmallTransactions: a job with more chunks of outcomes than a
+// transaction may write has them all stored in the end, and none is left of it
+// once it is over.
+func TestLargestJobInSmallTransactions(t *testing.T) {
+	b := newBench()
+	b.cfg.TxnOps = 4
+	j := b.job("j-1", 100_000)
+	v, _ := json.Marshal(jobRecord{Spec: &j.spec, W: "x"})
+	b.store.keys["jobs/j-1"] = KV{"jobs/j-1", v, 31}
+	j.marks[0] = 31
+	for i := 0; i < 100_000; i += 3 {
+		j.setDone(i)
+	}
+	stored := func() int {
+		n := 0
+		for k := range j.marks {
+			var rec jobRecord
+			if json.Unmarshal(b.store.keys[j.key(k)].Value, &rec) == nil {
+				decodeDone(rec.Done, len(j.chunk(k)), func(int) { n++ })
+			}
+		}
+		return n
+	}
+	for range 5 {
+		b.writeJob(j, prioLazy)
+		b.play(2 * second)
+	}
+	if n := stored(); n != 33_334 {
+		t.Errorf("%d of 33,334 outcomes are stored", n)
+	}
+	for i := range 100_000 {
+		j.setDone(i)
+	}
+	b.writeJob(j, prioAccept)
+	b.play(20 * second)
+	for k := 1; k < chunks(100_000); k++ {
+		if b.store.get(j.key(k)).Out != Missing {
+			t.Errorf("%s is left", j.key(k))
+		}
+	}
+	var rec jobRecord
+	if json.Unmarshal(b.store.keys["jobs/j-1"].Value, &rec) != nil || rec.State != StDone || rec.Tasks != 100_000 {
+		t.Errorf("stored at the end: %s", b.store.keys["jobs/j-1"].Value)
+	}
+	for _, x := range b.txns {
+		if len(x.Then) > 4 || len(x.When) > condsPerOp*4 {
+			t.Errorf("a transaction of %d changes on %d conditions", len(x.Then), len(x.When))
+		}
+		for _, o := range x.Then {
+			if len(o.Value) > b.cfg.ValueBytes {
+				t.Errorf("%s: %d bytes", o.Key, len(o.Value))
+			}
+		}
+	}
+}
+
+// filled is a group of machines with tasks of a job on each, none of which
+// follows on another, so that none shares a range.
+func (b *bench) filled(name string, j *job, machines, tasks, from int) *group {
+	g := b.newGroup(b.parts[0], name, 0)
+	for i := range machines {
+		id := MachineID(fmt.Sprintf("m-%s-%04d", name, i))
+		m := b.addMachine(g, listedMachine{id: id, kind: groupKind{"small", "a", false}, addr: string(id)}, 31)
+		m.acked, m.session, m.stamp, m.heard = true, 1, 1, b.now
+		for k := range tasks {
+			n := from + (k*machines+i)*2
+			a := &assign{task: TaskID{j.spec.ID, n}, j: j, need: j.spec.Need, mach: id, attempt: Attempt(n + 1), phase: aSeen, state: Running}
+			m.addAssign(a)
+			j.setPlaced(n, a)
+		}
+	}
+	v, s := b.snap(0, g.list(), "x")
+	g.size, g.mark = s.size, 20
+	b.store.keys[g.key()] = KV{g.key(), v, 20}
+	return g
+}
+
+// listed tells how often each machine is listed in the store, and the length of
+// the longest record.
+func (b *bench) listed(t *testing.T) (map[MachineID]int, int) {
+	t.Helper()
+	n, longest := map[MachineID]int{}, 0
+	for _, kv := range b.store.list("groups/", 0) {
+		part, ms, err := decodeGroup(kv.Value)
+		if err != nil || part != 0 {
+			t.Fatalf("%s: part %d, %v", kv.Key, part, err)
+		}
+		for _, m := range ms {
+			n[m.id]++
+		}
+		longest = max(longest, len(kv.Value))
+	}
+	return n, longest
+}
+
+// TestSplitFarTooLarge: a record that was written under far higher limits is
+// split by one transaction into as many as that may write. Each machine is in
+// exactly one, and none is above the limit where that can be.
+func TestSplitFarTooLarge(t *testing.T) {
+	for _, c := range []struct {
+		machines, ops int
+		within        bool
+	}{{60, 4, true}, {200, 12, true}, {400, 4, false}} {
+		b := newBench()
+		b.cfg.TxnOps = c.ops
+		j := b.job("j-1", 20_000)
+		g := b.filled("g", j, c.machines, 3, 0)
+		before := g.size
+		b.splitGroup(b.parts[0], g)
+		b.play(200 * milli)
+		if len(b.txns) == 0 || len(b.txns[0].Then) != min(c.ops, max(before/(b.cfg.ValueBytes/2), 2)) {
+			t.Fatalf("%d machines, %d bytes: first %d transactions", c.machines, before, len(b.txns))
+		}
+		n, longest := b.listed(t)
+		for id, times := range n {
+			if times != 1 {
+				t.Errorf("%s is listed %d times", id, times)
+			}
+		}
+		tasks := 0
+		for _, m := range b.machines {
+			tasks += len(m.assigns)
+		}
+		if len(n) != c.machines || tasks != 3*c.machines {
+			t.Errorf("%d of %d machines are listed, with %d tasks", len(n), c.machines, tasks)
+		}
+		if c.within != (longest <= b.cfg.ValueBytes) {
+			t.Errorf("%d machines, %d bytes: the longest record has %d", c.machines, before, longest)
+		}
+		for range 4 { // what is still too large is split further
+			b.tidyGroups(b.parts[0])
+			b.play(second)
+		}
+		if n, longest = b.listed(t); len(n) != c.machines || longest > b.cfg.ValueBytes {
+			t.Errorf("in the end %d of %d machines, the longest record has %d bytes", len(n), c.machines, longest)
+		}
+		if !b.parts[0].held {
+			t.Error("the part was given up")
+		}
+	}
+}
+
+// TestMalformedTransaction: the store calls a transaction of several writes
+// malformed, as one of its records is above a limit that has come into force.
+// Each is tried by itself, only the too large one is split, and no part is lost.
+func TestMalformedTransaction(t *testing.T) {
+	b := newBench()
+	b.timers = nil // no tidying up, which would split or join them first
+	limit := 2048
+	b.refuse = func(x StoreTxn) bool {
+		for _, o := range x.Then {
+			if len(o.Value) > limit {
+				return true
+			}
+		}
+		return false
+	}
+	j := b.job("j-1", 20_000)
+	large := b.filled("large", j, 45, 3, 0)
+	small, other := b.filled("small", j, 3, 3, 10_000), b.filled("other", j, 3, 3, 12_000)
+	if large.size <= limit || large.size > b.cfg.ValueBytes {
+		t.Fatalf("%d bytes: the test shows nothing", large.size)
+	}
+	marks := map[string]Mark{small.key(): small.mark, other.key(): other.mark}
+	for _, g := range []*group{large, small, other} {
+		b.writeGroup(g, prioStart)
+	}
+	b.play(3 * second)
+	if len(b.txns) < 4 || len(b.txns[0].Then) != 3 {
+		for _, x := range b.txns {
+			for _, o := range x.Then {
+				t.Logf("%d changes: %s, %d bytes", len(x.Then), o.Key, len(o.Value))
+			}
+		}
+		t.Fatalf("%d transactions, the first with %d changes", len(b.txns), len(b.txns[0].Then))
+	}
+	refused := map[string]int{}
+	for _, x := range b.txns {
+		if b.refuse(x) {
+			key := ""
+			for _, o := range x.Then {
+				key += fmt.Sprintf("%s:%d ", o.Key, len(o.Value))
+			}
+			if refused[key]++; refused[key] > 1 {
+				t.Errorf("sent again unchanged: %s", key)
+			}
+		}
+	}
+	for key, mark := range marks {
+		if b.store.keys[key].Mark <= mark {
+			t.Errorf("%s was not written", key)
+		}
+	}
+	n, longest := b.listed(t)
+	if len(n) != 51 || longest > limit {
+		t.Errorf("%d of 51 machines are listed, the longest record has %d bytes", len(n), longest)
+	}
+	if len(small.ms) != 3 || len(other.ms) != 3 || len(large.ms) >= 45 {
+		t.Errorf("the groups have %d, %d and %d machines", len(large.ms), len(small.ms), len(other.ms))
+	}
+	for _, p := range b.parts {
+		if !p.held {
+			t.Errorf("part %d was given up", p.id)
+		}
+	}
+}
+
+// TestConditionsCounted: with many parts, or many jobs in one record, a
+// transaction has no more conditions than the protocol allows.
+func TestConditionsCounted(t *testing.T) {
+	cfg := newBench().cfg
+	cfg.TxnOps, cfg.Nodes = 4, nil
+	for i := range 9 {
+		cfg.Nodes = append(cfg.Nodes, NodeID("n"+strconv.Itoa(i)))
+	}
+	c := New(cfg)
+	b := newBench()
+	b.Core = c
+	c.types["small"] = MachineType{Name: "small", Cap: Res{CPU: 4_000_000, Mem: 16_000_000}, Zones: []string{"a"}}
+	c.now, c.acceptsRead = 100*second, true
+	c.timers = nil
+	for _, p := range c.parts {
+		p.held, p.ready, p.holder, p.claim, p.mark, p.term, p.provenAt = true, true, "n0", 30, 30, 1, c.now
+		p.rentals, p.refused = map[string]*rental{}, map[rentOption]Time{}
+		b.store.keys[p.key()] = KV{p.key(), []byte(`{"holder":"n0","term":1,"w":"b0-1"}`), 30}
+	}
+	for i := range 6 {
+		kv := KV{fmt.Sprintf("groups/b9-7-%d", i), encodeGroup(0, nil, "x"), Mark(10 + i)}
+		b.store.keys[kv.Key] = kv
+		b.dropEmpty(b.parts[0], kv)
+	}
+	told := 0
+	for i := range 20 {
+		s := JobSpec{ID: JobID(fmt.Sprintf("j-%06d", i)), Team: "red", Tasks: 1, Need: Res{CPU: 1_000_000}, RuntimeS: 5}
+		b.submit(s, 0, "", func(r Respond) {
+			if told++; r.Status != 201 {
+				t.Errorf("%s gets %d", s.ID, r.Status)
+			}
+		})
+	}
+	b.play(3 * second)
+	several := false
+	for _, x := range b.txns {
+		if len(x.Then) > 4 || len(x.When) > condsPerOp*4 {
+			t.Errorf("%d changes on %d conditions", len(x.Then), len(x.When))
+		}
+		several = several || len(x.When) > 8
+	}
+	if left := len(b.store.list("groups/", 0)); left != 0 || told != 20 || !several {
+		t.Errorf("%d empty groups left, %d of 20 submissions answered, many conditions seen: %v", left, told, several)
+	}
+}
--- a/internal/core/meeting_guards_test.go
+++ b/internal/core/meeting_guards_test.go
@@ -54,6 +54,7 @@
 	txns  []StoreTxn
 	// lose tells whether a transaction's answer is lost.
 	lose      func(StoreTxn) bool
+	refuse    func(StoreTxn) bool // as malformed; nil: none
 	failWatch bool
 }
 
@@ -82,7 +83,9 @@
 			switch f := f.(type) {
 			case StoreTxn:
 				b.txns = append(b.txns, f)
-				if r := b.store.txn(f); b.lose(f) {
+				if b.refuse != nil && b.refuse(f) {
+					b.calls[f.Call](TxnReply{Out: Invalid})
+				} else if r := b.store.txn(f); b.lose(f) {
 					b.calls[f.Call](TxnReply{Out: Unknown})
 				} else {
 					b.calls[f.Call](r)
