--- /dev/null
+++ b/internal/core/passback_test.go
@@ -0,0 +1,70 @@
+package core
+
+import (
+	"encoding/json"
+	"testing"
+)
+
+// TestPassBack: a job takes the highest priority and the tightest deadline of
+// all that need it, over teams and parts, in whichever order their records are
+// seen; what is over takes nothing more.
+func TestPassBack(t *testing.T) {
+	// a (red) <- b (green) <- d (blue, urgent, due); a <- c (green, production); e (red) <- d
+	spec := func(id JobID, team string, prio Priority, due float64, awaits ...JobID) JobSpec {
+		return JobSpec{ID: id, Team: team, Class: "c-" + string(id), Priority: prio, Tasks: 1, Need: Res{CPU: 1_000_000}, RuntimeS: 20, DeadlineS: due, Submitted: 1_000_000, Awaits: awaits}
+	}
+	specs := []JobSpec{spec("a", "red", BestEffort, 0), spec("b", "green", Normal, 0, "a"), spec("c", "green", Production, 0, "a"),
+		spec("d", "blue", Urgent, 300, "b", "e"), spec("e", "red", BestEffort, 100)}
+	orders := [][]int{{0, 1, 2, 3, 4}, {4, 3, 2, 1, 0}, {2, 0, 4, 3, 1}, {3, 1, 0, 2, 4}}
+	for _, order := range orders {
+		b := newBench()
+		for _, name := range []string{"green", "blue"} {
+			b.teams[name] = &team{Team: Team{Name: name, Limit: Res{CPU: 100_000_000}}, part: map[string]Part{"green": 1, "blue": 2}[name]}
+		}
+		b.teams["red"].part = 0
+		b.parts[1].held, b.parts[2].held = false, false
+		for _, i := range order {
+			v, _ := json.Marshal(jobRecord{Spec: &specs[i], W: "x"})
+			b.learnJob(KV{"jobs/" + string(specs[i].ID), v, Mark(31 + i)}, nil)
+		}
+		due := 1_000_000 + 300_000.0
+		for id, want := range map[JobID]struct {
+			prio Priority
+			by   float64
+		}{
+			"d": {Urgent, due},
+			"b": {Urgent, due - 20_000 - betweenStages},
+			"a": {Production, due - 2*(20_000+betweenStages)},
+			"c": {Production, 0},
+			"e": {Urgent, 1_100_000}, // its own is the tighter
+		} {
+			if k := b.known[id]; k.prio != want.prio || k.by != want.by {
+				t.Errorf("%v: %s has priority %d, due %v; want %d, %v", order, id, k.prio, k.by, want.prio, want.by)
+			}
+			if j := b.jobs[id]; j != nil && j.prio != want.prio {
+				t.Errorf("%v: %s is served with priority %d, want %d", order, id, j.prio, want.prio)
+			}
+		}
+		if b.jobs["a"] == nil || b.jobs["b"] != nil {
+			t.Fatal("the wrong jobs are held")
+		}
+		if start := b.latestStart(b.jobs["a"]); start != due-2*(20_000+betweenStages)-20_000 {
+			t.Errorf("%v: a is to start at %v", order, start)
+		}
+		// One that comes later, and one after the end.
+		late := spec("f", "blue", Normal, 100, "b")
+		v, _ := json.Marshal(jobRecord{Spec: &late, W: "x"})
+		b.learnJob(KV{"jobs/f", v, 40}, nil)
+		if k := b.known["a"]; k.by != 1_100_000-2*(20_000+betweenStages) {
+			t.Errorf("%v: a tighter deadline does not reach a: %v", order, k.by)
+		}
+		done, _ := json.Marshal(jobRecord{State: StDone, Team: "green", Tasks: 1, W: "x"})
+		b.learnJob(KV{"jobs/b", done, 41}, nil)
+		later := spec("g", "blue", Production, 50, "b")
+		v, _ = json.Marshal(jobRecord{Spec: &later, W: "x"})
+		b.learnJob(KV{"jobs/g", v, 42}, nil)
+		if k := b.known["a"]; k.by != 1_100_000-2*(20_000+betweenStages) {
+			t.Errorf("%v: what awaits a finished job changes a: %v", order, k.by)
+		}
+	}
+}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -61,6 +61,48 @@
 	}
 }
 
+// TestAwaits: missing, null and empty mean none; each job is listed once; a
+// malformed id, or the job's own, is refused, and the job's id is still given.
+func TestAwaits(t *testing.T) {
+	for list, want := range map[string]string{
+		"":     "",
+		"null": "", "[]": "",
+		`["j-000398"]`:                       "j-000398",
+		`["j-000398","j-000405"]`:            "j-000398 j-000405",
+		`["j-000405","j-000398","j-000405"]`: "j-000405 j-000398",
+		`["j-000412"]`:                       "refused", // its own
+		`["j-000398","j-000412"]`:            "refused",
+		`["j-0004x2"]`:                       "refused",
+		`["j-000398",""]`:                    "refused",
+		`["j-000398",null]`:                  "refused",
+		`[398]`:                              "refused",
+		`[["j-000398"]]`:                     "refused",
+		`"j-000398"`:                         "refused",
+		`{"j-000398":true}`:                  "refused",
+		`398`:                                "refused",
+		`true`:                               "refused",
+		`["j-000398 "]`:                      "refused",
+		`["jobs/j-000398"]`:                  "refused",
+	} {
+		body := job
+		if list != "" {
+			body = strings.Replace(job, `"later":1`, `"awaits":`+list, 1)
+		}
+		s, err := DecodeSubmission([]byte(body))
+		if s.ID != "j-000412" || (err != nil) != (want == "refused") {
+			t.Errorf("%s: id %q, %v", list, s.ID, err)
+			continue
+		}
+		var got []string
+		for _, id := range s.Awaits {
+			got = append(got, string(id))
+		}
+		if err == nil && strings.Join(got, " ") != want {
+			t.Errorf("%s: read %v", list, got)
+		}
+	}
+}
+
 func TestReportsAndAnswers(t *testing.T) {
 	r, err := DecodeReport([]byte(`{"coach":"m-000231","addr":"10.1.0.232:9000","fleet":"g8","yard":"a","standby":true,
 	 "shift":1,"stamp":88,"baton":41,"recallS":12.5,"legs":[{"leg":"j-000412/3","boarding":2,"status":"running"},
