--- /dev/null
+++ b/internal/core/handed_on_test.go
@@ -0,0 +1,28 @@
+package core
+
+import "testing"
+
+// TestAwaitsNotHandedToOld: a controller that has lost the store never hands a
+// job that awaits others on to one of an earlier release, which would store it
+// without them and start it at once.
+func TestAwaitsNotHandedToOld(t *testing.T) {
+	for level, want := range map[int]bool{0: false, pipelineLevel: true} {
+		b := newBench()
+		b.timers, b.out = nil, nil
+		for _, p := range b.peers {
+			p.heard, p.pingAt, p.ping.StoreOK, p.ping.Level = true, b.now, true, level
+		}
+		b.storeUp.failing, b.storeUp.since = true, b.now-10*second
+		b.known["j-1"] = &knownJob{part: 0, tasks: 1, team: "red"}
+		b.onSubmit(Submit{Req: 1, Job: JobSpec{ID: "j-2", Team: "red", Tasks: 1, Need: Res{CPU: 1_000_000}, Awaits: []JobID{"j-1"}}})
+		handed := false
+		for _, f := range b.out {
+			if c, ok := f.(PeerCall); ok && c.Msg.Submit != nil {
+				handed = true
+			}
+		}
+		if handed != want {
+			t.Errorf("level %d: handed on: %v, want %v", level, handed, want)
+		}
+	}
+}
