--- /dev/null
+++ b/internal/peers/production_test.go
@@ -0,0 +1,58 @@
+package peers
+
+import (
+	"os"
+	"reflect"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"stairrelay/internal/core"
+)
+
+// TestProductionPing: a call as the version in production encodes it is read,
+// with level 0; ours has one field more, and the same version of the protocol.
+func TestProductionPing(t *testing.T) {
+	old, err := os.ReadFile("testdata/production/ping.cbor")
+	if err != nil {
+		t.Fatal(err)
+	}
+	m, err := Decode(old)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := core.PeerMsg{Version: 2, From: "n1", Ping: &core.Ping{Boot: "b1", Parts: []core.PartTerm{{Part: 0, Term: 7}}, StoreOK: true, WorkersOK: true,
+		Heard: map[core.NodeID]int64{"n2": 120}, Offer: []core.Part{2}, Puts: 3.5, Cloud: 1, Loads: []core.PartLoad{{Part: 0, Have: 8_000_000, Coming: 4_000_000, Demand: [4]core.Amount{1, 2, 3, 4}}},
+		Terms: []core.Term{7, 3, 9}}}
+	if !reflect.DeepEqual(m, want) {
+		t.Errorf("read %+v with %+v", m, m.Ping)
+	}
+	fields := func(b []byte) map[string]any {
+		var msg map[string]any
+		if err := cbor.Unmarshal(b, &msg); err != nil {
+			t.Fatal(err)
+		}
+		ping, ok := msg["Ping"].(map[any]any)
+		if !ok {
+			t.Fatalf("%T", msg["Ping"])
+		}
+		out := map[string]any{}
+		for k, v := range ping {
+			out[k.(string)] = v
+		}
+		return out
+	}
+	m.Ping.Level = 1
+	b, err := Encode(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	was, is := fields(old), fields(b)
+	if was["Level"] != nil || is["Level"] == nil {
+		t.Errorf("level: %v and %v", was["Level"], is["Level"])
+	}
+	delete(is, "Level")
+	if !reflect.DeepEqual(was, is) {
+		t.Errorf("were %v, are %v", was, is)
+	}
+}
