--- a/internal/core/groups.go
+++ b/internal/core/groups.go
@@ -28,6 +28,7 @@
 	checking bool
 	size     int // of the record as last built
 	added    int // bytes that may have come on top since
+	bins     int // into how many it is to be split at least, after a refusal
 	offer    *groupOffer
 }
 
@@ -352,7 +353,7 @@
 	if g.sent || len(g.ms) < 2 {
 		return
 	}
-	n := min(max((g.size+g.added)/(c.cfg.ValueBytes/2), 2), c.cfg.TxnOps, len(g.ms))
+	n := min(max((g.size+g.added)/(c.cfg.ValueBytes/2), 2, g.bins), c.cfg.TxnOps, len(g.ms))
 	if g.wait != nil {
 		c.w.cancel(g.wait)
 		g.wait = nil
@@ -421,7 +422,12 @@
 		// Still too large for the store: tasks end, and the record gets shorter.
 		tooLarge: func() {
 			free()
-			c.after(second, func() { c.writeAgain(g) })
+			g.bins = 2 * n // what the store takes now is less than the settings say
+			c.after(second, func() {
+				if c.groups[g.id] == g && p.held && p.claim == claim {
+					c.writeGroup(g, prioStart)
+				}
+			})
 		},
 		lost: free,
 	})
