--- a/internal/core/limits_test.go
+++ b/internal/core/limits_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"testing"
 )
@@ -194,14 +195,7 @@
 	b := newBench()
 	b.timers = nil // no tidying up, which would split or join them first
 	limit := 2048
-	b.refuse = func(x StoreTxn) bool {
-		for _, o := range x.Then {
-			if len(o.Value) > limit {
-				return true
-			}
-		}
-		return false
-	}
+	b.refuseLonger(limit)
 	j := b.job("j-1", 20_000)
 	large := b.filled("large", j, 45, 3, 0)
 	small, other := b.filled("small", j, 3, 3, 10_000), b.filled("other", j, 3, 3, 12_000)
@@ -297,3 +291,10 @@
 		t.Errorf("%d empty groups left, %d of 20 submissions answered, many conditions seen: %v", left, told, several)
 	}
 }
+
+// refuseLonger has the store call transactions with a longer value malformed.
+func (b *bench) refuseLonger(limit int) {
+	b.refuse = func(x StoreTxn) bool {
+		return slices.ContainsFunc(x.Then, func(o TxnOp) bool { return len(o.Value) > limit })
+	}
+}
--- a/internal/core/refused_job_test.go
+++ b/internal/core/refused_job_test.go
@@ -11,14 +11,7 @@
 func TestOutcomesRefused(t *testing.T) {
 	b := newBench()
 	b.timers = nil
-	b.refuse = func(x StoreTxn) bool {
-		for _, o := range x.Then {
-			if len(o.Value) > 2000 {
-				return true
-			}
-		}
-		return false
-	}
+	b.refuseLonger(2000)
 	j := b.job("j-1", 16_000)
 	v, _ := json.Marshal(jobRecord{Spec: &j.spec, W: "x"})
 	b.store.keys["jobs/j-1"] = KV{"jobs/j-1", v, 20}
--- a/internal/core/refused_split_test.go
+++ b/internal/core/refused_split_test.go
@@ -9,14 +9,7 @@
 	b := newBench()
 	b.timers = nil
 	const limit = 1000
-	b.refuse = func(x StoreTxn) bool {
-		for _, o := range x.Then {
-			if len(o.Value) > limit {
-				return true
-			}
-		}
-		return false
-	}
+	b.refuseLonger(limit)
 	j := b.job("j-1", 20_000)
 	g := b.filled("large", j, 45, 3, 0)
 	var m *machine
