--- a/internal/core/awaits.go
+++ b/internal/core/awaits.go
@@ -175,7 +175,7 @@
 		rec.Need = &k.need
 	}
 	v, _ := json.Marshal(rec)
-	return KV{Key: "jobs/" + string(id), Value: v}
+	return KV{Key: jobKey(id), Value: v}
 }
 
 // tellDependents passes a job's stored end on to the owners of all that needs
@@ -227,7 +227,7 @@
 // freshen calls fn after everything has been learned that was stored about jobs
 // before this call, with readings begun after it; false: that could not be read.
 func (c *Core) freshen(fn func(bool)) {
-	if c.storeLost(second) || c.jobsEpoch == 0 || !c.acceptsRead {
+	if c.storeLost(second) || c.jobsEpoch == 0 || !c.acceptances.loaded {
 		fn(false)
 		return
 	}
@@ -264,7 +264,7 @@
 			c.learnJob(kv, nil)
 		}
 		done(r.Out == OK)
-	}), Prefix: "jobs/", Since: c.jobsEpoch})
+	}), Prefix: jobPrefix, Since: c.jobsEpoch})
 }
 
 // checkAwaits finds out whether all jobs that a submission names were accepted:
--- a/internal/core/holes_test.go
+++ b/internal/core/holes_test.go
@@ -58,8 +58,8 @@
 		t.Errorf("answered %+v, want 201", b.told)
 	}
 	b.play(5 * second)
-	if n := len(b.w.queues[prioAccept]); n != 0 || b.acceptSeq > 3 {
-		t.Errorf("nothing waits to be accepted, but %d writes are queued, after %d", n, b.acceptSeq)
+	if n := len(b.w.queues[prioAccept]); n != 0 || b.acceptances.names > 3 {
+		t.Errorf("nothing waits to be accepted, but %d writes are queued, after %d", n, b.acceptances.names)
 	}
 }
 
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -73,9 +73,15 @@
 	W     string   `json:"w"`
 }
 
+// jobPrefix is where the jobs' own records are stored.
+const jobPrefix = "jobs/"
+
+// jobKey is the key of a job's own record.
+func jobKey(id JobID) string { return jobPrefix + string(id) }
+
 func (j *job) key(chunk int) string {
 	if chunk == 0 {
-		return "jobs/" + string(j.spec.ID)
+		return jobKey(j.spec.ID)
 	}
 	return "done/" + string(j.spec.ID) + "/" + strconv.Itoa(chunk)
 }
@@ -237,7 +243,7 @@
 // learnJob takes in a job's record from the store, a peer or the watch. With
 // loading set, the part is being taken over and its record is the truth.
 func (c *Core) learnJob(kv KV, loading *part) {
-	id := JobID(strings.TrimPrefix(kv.Key, "jobs/"))
+	id := JobID(strings.TrimPrefix(kv.Key, jobPrefix))
 	if kv.Value == nil {
 		return
 	}
@@ -351,7 +357,7 @@
 // loadJobs learns of all jobs and then follows the changes at an easy pace;
 // it is the safety net under the messages between controllers.
 func (c *Core) loadJobs() {
-	c.list("jobs/", func(r ListReply) {
+	c.list(jobPrefix, func(r ListReply) {
 		if r.Out != OK {
 			c.after(second, c.loadJobs)
 			return
@@ -365,7 +371,7 @@
 }
 
 func (c *Core) watchJobs() {
-	c.follow("jobs/", &c.jobsEpoch, 2*second, func(kv KV) {
+	c.follow(jobPrefix, &c.jobsEpoch, 2*second, func(kv KV) {
 		c.signOfLife(kv)
 		c.learnJob(kv, nil)
 	}, c.loadJobs)
--- a/internal/core/limits_test.go
+++ b/internal/core/limits_test.go
@@ -258,7 +258,7 @@
 	b := newBench()
 	b.Core = c
 	c.types["small"] = MachineType{Name: "small", Cap: Res{CPU: 4_000_000, Mem: 16_000_000}, Zones: []string{"a"}}
-	c.now, c.acceptsRead = 100*second, true
+	c.now, c.acceptances.loaded = 100*second, true
 	c.timers = nil
 	for _, p := range c.parts {
 		p.held, p.ready, p.holder, p.claim, p.mark, p.term, p.provenAt = true, true, "n0", 30, 30, 1, c.now
--- a/internal/core/meeting_guards_test.go
+++ b/internal/core/meeting_guards_test.go
@@ -62,7 +62,7 @@
 	c := New(Config{Self: "n0", Nodes: []NodeID{"n0", "n1", "n2"}, Boot: "b0", ReportEvery: 5 * second, Lease: 26 * second, CancelWithin: 60 * second,
 		StoreRPS: 1000, WriteRPS: 1000, ValueBytes: 4096, TxnOps: 12, CloudRPS: 5, Teams: []Team{{Name: "red", Limit: Res{CPU: 100_000_000}}}, Tuning: DefaultTuning()})
 	c.types["small"] = MachineType{Name: "small", Cap: Res{CPU: 4_000_000, Mem: 16_000_000}, Zones: []string{"a"}}
-	c.now, c.acceptsRead = 100*second, true
+	c.now, c.acceptances.loaded = 100*second, true
 	b := &bench{Core: c, store: &testStore{keys: map[string]KV{}, epoch: 30}, lose: func(StoreTxn) bool { return false }}
 	for _, p := range c.parts {
 		p.held, p.ready, p.holder, p.claim, p.mark, p.term, p.provenAt = true, true, "n0", 30, 30, 1, c.now
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -355,7 +355,7 @@
 	read("rentals/", &rentals)
 	// The accepts first: what is accepted in between comes by the watch.
 	read(acceptPrefix, &accepts)
-	read("jobs/", &jobs)
+	read(jobPrefix, &jobs)
 }
 
 // broken gives up a part whose records were changed in a way that this process
