What is known of jobs is a registry with methods of its own

known, jobs, dependents and jobsEpoch were four maps and a revision of Core, and each user repeated the checks on them. jobRegistry holds them, states what always holds of them, and answers finished, holds, openAwaits and unreleased. knownJob.by is dueBy. Tests name the moved fields.

--- a/internal/core/acceptance.go
+++ b/internal/core/acceptance.go
@@ -156,7 +156,7 @@
 // answered with the same id's submission of a batch; false: it is neither.
 func (c *Core) joinRepeat(a *acceptance, batch []*acceptance) bool {
 	id := a.spec.ID
-	if c.known[id] != nil { // the same id came in twice at once
+	if c.jobs.known[id] != nil { // the same id came in twice at once
 		c.repeat(a.answer, id)
 		return true
 	}
@@ -276,7 +276,7 @@
 		return
 	}
 	v := JobView{ID: id, Status: StPending}
-	if k := c.known[id]; k != nil && k.final != "" {
+	if k := c.jobs.finished(id); k != nil {
 		v = finalView(id, k)
 	}
 	a.answer(Respond{Status: 201, View: &v})
--- a/internal/core/awaits.go
+++ b/internal/core/awaits.go
@@ -20,23 +20,6 @@
 // level on it knows what awaiting means. Absent in releases before.
 const pipelineLevel = 1
 
-// awaits tells which of the jobs that a job names are not known to be done.
-func (c *Core) awaits(k *knownJob) []JobID {
-	var open []JobID
-	for _, id := range k.awaits {
-		if a := c.known[id]; a == nil || a.final != StDone {
-			open = append(open, id)
-		}
-	}
-	return open
-}
-
-// unreleased tells whether a job is known to wait for others.
-func (c *Core) unreleased(id JobID) bool {
-	k := c.known[id]
-	return k != nil && k.final == "" && len(c.awaits(k)) > 0
-}
-
 // learnAwaits takes in what a job awaits, when its record is first seen.
 func (c *Core) learnAwaits(id JobID, k *knownJob, spec *JobSpec) {
 	if k.spec != nil {
@@ -44,7 +27,7 @@
 	}
 	k.spec = spec
 	k.inherit(spec.Priority, due(spec))
-	for _, d := range c.dependents[id] { // learned before it
+	for _, d := range c.jobs.dependents[id] { // learned before it
 		c.passBack(d)
 	}
 	if len(spec.Awaits) == 0 {
@@ -52,17 +35,15 @@
 	}
 	k.awaits = spec.Awaits
 	for _, a := range k.awaits {
-		if !slices.Contains(c.dependents[a], id) {
-			c.dependents[a] = append(c.dependents[a], id)
-		}
+		c.jobs.addDependent(a, id)
 		// Its owner may have learned of the end before it knew that this one waits.
-		if o := c.known[a]; o != nil && o.final != "" && c.parts[o.part].held && o.part != k.part {
+		if o := c.jobs.known[a]; o != nil && o.final != "" && c.parts[o.part].held && o.part != k.part {
 			c.tell(k.part, finalRecord(a, o))
 		}
 	}
 	c.passBack(id)
 	for _, a := range k.awaits {
-		if o := c.known[a]; o != nil && o.final == StCancelled {
+		if o := c.jobs.known[a]; o != nil && o.final == StCancelled {
 			c.settle(id, k, StCancelled)
 			return
 		}
@@ -77,19 +58,6 @@
 	return float64(s.Submitted) + s.DeadlineS*1000
 }
 
-// inherit notes a priority and the time by which a job has to be done; false:
-// nothing is more urgent than before.
-func (k *knownJob) inherit(prio Priority, by float64) bool {
-	more := false
-	if prio > k.prio {
-		k.prio, more = prio, true
-	}
-	if by > 0 && (k.by == 0 || by < k.by) {
-		k.by, more = by, true
-	}
-	return more
-}
-
 // betweenStages is what passes between the end of a job and the start of one
 // that awaits it, roughly, in milliseconds.
 const betweenStages = 2000
@@ -97,20 +65,20 @@
 // passBack gives a job's priority and deadline, less its estimated run time, to
 // those that it awaits, and on to those that they await.
 func (c *Core) passBack(id JobID) {
-	k := c.known[id]
+	k := c.jobs.known[id]
 	if k == nil || k.spec == nil {
 		return
 	}
 	by := 0.0
-	if k.by > 0 {
-		by = k.by - c.class(k.spec.Class).ratio*k.spec.RuntimeS*1000 - betweenStages
+	if k.dueBy > 0 {
+		by = k.dueBy - c.class(k.spec.Class).ratio*k.spec.RuntimeS*1000 - betweenStages
 	}
 	for _, a := range k.awaits {
-		o := c.known[a]
+		o := c.jobs.known[a]
 		if o == nil || o.final != "" || !o.inherit(k.prio, by) {
 			continue
 		}
-		if j := c.jobs[a]; j != nil {
+		if j := c.jobs.held[a]; j != nil {
 			j.prio = max(j.prio, o.prio)
 			c.parts[j.part].order = nil
 		}
@@ -125,18 +93,18 @@
 		return
 	}
 	k.final, k.spec = end, nil
-	j := c.jobs[id]
+	j := c.jobs.held[id]
 	if j != nil && j.final == "" && end == StCancelled && !j.cancelling && len(k.awaits) > 0 {
 		c.cancelImplied(j)
 	}
-	for _, d := range c.dependents[id] {
-		o := c.known[d]
+	for _, d := range c.jobs.dependents[id] {
+		o := c.jobs.known[d]
 		if o == nil || o.final != "" {
 			continue
 		}
 		if end == StCancelled {
 			c.settle(d, o, StCancelled)
-		} else if j := c.jobs[d]; j != nil {
+		} else if j := c.jobs.held[d]; j != nil {
 			c.release(j)
 		}
 	}
@@ -152,8 +120,8 @@
 
 // release lets a job's tasks start when nothing is left that it awaits.
 func (c *Core) release(j *job) {
-	k := c.known[j.spec.ID]
-	waiting := k != nil && len(c.awaits(k)) > 0
+	k := c.jobs.known[j.spec.ID]
+	waiting := k != nil && len(c.jobs.openAwaits(k)) > 0
 	if waiting == j.waiting {
 		return
 	}
@@ -184,8 +152,8 @@
 	told := map[Part]bool{}
 	var visit func(JobID)
 	visit = func(at JobID) {
-		for _, d := range c.dependents[at] {
-			o := c.known[d]
+		for _, d := range c.jobs.dependents[at] {
+			o := c.jobs.known[d]
 			if o == nil {
 				continue
 			}
@@ -205,16 +173,16 @@
 // is told only after what was stored until now has been read: a job that it
 // needs may have been cancelled, and others may have told what follows.
 func (c *Core) unfinished(id JobID, v JobView, fn func(int, JobView)) {
-	if k := c.known[id]; k != nil && k.final != "" {
+	if k := c.jobs.finished(id); k != nil {
 		fn(200, finalView(id, k))
 		return
 	}
-	if !c.unreleased(id) {
+	if !c.jobs.unreleased(id) {
 		fn(200, v)
 		return
 	}
 	c.freshen(func(ok bool) {
-		if k := c.known[id]; k.final != "" {
+		if k := c.jobs.known[id]; k.final != "" {
 			fn(200, finalView(id, k))
 		} else if ok {
 			fn(200, v)
@@ -227,7 +195,7 @@
 // freshen calls fn after everything has been learned that was stored about jobs
 // before this call, with readings begun after it; false: that could not be read.
 func (c *Core) freshen(fn func(bool)) {
-	if c.storeLost(second) || c.jobsEpoch == 0 || !c.acceptances.loaded {
+	if c.storeLost(second) || c.jobs.epoch == 0 || !c.acceptances.loaded {
 		fn(false)
 		return
 	}
@@ -264,7 +232,7 @@
 			c.learnJob(kv, nil)
 		}
 		done(r.Out == OK)
-	}), Prefix: jobPrefix, Since: c.jobsEpoch})
+	}), Prefix: jobPrefix, Since: c.jobs.epoch})
 }
 
 // checkAwaits finds out whether all jobs that a submission names were accepted:
@@ -286,7 +254,7 @@
 		}
 	}
 	for _, id := range spec.Awaits {
-		if c.known[id] != nil {
+		if c.jobs.known[id] != nil {
 			continue
 		}
 		left++
@@ -309,7 +277,7 @@
 func (c *Core) shorten(spec *JobSpec) {
 	var open []JobID
 	for _, id := range spec.Awaits {
-		k := c.known[id]
+		k := c.jobs.known[id]
 		if k != nil && k.final == StCancelled {
 			spec.Awaits = []JobID{id}
 			return
@@ -326,7 +294,7 @@
 func (c *Core) tellAwaited(spec *JobSpec, kv KV) {
 	told := map[Part]bool{c.teams[spec.Team].part: true}
 	for _, id := range spec.Awaits {
-		if k := c.known[id]; k != nil && !told[k.part] {
+		if k := c.jobs.known[id]; k != nil && !told[k.part] {
 			told[k.part] = true
 			c.tell(k.part, kv)
 		}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -26,9 +26,8 @@
 	w       writer
 	storeUp storeHealth
 
-	parts    []*part             // by number
-	jobs     map[JobID]*job      // jobs of held parts
-	known    map[JobID]*knownJob // what is known of all jobs: part, final state
+	parts    []*part // by number
+	jobs     jobRegistry
 	machines map[MachineID]*machine
 	groups   map[string]*group // of held parts
 	owners   map[MachineID]ownerNote
@@ -44,8 +43,6 @@
 	acceptances acceptances
 	askQueue    map[NodeID][]waitingView
 	askPending  map[NodeID]bool
-	jobsEpoch   Epoch
-	dependents  map[JobID][]JobID // jobs that await a job
 	freshQ      []func(bool)
 	freshening  bool
 	freshAt     Time
@@ -100,19 +97,6 @@
 	part Part
 }
 
-type knownJob struct {
-	part   Part
-	final  Status
-	stored bool // its own record says so; else it follows from that of a job that it needs
-	tasks  int
-	team   string
-	need   Res      // of a cancelled job
-	spec   *JobSpec // while it is unfinished, and its record was seen
-	awaits []JobID
-	prio   Priority // its own, or that of one that needs it
-	by     float64  // when it has to be done for itself and all that need it, as time of day; 0: any time
-}
-
 type ownerNote struct {
 	part Part
 	at   Time
@@ -123,12 +107,10 @@
 	c := &Core{
 		cfg:         cfg,
 		calls:       map[CallID]func(any){},
-		jobs:        map[JobID]*job{},
-		known:       map[JobID]*knownJob{},
+		jobs:        newJobRegistry(),
 		machines:    map[MachineID]*machine{},
 		groups:      map[string]*group{},
 		acceptances: acceptances{revisions: map[JobID]Mark{}},
-		dependents:  map[JobID][]JobID{},
 		inspecting:  map[MachineID]bool{},
 		owners:      map[MachineID]ownerNote{},
 		peers:       map[NodeID]*peer{},
@@ -451,7 +433,7 @@
 	c.logf("info", "stats", "reports", k.Reports, "submits", k.Submits, "queries", k.Queries, "cancels", k.Cancels,
 		"orders", k.Orders, "txns", k.Txns, "puts", k.Puts, "claims", k.Kinds[prioClaim], "rentals", k.Kinds[prioRent], "accepts", k.Kinds[prioAccept], "starts", k.Kinds[prioStart],
 		"outcomes", k.Kinds[prioDone], "lazy", k.Kinds[prioLazy], "conflicts", k.Conflicts, "gets", k.Gets,
-		"peer_calls", k.PeerCalls, "cloud_calls", k.CloudCalls, "parts", held, "jobs", len(c.jobs),
+		"peer_calls", k.PeerCalls, "cloud_calls", k.CloudCalls, "parts", held, "jobs", len(c.jobs.held),
 		"machines", len(c.machines), "queue", c.w.depth(), "inflight", c.w.inflight)
 }
 
--- a/internal/core/groups.go
+++ b/internal/core/groups.go
@@ -671,9 +671,9 @@
 func (c *Core) learnTask(m *machine, t listedTask, p *part) string {
 	m.stored++
 	jid := t.task.Job
-	j := c.jobs[jid]
+	j := c.jobs.held[jid]
 	if j == nil {
-		k := c.known[jid]
+		k := c.jobs.known[jid]
 		switch {
 		case k == nil:
 			return "lists a task of no known job"
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -261,11 +261,7 @@
 		c.logf("error", "job record of no known team", "key", kv.Key)
 		return
 	}
-	k := c.known[id]
-	if k == nil {
-		k = &knownJob{part: t.part, tasks: tasks, team: name}
-		c.known[id] = k
-	}
+	k := c.jobs.learn(id, t.part, name, tasks)
 	if rec.Need != nil {
 		k.need = *rec.Need
 	}
@@ -279,7 +275,7 @@
 	}
 	p := c.parts[t.part]
 	implied := k.final == StCancelled && !k.stored && len(k.awaits) > 0 // its own record has to follow
-	if k.final != "" && !implied || !p.held || c.jobs[id] != nil || rec.Spec == nil {
+	if k.final != "" && !implied || !p.held || c.jobs.held[id] != nil || rec.Spec == nil {
 		return
 	}
 	if !p.ready && p != loading {
@@ -321,7 +317,7 @@
 // loadChunk reads a further chunk; the job is held back until it is known.
 func (c *Core) loadChunk(j *job, n int) {
 	c.get(j.key(n), func(r GetReply) {
-		if c.jobs[j.spec.ID] != j {
+		if !c.jobs.holds(j) {
 			return
 		}
 		switch r.Out {
@@ -340,7 +336,7 @@
 		case Missing:
 		default:
 			c.after(second/2, func() {
-				if c.jobs[j.spec.ID] == j {
+				if c.jobs.holds(j) {
 					c.loadChunk(j, n)
 				}
 			})
@@ -365,13 +361,13 @@
 		for _, kv := range r.Items {
 			c.learnJob(kv, nil)
 		}
-		c.jobsEpoch = r.Epoch
+		c.jobs.epoch = r.Epoch
 		c.watchJobs()
 	})
 }
 
 func (c *Core) watchJobs() {
-	c.follow(jobPrefix, &c.jobsEpoch, 2*second, func(kv KV) {
+	c.follow(jobPrefix, &c.jobs.epoch, 2*second, func(kv KV) {
 		c.signOfLife(kv)
 		c.learnJob(kv, nil)
 	}, c.loadJobs)
@@ -391,7 +387,7 @@
 }
 
 func (c *Core) addJob(j *job) {
-	c.jobs[j.spec.ID] = j
+	c.jobs.held[j.spec.ID] = j
 	p := c.parts[j.part]
 	i := sort.Search(len(p.js), func(i int) bool { return p.js[i].spec.ID >= j.spec.ID })
 	p.js = slices.Insert(p.js, i, j)
@@ -399,7 +395,7 @@
 }
 
 func (c *Core) removeJob(j *job) {
-	delete(c.jobs, j.spec.ID)
+	delete(c.jobs.held, j.spec.ID)
 	p := c.parts[j.part]
 	if i := slices.Index(p.js, j); i >= 0 {
 		p.js = slices.Delete(slices.Clone(p.js), i, i+1) // somebody may be walking the old list
@@ -501,7 +497,7 @@
 					j.dirty[i/chunkTasks] = true
 				}
 			}
-			if c.jobs[j.spec.ID] == j {
+			if c.jobs.holds(j) {
 				c.releaseDone(j)
 			}
 			if end != "" {
@@ -513,7 +509,7 @@
 		},
 		conflict: func() {
 			j.w, j.ending = false, false
-			if c.jobs[j.spec.ID] != j {
+			if !c.jobs.holds(j) {
 				return
 			}
 			if j.marks[0] == 0 {
@@ -559,7 +555,7 @@
 // than the acceptance here.
 func (c *Core) ownRecord(j *job, prio int) {
 	c.get(j.key(0), func(r GetReply) {
-		if c.jobs[j.spec.ID] != j || j.w || j.marks[0] != 0 {
+		if !c.jobs.holds(j) || j.w || j.marks[0] != 0 {
 			return
 		}
 		var rec jobRecord
@@ -605,7 +601,7 @@
 
 func (c *Core) jobEnded(j *job, end Status) {
 	j.final = end
-	if k := c.known[j.spec.ID]; k != nil {
+	if k := c.jobs.known[j.spec.ID]; k != nil {
 		k.stored = true
 		c.settle(j.spec.ID, k, end)
 		c.tellDependents(j.spec.ID, k)
@@ -614,7 +610,7 @@
 		fn(end)
 	}
 	j.waiters = nil
-	if c.jobs[j.spec.ID] != j {
+	if !c.jobs.holds(j) {
 		return
 	}
 	c.logf("debug", "job over", "job", string(j.spec.ID), "status", string(end), "class", j.spec.Class, "team", j.spec.Team,
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -235,7 +235,7 @@
 			j.setPlaced(a.task.Index, other)
 		}
 	}
-	if j.final != "" && len(j.where) == 0 && c.jobs[j.spec.ID] == j {
+	if j.final != "" && len(j.where) == 0 && c.jobs.holds(j) {
 		c.removeJob(j)
 	}
 	c.placing = true
--- a/internal/core/meeting_guards_test.go
+++ b/internal/core/meeting_guards_test.go
@@ -115,7 +115,7 @@
 	spec := JobSpec{ID: id, Team: "red", Tasks: tasks, Need: Res{CPU: 1_000_000}}
 	j := newJob(spec, 0, 0, b.now)
 	b.addJob(j)
-	b.known[id] = &knownJob{part: 0, tasks: tasks, team: "red"}
+	b.jobs.known[id] = &knownJob{part: 0, tasks: tasks, team: "red"}
 	return j
 }
 
@@ -142,7 +142,7 @@
 	if b.store.get("jobs/j-1").Out != OK || j.final != "" {
 		t.Fatal("the end is not stored, or its answer is not lost")
 	}
-	b.known["j-1"].final = "" // nothing has told this controller
+	b.jobs.known["j-1"].final = "" // nothing has told this controller
 	b.onQuery(Query{Req: 5, ID: "j-1"})
 	var views []JobView
 	b.answerAsk([]JobID{"j-1"}, func(v []JobView) { views = v })
--- a/internal/core/passback_test.go
+++ b/internal/core/passback_test.go
@@ -38,33 +38,33 @@
 			"c": {Urgent, 0},
 			"e": {Production, 1_100_000}, // its own is the tighter
 		} {
-			if k := b.known[id]; k.prio != want.prio || k.by != want.by {
-				t.Errorf("%v: %s has priority %d, due %v; want %d, %v", order, id, k.prio, k.by, want.prio, want.by)
+			if k := b.jobs.known[id]; k.prio != want.prio || k.dueBy != want.by {
+				t.Errorf("%v: %s has priority %d, due %v; want %d, %v", order, id, k.prio, k.dueBy, want.prio, want.by)
 			}
-			if j := b.jobs[id]; j != nil && j.prio != want.prio {
+			if j := b.jobs.held[id]; j != nil && j.prio != want.prio {
 				t.Errorf("%v: %s is served with priority %d, want %d", order, id, j.prio, want.prio)
 			}
 		}
-		if b.jobs["a"] == nil || b.jobs["b"] != nil {
+		if b.jobs.held["a"] == nil || b.jobs.held["b"] != nil {
 			t.Fatal("the wrong jobs are held")
 		}
-		if start := b.latestStart(b.jobs["a"]); start != due-2*(20_000+betweenStages)-20_000 {
+		if start := b.latestStart(b.jobs.held["a"]); start != due-2*(20_000+betweenStages)-20_000 {
 			t.Errorf("%v: a is to start at %v", order, start)
 		}
 		// One that comes later, and one after the end.
 		late := spec("f", "blue", Normal, 100, "b")
 		v, _ := json.Marshal(jobRecord{Spec: &late, W: "x"})
 		b.learnJob(KV{"jobs/f", v, 40}, nil)
-		if k := b.known["a"]; k.by != 1_100_000-2*(20_000+betweenStages) {
-			t.Errorf("%v: a tighter deadline does not reach a: %v", order, k.by)
+		if k := b.jobs.known["a"]; k.dueBy != 1_100_000-2*(20_000+betweenStages) {
+			t.Errorf("%v: a tighter deadline does not reach a: %v", order, k.dueBy)
 		}
 		done, _ := json.Marshal(jobRecord{State: StDone, Team: "green", Tasks: 1, W: "x"})
 		b.learnJob(KV{"jobs/b", done, 41}, nil)
 		later := spec("g", "blue", Production, 50, "b")
 		v, _ = json.Marshal(jobRecord{Spec: &later, W: "x"})
 		b.learnJob(KV{"jobs/g", v, 42}, nil)
-		if k := b.known["a"]; k.by != 1_100_000-2*(20_000+betweenStages) {
-			t.Errorf("%v: what awaits a finished job changes a: %v", order, k.by)
+		if k := b.jobs.known["a"]; k.dueBy != 1_100_000-2*(20_000+betweenStages) {
+			t.Errorf("%v: what awaits a finished job changes a: %v", order, k.dueBy)
 		}
 	}
 }
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -128,8 +128,8 @@
 			consider(at + o.WithinS*1000)
 		}
 	}
-	if k := c.known[j.spec.ID]; k != nil && k.by > 0 && k.by != due(&j.spec) { // of a job that needs it
-		consider(k.by - run)
+	if k := c.jobs.known[j.spec.ID]; k != nil && k.dueBy > 0 && k.dueBy != due(&j.spec) { // of a job that needs it
+		consider(k.dueBy - run)
 	}
 	if !known {
 		consider(at + max(j.spec.DeadlineS, 600)*1000 - run)
--- a/internal/core/production_test.go
+++ b/internal/core/production_test.go
@@ -51,21 +51,21 @@
 	}
 	b.play(second)
 	for id, done := range map[JobID]int{"j-000412": 4, "j-000413": 0, "j-000414": 5462 + 100, "j-000417": 0, "j-000418": 0} {
-		if j := b.jobs[id]; j == nil || j.done != done || len(j.spec.Awaits) > 0 || j.waiting || !j.active() || j.loading > 0 {
+		if j := b.jobs.held[id]; j == nil || j.done != done || len(j.spec.Awaits) > 0 || j.waiting || !j.active() || j.loading > 0 {
 			t.Errorf("%s: %+v, want %d done", id, j, done)
 		}
 	}
 	want := JobSpec{ID: "j-000412", Class: "train", Team: "red", Priority: Urgent, Tasks: 16, Need: Res{CPU: 8_000_000, GPU: 1_000_000, Mem: 64_000_000}, Types: []string{"g8"}, Zone: "a",
 		SamePlace: true, Scatter: true, Spot: true, Image: "img-07", ImageGB: 6.2, RuntimeS: 240, CheckpntS: 30, SaveS: 4, DeadlineS: 900, Submitted: 1_700_000_000_000}
-	if j := b.jobs["j-000412"]; !reflect.DeepEqual(j.spec, want) {
+	if j := b.jobs.held["j-000412"]; !reflect.DeepEqual(j.spec, want) {
 		t.Errorf("read %+v", j.spec)
 	}
 	for id, end := range map[JobID]Status{"j-000415": StDone, "j-000416": StCancelled} {
-		if k := b.known[id]; k == nil || k.final != end || k.tasks != 4 || !k.stored {
+		if k := b.jobs.known[id]; k == nil || k.final != end || k.tasks != 4 || !k.stored {
 			t.Errorf("%s: %+v, want %s", id, k, end)
 		}
 	}
-	if b.known["j-000416"].need.CPU != 2_000_000 {
+	if b.jobs.known["j-000416"].need.CPU != 2_000_000 {
 		t.Error("a cancelled job's need is lost")
 	}
 	for _, k := range []string{"groups/b1-30-1", "groups/b1-30-2"} {
--- /dev/null
+++ b/internal/core/registry.go
@@ -0,0 +1,95 @@
+package core
+
+import "slices"
+
+// jobRegistry is what this controller knows of all jobs.
+//
+// Every held job is known. A final state once known never changes, and a known
+// job is never forgotten. A job is among another's dependents exactly once, and
+// only if its record names that one.
+type jobRegistry struct {
+	known      map[JobID]*knownJob
+	held       map[JobID]*job    // of parts held here, until nothing of them is on a machine
+	dependents map[JobID][]JobID // jobs that await a job
+	epoch      Epoch             // what was stored until then is known; 0: nothing was read yet
+}
+
+// knownJob is what is known of a job, whoever holds its part.
+type knownJob struct {
+	part   Part
+	final  Status // or "" while it is unfinished
+	stored bool   // its own record says so; else it follows from that of a job that it needs
+	tasks  int
+	team   string
+	need   Res      // of a cancelled job
+	spec   *JobSpec // while it is unfinished, and its record was seen
+	awaits []JobID
+	prio   Priority // its own, or that of one that needs it
+	dueBy  float64  // when it has to be done for itself and all that need it, as time of day; 0: any time
+}
+
+func newJobRegistry() jobRegistry {
+	return jobRegistry{
+		known:      map[JobID]*knownJob{},
+		held:       map[JobID]*job{},
+		dependents: map[JobID][]JobID{},
+	}
+}
+
+// learn returns what is known of a job, and registers it when it is new.
+func (r *jobRegistry) learn(id JobID, part Part, team string, tasks int) *knownJob {
+	k := r.known[id]
+	if k == nil {
+		k = &knownJob{part: part, tasks: tasks, team: team}
+		r.known[id] = k
+	}
+	return k
+}
+
+// finished returns what is known of a job in a final state, or nil.
+func (r *jobRegistry) finished(id JobID) *knownJob {
+	if k := r.known[id]; k != nil && k.final != "" {
+		return k
+	}
+	return nil
+}
+
+// holds tells whether a job is still the one held under its id.
+func (r *jobRegistry) holds(j *job) bool { return r.held[j.spec.ID] == j }
+
+// addDependent notes that a job awaits another.
+func (r *jobRegistry) addDependent(awaited, id JobID) {
+	if !slices.Contains(r.dependents[awaited], id) {
+		r.dependents[awaited] = append(r.dependents[awaited], id)
+	}
+}
+
+// openAwaits tells which of the jobs that a job names are not known to be done.
+func (r *jobRegistry) openAwaits(k *knownJob) []JobID {
+	var open []JobID
+	for _, id := range k.awaits {
+		if a := r.known[id]; a == nil || a.final != StDone {
+			open = append(open, id)
+		}
+	}
+	return open
+}
+
+// unreleased tells whether a job is known to wait for others.
+func (r *jobRegistry) unreleased(id JobID) bool {
+	k := r.known[id]
+	return k != nil && k.final == "" && len(r.openAwaits(k)) > 0
+}
+
+// inherit notes a priority and the time by which a job has to be done; false:
+// nothing is more urgent than before.
+func (k *knownJob) inherit(prio Priority, by float64) bool {
+	more := false
+	if prio > k.prio {
+		k.prio, more = prio, true
+	}
+	if by > 0 && (k.dueBy == 0 || by < k.dueBy) {
+		k.dueBy, more = by, true
+	}
+	return more
+}
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -65,16 +65,16 @@
 // lookUp finds a job's state: a final one from memory, else from its owner,
 // else from the store, which alone can say that there is no such job.
 func (c *Core) lookUp(id JobID, fn func(int, JobView)) {
-	k := c.known[id]
+	k := c.jobs.known[id]
 	if k != nil && k.final != "" {
 		fn(200, finalView(id, k))
 		return
 	}
-	if j := c.jobs[id]; j != nil {
+	if j := c.jobs.held[id]; j != nil {
 		c.confirm(c.parts[j.part], func(good bool) {
-			if k := c.known[id]; k != nil && k.final != "" {
+			if k := c.jobs.finished(id); k != nil {
 				fn(200, finalView(id, k))
-			} else if j := c.jobs[id]; good && j != nil && !j.ending {
+			} else if j := c.jobs.held[id]; good && j != nil && !j.ending {
 				c.unfinished(id, j.view(), fn)
 			} else { // another may have read and told an end that is on its way here
 				c.lookInStore(id, fn)
@@ -155,7 +155,7 @@
 			}
 			for _, x := range q {
 				if v, ok := got[x.id]; ok {
-					if k := c.known[x.id]; k != nil && v.Status.Final() {
+					if k := c.jobs.known[x.id]; k != nil && v.Status.Final() {
 						c.settle(x.id, k, v.Status)
 					}
 					x.fn(200, v)
@@ -171,7 +171,7 @@
 func (c *Core) answerAsk(ids []JobID, fn func([]JobView)) {
 	byPart := map[Part]bool{}
 	for _, id := range ids {
-		if j := c.jobs[id]; j != nil {
+		if j := c.jobs.held[id]; j != nil {
 			byPart[j.part] = true
 		}
 	}
@@ -184,15 +184,15 @@
 		}
 		var out []JobView
 		for _, id := range ids {
-			if k := c.known[id]; k != nil && k.final != "" {
+			if k := c.jobs.finished(id); k != nil {
 				out = append(out, finalView(id, k))
-			} else if j := c.jobs[id]; j != nil && good[j.part] && !j.ending && (fresh || !c.unreleased(id)) {
+			} else if j := c.jobs.held[id]; j != nil && good[j.part] && !j.ending && (fresh || !c.jobs.unreleased(id)) {
 				out = append(out, j.view())
 			}
 		}
 		fn(out)
 	}
-	if slices.ContainsFunc(ids, func(id JobID) bool { return c.jobs[id] != nil && c.unreleased(id) }) {
+	if slices.ContainsFunc(ids, func(id JobID) bool { return c.jobs.held[id] != nil && c.jobs.unreleased(id) }) {
 		left++
 		c.freshen(func(ok bool) {
 			fresh = ok
@@ -220,7 +220,7 @@
 		v := JobView{ID: id, Status: s}
 		c.answerView(req, 200, v)
 	}
-	k := c.known[id]
+	k := c.jobs.known[id]
 	switch {
 	case k != nil && k.final != "":
 		answer(k.final)
@@ -266,11 +266,11 @@
 
 // cancelHere cancels a job of a part held here; told only after it is stored.
 func (c *Core) cancelHere(id JobID, fn func(int, *JobView)) {
-	if k := c.known[id]; k != nil && k.final != "" {
+	if k := c.jobs.finished(id); k != nil {
 		fn(200, &JobView{ID: id, Status: k.final})
 		return
 	}
-	j := c.jobs[id]
+	j := c.jobs.held[id]
 	if j == nil || !c.parts[j.part].ready {
 		fn(503, nil)
 		return
--- a/internal/core/submissions.go
+++ b/internal/core/submissions.go
@@ -15,7 +15,7 @@
 		r.Req = e.Req
 		c.emit(r)
 	}
-	if c.known[e.Job.ID] == nil && e.Bad == 0 && (c.storeSilent() || len(c.types) == 0) && c.handOn(e.Job, answer) {
+	if c.jobs.known[e.Job.ID] == nil && e.Bad == 0 && (c.storeSilent() || len(c.types) == 0) && c.handOn(e.Job, answer) {
 		return
 	}
 	c.submit(e.Job, e.Bad, e.Why, answer)
@@ -38,8 +38,8 @@
 			case r.Out != OK:
 				answer(Respond{Status: 503, RetryAfter: retrySoon, Error: "store out of reach"})
 			case len(r.Msg.Views) == 1:
-				if t := c.teams[spec.Team]; t != nil && c.known[spec.ID] == nil {
-					c.known[spec.ID] = &knownJob{part: t.part, tasks: spec.Tasks, team: spec.Team}
+				if t := c.teams[spec.Team]; t != nil {
+					c.jobs.learn(spec.ID, t.part, spec.Team, spec.Tasks)
 				}
 				answer(Respond{Status: r.Msg.Status, View: &r.Msg.Views[0]})
 			default:
@@ -59,7 +59,7 @@
 // take is submit; checked tells whether what the job awaits was looked up.
 func (c *Core) take(spec JobSpec, bad int, why string, checked bool, answer func(Respond)) {
 	id := spec.ID
-	if c.known[id] != nil {
+	if c.jobs.known[id] != nil {
 		c.repeat(answer, id)
 		return
 	}
