Readings for questions and questions to owners have types of their own

Who waits for a reading of the jobs' changes and which questions wait for another controller were five fields of Core. jobReads and ownerQueries hold them with their invariants, and the steps of a question are functions in place of nested closures.

--- a/internal/core/awaits.go
+++ b/internal/core/awaits.go
@@ -192,49 +192,6 @@
 	})
 }
 
-// freshen calls fn after everything has been learned that was stored about jobs
-// before this call, with readings begun after it; false: that could not be read.
-func (c *Core) freshen(fn func(bool)) {
-	if c.storeLost(second) || c.jobs.epoch == 0 || !c.acceptances.loaded {
-		fn(false)
-		return
-	}
-	c.freshQ = append(c.freshQ, fn)
-	if c.freshening {
-		return
-	}
-	c.freshening = true
-	c.after(max(0, c.freshAt+100*milli-c.now), c.readChanges)
-}
-
-func (c *Core) readChanges() {
-	q := c.freshQ
-	c.freshQ, c.freshAt = nil, c.now
-	left, good := 2, true
-	done := func(ok bool) {
-		good = good && ok
-		if left--; left > 0 {
-			return
-		}
-		for _, fn := range q {
-			fn(good)
-		}
-		if c.freshening = len(c.freshQ) > 0; c.freshening {
-			c.after(max(0, c.freshAt+100*milli-c.now), c.readChanges)
-		}
-	}
-	c.readAccepts(done)
-	c.w.reqs.have--
-	c.counters.Gets++
-	c.emit(StoreWatch{Call: c.call(func(b any) {
-		r := b.(WatchReply)
-		for _, kv := range r.Items {
-			c.learnJob(kv, nil)
-		}
-		done(r.Out == OK)
-	}), Prefix: jobPrefix, Since: c.jobs.epoch})
-}
-
 // checkAwaits finds out whether all jobs that a submission names were accepted:
 // 0, or the status that it gets instead. Only the store can show that one never
 // was. While a controller of an earlier release is about, which would start the
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -40,50 +40,47 @@
 	keptRead bool
 	keeping  bool
 
-	acceptances acceptances
-	askQueue    map[NodeID][]waitingView
-	askPending  map[NodeID]bool
-	freshQ      []func(bool)
-	freshening  bool
-	freshAt     Time
-	partsEpoch  Epoch
-	counters    Counters
-	classes     map[string]*classStats
-	rentSeq     int
-	rentAsked   bool
-	beating     bool
-	beatMark    Mark
-	nextList    Time
-	strays      map[MachineID]Time // listed without a record, since when
-	cloud       cloudShare
-	lastReport  Time
-	proveStore  Time // the store is asked until then
-	checkinAt   Time // when any worker last reported here, also another's
-	workersLost bool
-	lastAddr    string // of a worker, to find out whether workers can be reached
-	heldReports []*machine
-	holdWake    bool
-	pokes       []*machine
-	groupSeq    int
-	strange     []Checkin // from machines whose owner is being looked for
-	finding     bool
-	foundAt     Time
-	inspecting  map[MachineID]bool // being enlisted
-	returnAsked bool
-	returns     map[string]int // by why, not logged yet
-	returnTasks int
-	nextPlace   Time
-	placeWake   bool
-	loadsAt     Time // when lastLoads was worked out; many ask within one interval
-	loadsEpoch  int
-	lastLoads   []PartLoad
-	spotLost    float64 // spot machines taken back or lost, and what they served in all, in seconds
-	spotTime    float64
-	claims      int      // changes of the parts held here
-	found       []Listed // in the cloud's list, without a record
-	placing     bool
-	load        Load // as last told
-	awakeAt     Time // when the process last went on after standing still
+	acceptances  acceptances
+	jobReads     jobReads
+	ownerQueries ownerQueries
+	partsEpoch   Epoch
+	counters     Counters
+	classes      map[string]*classStats
+	rentSeq      int
+	rentAsked    bool
+	beating      bool
+	beatMark     Mark
+	nextList     Time
+	strays       map[MachineID]Time // listed without a record, since when
+	cloud        cloudShare
+	lastReport   Time
+	proveStore   Time // the store is asked until then
+	checkinAt    Time // when any worker last reported here, also another's
+	workersLost  bool
+	lastAddr     string // of a worker, to find out whether workers can be reached
+	heldReports  []*machine
+	holdWake     bool
+	pokes        []*machine
+	groupSeq     int
+	strange      []Checkin // from machines whose owner is being looked for
+	finding      bool
+	foundAt      Time
+	inspecting   map[MachineID]bool // being enlisted
+	returnAsked  bool
+	returns      map[string]int // by why, not logged yet
+	returnTasks  int
+	nextPlace    Time
+	placeWake    bool
+	loadsAt      Time // when lastLoads was worked out; many ask within one interval
+	loadsEpoch   int
+	lastLoads    []PartLoad
+	spotLost     float64 // spot machines taken back or lost, and what they served in all, in seconds
+	spotTime     float64
+	claims       int      // changes of the parts held here
+	found        []Listed // in the cloud's list, without a record
+	placing      bool
+	load         Load // as last told
+	awakeAt      Time // when the process last went on after standing still
 }
 
 // Counters are for the periodic log line.
@@ -105,21 +102,20 @@
 // New makes a Core. Nothing happens before the first Step.
 func New(cfg Config) *Core {
 	c := &Core{
-		cfg:         cfg,
-		calls:       map[CallID]func(any){},
-		jobs:        newJobRegistry(),
-		machines:    map[MachineID]*machine{},
-		groups:      map[string]*group{},
-		acceptances: acceptances{revisions: map[JobID]Mark{}},
-		inspecting:  map[MachineID]bool{},
-		owners:      map[MachineID]ownerNote{},
-		peers:       map[NodeID]*peer{},
-		teams:       map[string]*team{},
-		types:       map[string]MachineType{},
-		askQueue:    map[NodeID][]waitingView{},
-		askPending:  map[NodeID]bool{},
-		strays:      map[MachineID]Time{},
-		classes:     map[string]*classStats{},
+		cfg:          cfg,
+		calls:        map[CallID]func(any){},
+		jobs:         newJobRegistry(),
+		machines:     map[MachineID]*machine{},
+		groups:       map[string]*group{},
+		acceptances:  acceptances{revisions: map[JobID]Mark{}},
+		inspecting:   map[MachineID]bool{},
+		owners:       map[MachineID]ownerNote{},
+		peers:        map[NodeID]*peer{},
+		ownerQueries: newOwnerQueries(),
+		teams:        map[string]*team{},
+		types:        map[string]MachineType{},
+		strays:       map[MachineID]Time{},
+		classes:      map[string]*classStats{},
 	}
 	c.w.init(c)
 	for i := range cfg.Nodes {
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -126,47 +126,6 @@
 	})
 }
 
-type waitingView struct {
-	id JobID
-	fn func(int, JobView)
-}
-
-// askOwner gathers the questions of some milliseconds into one message.
-func (c *Core) askOwner(p *peer, id JobID, fn func(int, JobView)) {
-	c.askQueue[p.id] = append(c.askQueue[p.id], waitingView{id, fn})
-	if c.askPending[p.id] {
-		return
-	}
-	c.askPending[p.id] = true
-	c.after(50*milli, func() {
-		c.askPending[p.id] = false
-		q := c.askQueue[p.id]
-		delete(c.askQueue, p.id)
-		ids := make([]JobID, len(q))
-		for i, x := range q {
-			ids[i] = x.id
-		}
-		c.ask(p.id, 800*milli, PeerMsg{Ask: &Ask{IDs: ids}}, func(r PeerReply) {
-			got := map[JobID]JobView{}
-			if r.Out == OK {
-				for _, v := range r.Msg.Views {
-					got[v.ID] = v
-				}
-			}
-			for _, x := range q {
-				if v, ok := got[x.id]; ok {
-					if k := c.jobs.known[x.id]; k != nil && v.Status.Final() {
-						c.settle(x.id, k, v.Status)
-					}
-					x.fn(200, v)
-				} else {
-					c.lookInStore(x.id, x.fn)
-				}
-			}
-		})
-	})
-}
-
 // answerAsk answers what this node can vouch for and leaves out the rest.
 func (c *Core) answerAsk(ids []JobID, fn func([]JobView)) {
 	byPart := map[Part]bool{}
