Orphaned machines and the owners of others have types of their own

Six fields of Core held the search for machines that no record lists, under several words for one thing (strays, strange, found, ghosts). orphans holds them and states what always holds; machineOwners keeps whose a machine is, cloudListing the reading of the cloud's list. Log lines stay as they were. Two tests call the renamed functions with the same assertions.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -26,19 +26,20 @@
 	w       writer
 	storeUp storeHealth
 
-	parts    []*part // by number
-	jobs     jobRegistry
-	machines map[MachineID]*machine
-	groups   map[string]*group // of held parts
-	owners   map[MachineID]ownerNote
-	peers    map[NodeID]*peer
-	teams    map[string]*team
-	types    map[string]MachineType
-	listed   cloudView
-	kept     []MachineType // the catalogue in the store
-	keptMark Mark
-	keptRead bool
-	keeping  bool
+	parts        []*part // by number
+	jobs         jobRegistry
+	machines     map[MachineID]*machine
+	groups       map[string]*group // of held parts
+	owners       machineOwners
+	peers        map[NodeID]*peer
+	teams        map[string]*team
+	types        map[string]MachineType
+	cloudListing cloudListing
+	orphans      orphans
+	kept         []MachineType // the catalogue in the store
+	keptMark     Mark
+	keptRead     bool
+	keeping      bool
 
 	acceptances  acceptances
 	jobReads     jobReads
@@ -50,8 +51,6 @@
 	rentAsked    bool
 	beating      bool
 	beatMark     Mark
-	nextList     Time
-	strays       map[MachineID]Time // listed without a record, since when
 	cloud        cloudShare
 	lastReport   Time
 	proveStore   Time // the store is asked until then
@@ -62,10 +61,6 @@
 	holdWake     bool
 	pokes        []*machine
 	groupSeq     int
-	strange      []Checkin // from machines whose owner is being looked for
-	finding      bool
-	foundAt      Time
-	inspecting   map[MachineID]bool // being enlisted
 	returnAsked  bool
 	returns      map[string]int // by why, not logged yet
 	returnTasks  int
@@ -76,8 +71,7 @@
 	lastLoads    []PartLoad
 	spotLost     float64 // spot machines taken back or lost, and what they served in all, in seconds
 	spotTime     float64
-	claims       int      // changes of the parts held here
-	found        []Listed // in the cloud's list, without a record
+	claims       int // changes of the parts held here
 	placing      bool
 	load         Load // as last told
 	awakeAt      Time // when the process last went on after standing still
@@ -94,11 +88,6 @@
 	part Part
 }
 
-type ownerNote struct {
-	part Part
-	at   Time
-}
-
 // New makes a Core. Nothing happens before the first Step.
 func New(cfg Config) *Core {
 	c := &Core{
@@ -108,13 +97,12 @@
 		machines:     map[MachineID]*machine{},
 		groups:       map[string]*group{},
 		acceptances:  acceptances{revisions: map[JobID]Mark{}},
-		inspecting:   map[MachineID]bool{},
-		owners:       map[MachineID]ownerNote{},
+		owners:       machineOwners{},
+		orphans:      newOrphans(),
 		peers:        map[NodeID]*peer{},
 		ownerQueries: newOwnerQueries(),
 		teams:        map[string]*team{},
 		types:        map[string]MachineType{},
-		strays:       map[MachineID]Time{},
 		classes:      map[string]*classStats{},
 	}
 	c.w.init(c)
@@ -133,7 +121,7 @@
 	}
 	c.divideCloud()
 	c.cloud.have = c.cloud.cap
-	c.nextList = c.firstList()
+	c.cloudListing.nextAt = c.firstList()
 	c.after(0, c.boot)
 	return c
 }
--- a/internal/core/groups.go
+++ b/internal/core/groups.go
@@ -559,7 +559,7 @@
 			c.freeTask(a)
 		}
 		if to >= 0 && int(to) < len(c.parts) {
-			c.owners[m.id] = ownerNote{to, c.now}
+			c.owners.note(m.id, to, c.now)
 		}
 	}
 }
@@ -701,6 +701,6 @@
 
 func (c *Core) noteOwners(part Part, ms []listedMachine) {
 	for i := range ms {
-		c.owners[ms[i].id] = ownerNote{part, c.now}
+		c.owners.note(ms[i].id, part, c.now)
 	}
 }
--- a/internal/core/guards_test.go
+++ b/internal/core/guards_test.go
@@ -121,7 +121,12 @@
 		}
 		asked, ended := false, false
 		var got map[MachineID]bool
-		c.readOwners(func(_ map[groupKind]bool, listed map[MachineID]bool) { ended, got = true, listed })
+		c.readRecorded(func(rec *recordedMachines) {
+			ended = true
+			if rec != nil {
+				got = rec.listed
+			}
+		})
 		for i := 0; i < len(c.out); i++ {
 			switch f := c.out[i].(type) {
 			case StoreList:
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -332,7 +332,7 @@
 		}
 		c.placing = true
 		if len(p.ms)+len(p.rentals) > 0 {
-			c.nextList = 0 // the cloud's list shows what the records may lack
+			c.cloudListing.nextAt = 0 // the cloud's list shows what the records may lack
 		}
 		c.logf("info", "part ready", "part", int(p.id), "machines", len(p.ms), "jobs", len(p.js), "took_ms", int((c.now-p.since)/milli))
 		c.machineSweep()
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -36,11 +36,6 @@
 	W     string `json:"w"`
 }
 
-// cloudView is the state of reading the machine list.
-type cloudView struct {
-	busy bool
-}
-
 func rentalKey(name string) string { return "rentals/" + name }
 
 func (c *Core) learnRental(kv KV, p *part) {
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -17,7 +17,7 @@
 	}
 	m := c.machines[r.Machine]
 	if m == nil {
-		c.strangeReport(e)
+		c.onUnknownReport(e)
 		return
 	}
 	p := c.parts[m.part]
@@ -252,7 +252,7 @@
 		present[start{t.Task, t.Attempt}] = true
 		a := m.assigns[t.Task]
 		if a == nil || a.attempt != t.Attempt {
-			c.strayTask(m, t)
+			c.unlistedTask(m, t)
 			continue
 		}
 		c.seen(m, a, t)
@@ -316,8 +316,8 @@
 	// Nobody waits for it: the next checkpoint takes it along.
 }
 
-// strayTask is a task that the machine's record does not list.
-func (c *Core) strayTask(m *machine, t *TaskReport) {
+// unlistedTask is a task that the machine's record does not list.
+func (c *Core) unlistedTask(m *machine, t *TaskReport) {
 	s := start{t.Task, t.Attempt}
 	if t.State == Ended {
 		delete(m.kill, s)
--- a/internal/core/seven_test.go
+++ b/internal/core/seven_test.go
@@ -108,7 +108,7 @@
 			owned = false // returned; the list shows it for 16 s more
 		}
 		if c.now < 86*second && c.now%(8*second) == 0 {
-			c.heardOf(Listed{ID: "m-000007", Type: "small", Zone: "a", AgeS: 500})
+			c.seenInList(Listed{ID: "m-000007", Type: "small", Zone: "a", AgeS: 500})
 		}
 		queue := c.Step(c.now+second/2, 0, Tick{})
 		for len(queue) > 0 {
