Health of store, workers and process, and the heartbeat, are types of their own

Readings of changes, written out three times, share readSince. upkeep.go is maintenance.go. Three tests name the moved fields.

--- a/internal/core/acceptance.go
+++ b/internal/core/acceptance.go
@@ -359,13 +359,10 @@
 // readAccepts reads the records of several that were stored since the last
 // reading; fn gets whether that worked.
 func (c *Core) readAccepts(fn func(bool)) {
-	c.w.reqs.have--
-	c.counters.Gets++
-	c.emit(StoreWatch{Call: c.call(func(b any) {
-		r := b.(WatchReply)
+	c.readSince(acceptPrefix, c.acceptances.epoch, func(r WatchReply) {
 		for _, kv := range r.Items {
 			c.learnAccepted(kv, nil)
 		}
 		fn(r.Out == OK)
-	}), Prefix: acceptPrefix, Since: c.acceptances.epoch})
+	})
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -23,8 +23,11 @@
 	timers   timerHeap
 	timerSeq uint64
 
-	w       writer
-	storeUp storeHealth
+	w             writer
+	storeHealth   storeHealth
+	process       processHealth
+	heartbeat     heartbeat
+	workerContact workerContact
 
 	parts        []*part // by number
 	jobs         jobRegistry
@@ -49,14 +52,7 @@
 	classes      map[string]*classStats
 	rentSeq      int
 	rentAsked    bool
-	beating      bool
-	beatMark     Mark
 	cloud        cloudShare
-	lastReport   Time
-	proveStore   Time // the store is asked until then
-	checkinAt    Time // when any worker last reported here, also another's
-	workersLost  bool
-	lastAddr     string // of a worker, to find out whether workers can be reached
 	heldReports  []*machine
 	holdWake     bool
 	pokes        []*machine
@@ -73,8 +69,6 @@
 	spotTime     float64
 	claims       int // changes of the parts held here
 	placing      bool
-	load         Load // as last told
-	awakeAt      Time // when the process last went on after standing still
 }
 
 // Counters are for the periodic log line.
@@ -161,7 +155,7 @@
 	c.wall = wall
 	c.out = nil
 	if stood && len(c.timers) > 0 {
-		c.awake()
+		c.resume()
 	}
 	switch e := ev.(type) {
 	case Tick:
@@ -182,7 +176,7 @@
 	case PeerAsk:
 		c.onPeer(e)
 	case Load:
-		c.load = e
+		c.process.load = e
 	case Reply:
 		if fn := c.calls[e.Call]; fn != nil {
 			delete(c.calls, e.Call)
@@ -197,7 +191,7 @@
 // flush decides once per step on all that the step has changed.
 func (c *Core) flush() {
 	if c.placing && c.now >= c.nextPlace {
-		c.placing, c.nextPlace = false, c.now+c.pause(placePause)
+		c.placing, c.nextPlace = false, c.now+c.process.pause(placePause)
 		c.place()
 	} else if c.placing && !c.placeWake {
 		c.placeWake = true
@@ -208,40 +202,6 @@
 	c.releaseReports()
 }
 
-// standstill: timers are due several times a second, so a gap between events
-// as long as this means that the process stood still while its clocks ran on.
-const standstill = 3 * second
-
-// awake is called when the process has stood still. What it knows is as old as
-// that: another may hold its parts, and that no machine was heard in the gap
-// says nothing about the machines.
-func (c *Core) awake() {
-	c.awakeAt = c.now
-	c.logf("info", "stood still")
-	for _, p := range c.parts {
-		if p.held {
-			c.rereadPart(p)
-		}
-	}
-}
-
-// silentFor is how long a machine could have been heard and was not.
-func (c *Core) silentFor(m *machine) Time { return c.now - max(m.heard, c.awakeAt) }
-
-// strained tells whether the process is about to use more than its share of
-// the processor. What comes in late then are leases, acceptances and calls of
-// other controllers; placing and renting less often leaves time for those.
-func (c *Core) strained() bool { return c.load.Busy > 0.75 || c.load.Lag > 150*milli }
-
-// pause stretches the time between two decisions that can wait while the
-// process is strained.
-func (c *Core) pause(d Time) Time {
-	if !c.strained() {
-		return d
-	}
-	return min(5*d+c.load.Lag/2, second)
-}
-
 func (c *Core) emit(e Effect) { c.out = append(c.out, e) }
 
 func (c *Core) call(fn func(any)) CallID {
--- a/internal/core/freshness.go
+++ b/internal/core/freshness.go
@@ -69,13 +69,10 @@
 		}
 	}
 	c.readAccepts(done)
-	c.w.reqs.have--
-	c.counters.Gets++
-	c.emit(StoreWatch{Call: c.call(func(b any) {
-		r := b.(WatchReply)
+	c.readSince(jobPrefix, c.jobs.epoch, func(r WatchReply) {
 		for _, kv := range r.Items {
 			c.learnJob(kv, nil)
 		}
 		done(r.Out == OK)
-	}), Prefix: jobPrefix, Since: c.jobs.epoch})
+	})
 }
--- a/internal/core/guards_test.go
+++ b/internal/core/guards_test.go
@@ -309,7 +309,7 @@
 			m.assigns[TaskID{"j-1", slices.Index(ms, m)}].phase = aReady
 			c.poke(m)
 		}
-		c.out, c.load = nil, l
+		c.out, c.process.load = nil, l
 		c.pushOrders()
 		for _, f := range c.out {
 			to = append(to, f.(Orders).Addr)
@@ -322,10 +322,10 @@
 	if to := called(Load{Busy: 0.9}); len(to) != 1 || to[0] != "idle" {
 		t.Errorf("strained, starts are called to %v", to)
 	}
-	if d := c.pause(placePause); d <= placePause || d > second {
+	if d := c.process.pause(placePause); d <= placePause || d > second {
 		t.Errorf("strained, placements are %v apart", time.Duration(d))
 	}
-	c.load = Load{Lag: 2 * second}
+	c.process.load = Load{Lag: 2 * second}
 	if c.overloaded(BestEffort) == 0 || c.overloaded(Normal) == 0 || c.overloaded(Production) != 0 {
 		t.Errorf("2 s behind: refused for %d, %d, %d s", c.overloaded(BestEffort), c.overloaded(Normal), c.overloaded(Production))
 	}
@@ -383,7 +383,7 @@
 		g := c.newGroup(p, "g", 1)
 		m := c.addMachine(g, listedMachine{id: "m-1", kind: groupKind{"small", "a", false}}, 5)
 		for c.now < 8*second {
-			c.lastReport = c.now
+			c.workerContact.lastReport = c.now
 			if !x.silent {
 				m.heard = c.now
 			}
--- a/internal/core/handed_on_test.go
+++ b/internal/core/handed_on_test.go
@@ -12,7 +12,7 @@
 		for _, p := range b.peers {
 			p.heard, p.pingAt, p.ping.StoreOK, p.ping.Level = true, b.now, true, level
 		}
-		b.storeUp.failing, b.storeUp.since = true, b.now-10*second
+		b.storeHealth.failing, b.storeHealth.failingSince = true, b.now-10*second
 		b.jobs.known["j-1"] = &knownJob{part: 0, tasks: 1, team: "red"}
 		b.onSubmit(Submit{Req: 1, Job: JobSpec{ID: "j-2", Team: "red", Tasks: 1, Need: Res{CPU: 1_000_000}, Awaits: []JobID{"j-1"}}})
 		handed := false
--- a/internal/core/machineowners.go
+++ b/internal/core/machineowners.go
@@ -68,15 +68,13 @@
 		}
 		// A machine that changed groups between two pages may be on neither. The
 		// record that lists it now was written after the first page was read.
-		c.w.reqs.have--
-		c.counters.Gets++
-		c.emit(StoreWatch{Prefix: "groups/", Since: r.Epoch, Call: c.call(func(b any) {
-			if r := b.(WatchReply); r.Out != OK || !c.noteListed(r.Items, rec.listed) {
+		c.readSince("groups/", r.Epoch, func(r WatchReply) {
+			if r.Out != OK || !c.noteListed(r.Items, rec.listed) {
 				fn(nil)
 				return
 			}
 			fn(rec)
-		})})
+		})
 	})
 }
 
--- a/internal/core/upkeep.go
+++ b/internal/core/maintenance.go
@@ -20,7 +20,7 @@
 // machineSweep looks after the machines: raises tokens, gives up the silent,
 // returns the idle and replaces slow boots.
 func (c *Core) machineSweep() {
-	reporting := c.now-c.lastReport < c.cfg.ReportEvery && c.lastReport > 0
+	reporting := c.workerContact.reporting(c.now, c.cfg.ReportEvery)
 	var ms []*machine
 	for _, p := range c.parts {
 		if p.held && p.ready {
@@ -34,7 +34,7 @@
 			c.spotTime += sweepEvery.seconds()
 		}
 		silent := c.silentFor(m)
-		hangs := c.holdsCancelled(m) && (silent > c.cfg.Lease+2*second || m.taken && c.now-max(m.since, c.awakeAt) > c.takenPatience())
+		hangs := c.holdsCancelled(m) && (silent > c.cfg.Lease+2*second || m.taken && c.now-max(m.since, c.process.resumedAt) > c.takenPatience())
 		if c.storeLost(second) && !m.returned && (hangs || c.ignoresStop(m)) {
 			c.returnUnrecorded(m)
 		}
@@ -61,7 +61,7 @@
 			c.returnMachine(m, "silent with cancelled tasks")
 		case c.ignoresStop(m):
 			c.returnMachine(m, "does not stop a cancelled task")
-		case !m.acked && !m.bumping && m.session > 0 && c.now-max(m.unackedAt, c.awakeAt) > c.cfg.Lease+5*second && silent < 3*c.cfg.Lease && c.now-m.since > c.cfg.Lease:
+		case !m.acked && !m.bumping && m.session > 0 && c.now-max(m.unackedAt, c.process.resumedAt) > c.cfg.Lease+5*second && silent < 3*c.cfg.Lease && c.now-m.since > c.cfg.Lease:
 			// Its reports come, but nothing that is sent to it has an effect.
 			c.returnMachine(m, "deaf")
 		case m.unlisted && silent > 5*c.cfg.ReportEvery/2 && reporting:
--- a/internal/core/orders.go
+++ b/internal/core/orders.go
@@ -24,7 +24,7 @@
 		if !m.acked || m.bumping {
 			cmds = onlyStops(cmds)
 		}
-		if c.strained() && m.busy() {
+		if c.process.strained() && m.busy() {
 			// A call costs more than an answer. Where tasks run, reports come with
 			// every change and at least each interval: starts go with their answers.
 			cmds = slices.DeleteFunc(cmds, func(x Command) bool { return x.Verb == Start })
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"encoding/json"
 	"slices"
 )
 
@@ -98,7 +97,7 @@
 }
 
 func (c *Core) makePing(to *peer) *Ping {
-	g := &Ping{Boot: c.cfg.Boot, StoreOK: !c.storeLost(2500*milli) && (c.storeUp.lastOK > 0 || c.now < startGrace), WorkersOK: c.workersOK(), Heard: map[NodeID]int64{}, StoreBad: c.storeUp.failing}
+	g := &Ping{Boot: c.cfg.Boot, StoreOK: !c.storeLost(2500*milli) && (c.storeHealth.lastOK > 0 || c.now < startGrace), WorkersOK: c.workersOK(), Heard: map[NodeID]int64{}, StoreBad: c.storeHealth.failing}
 	for _, p := range c.parts {
 		if !p.held {
 			continue
@@ -141,51 +140,6 @@
 // claim its own part again, not lose it to a neighbour that it tells so.
 const startGrace = 3 * second
 
-// workersOK is false when this node has machines but no worker has reported
-// for several intervals, as when it is cut from the workers. It stays false
-// until a worker has been reached again, also after the parts are given up.
-func (c *Core) workersOK() bool {
-	patience := 3 * c.cfg.ReportEvery
-	if len(c.machines) >= manyMachines {
-		patience /= 2
-	}
-	if c.now-c.lastReport < patience {
-		c.workersLost = false
-		return true
-	}
-	silent := 0
-	addr := ""
-	for _, p := range c.parts {
-		for _, m := range p.ms {
-			if !m.booting && c.now-max(m.since, c.awakeAt) > patience {
-				silent++
-				addr = m.addr
-			}
-		}
-	}
-	if silent > 1 { // a single one may just hang
-		c.workersLost, c.lastAddr = true, addr
-	}
-	return !c.workersLost
-}
-
-// manyMachines report so often between them that half the patience is enough:
-// a short lease leaves a successor little time to answer them.
-const manyMachines = 20
-
-// inspectWorker asks a worker for its state while the workers seem lost.
-func (c *Core) inspectWorker() {
-	if !c.workersLost || c.lastAddr == "" {
-		return
-	}
-	c.emit(Inspect{Addr: c.lastAddr, Call: c.call(func(b any) {
-		if b.(OrdersReply).Out == OK {
-			c.workersLost = false
-			c.lastReport = c.now
-		}
-	})})
-}
-
 // heardPing takes in the answer to a call sent at a time. Only answers give a
 // controller's word: its own calls may have been held up for minutes.
 func (c *Core) heardPing(p *peer, g Ping, sent Time) {
@@ -211,7 +165,7 @@
 		p.goodFrom = c.now
 	}
 	if g.StoreBad || !g.StoreOK {
-		c.proveStore = c.now + 3*second
+		c.storeHealth.probeUntil = c.now + 3*second
 	}
 	for key := range p.taken {
 		if !slices.ContainsFunc(g.Groups, func(o GroupOffer) bool { return o.Key == key }) {
@@ -254,64 +208,6 @@
 	}
 }
 
-// askStore keeps in touch with the store while it matters whether it serves
-// this controller: while it does not, to know when it does again, and while
-// another says that it has lost it, to tell a cut of that one from an outage.
-// Of an idle controller nothing else would ask for minutes.
-func (c *Core) askStore() {
-	if (c.storeUp.failing || c.now < c.proveStore) && c.storeUp.waiting == 0 {
-		c.rereadPart(c.parts[max(slices.Index(c.cfg.Nodes, c.cfg.Self), 0)])
-	}
-}
-
-func nodeKey(id NodeID) string { return "nodes/" + string(id) }
-
-// beat shows signs of life through the store while a peer seems to have
-// failed: where only the links between controllers are cut, both sides see the
-// other's and leave its part alone. In ordinary times nothing is written.
-func (c *Core) beat() {
-	any := false
-	for _, id := range c.cfg.Nodes {
-		p := c.peers[id]
-		if p == nil || !p.failed {
-			continue
-		}
-		any = true
-		c.get(nodeKey(id), func(r GetReply) {
-			if r.Out != OK && r.Out != Missing {
-				return
-			}
-			// The first reading only shows what was written before it failed.
-			if p.beatRead && r.KV.Mark != p.beat {
-				p.wroteAt, p.aliveAt = c.now, c.now
-			}
-			p.beatRead, p.beat = true, r.KV.Mark
-		})
-	}
-	if !any || c.beating || c.storeLost(second) || !c.workersOK() { // without workers it serves nobody
-		return
-	}
-	c.beating = true
-	c.w.add(prioDone, &write{
-		part: NoPart, keys: []string{nodeKey(c.cfg.Self)},
-		build: func(nonce string) ([]TxnOp, []Mark) {
-			v, _ := json.Marshal(struct {
-				W string `json:"w"`
-			}{nonce})
-			return []TxnOp{{nodeKey(c.cfg.Self), v}}, []Mark{c.beatMark}
-		},
-		ok: func(e Epoch) { c.beating, c.beatMark = false, Mark(e) },
-		conflict: func() { // an earlier life's, or a late one
-			c.get(nodeKey(c.cfg.Self), func(r GetReply) {
-				c.beating = false
-				if r.Out == OK {
-					c.beatMark = r.KV.Mark
-				}
-			})
-		},
-	})
-}
-
 // lost tells whether a node can't hold its parts: detected as failed and not
 // heard by a third node either, or by its own word unable to serve.
 func (c *Core) lost(id NodeID) bool {
@@ -340,7 +236,7 @@
 		// A node that hears nobody is more likely cut off than alone in the
 		// world: it waits longer and takes records being written as a sign of life.
 		// After its own cut it must have had the store for a while to see those.
-		return !alone || c.now-p.failedAt > 6*second && c.now-p.wroteAt > 6*second && c.now-c.storeUp.okSince > 8*second
+		return !alone || c.now-p.failedAt > 6*second && c.now-p.wroteAt > 6*second && c.now-c.storeHealth.servedSince > 8*second
 	}
 	if !p.heard || c.now-p.pingAt > 3*second {
 		return false
@@ -348,9 +244,8 @@
 	// Its store counts as lost to it alone only if ours has served us all along:
 	// after an outage the first to be served would else take all the parts.
 	// What an idle controller heard of the store long ago says nothing.
-	storeSteady := !c.storeUp.failing && c.storeUp.lastOK > 0 && c.now-c.storeUp.lastOK < 3*second/2 && c.now-c.storeUp.okSince > 3*second
-	return !p.ping.StoreOK && storeSteady ||
-		!p.ping.WorkersOK && c.workersOK() && c.checkinAt > 0 && c.now-c.checkinAt < 2*c.cfg.ReportEvery
+	return !p.ping.StoreOK && c.storeHealth.steady(c.now) ||
+		!p.ping.WorkersOK && c.workersOK() && c.workerContact.heardAny(c.now, 2*c.cfg.ReportEvery)
 }
 
 func (c *Core) onPeer(e PeerAsk) {
@@ -435,7 +330,7 @@
 }
 
 func (c *Core) onHealth(e Health) {
-	if c.storeUp.lastOK == 0 || len(c.types) == 0 && c.now < 10*second {
+	if c.storeHealth.lastOK == 0 || len(c.types) == 0 && c.now < 10*second {
 		c.refuse(e.Req, 503, 0, "starting")
 		return
 	}
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -110,7 +110,7 @@
 		return
 	}
 	c.rentAsked = true
-	c.after(c.pause(100*milli), func() {
+	c.after(c.process.pause(100*milli), func() {
 		c.rentAsked = false
 		c.rentSweep()
 	})
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -9,7 +9,7 @@
 
 func (c *Core) onCheckin(e Checkin) {
 	r := &e.Report
-	c.checkinAt = c.now
+	c.workerContact.lastAnyReport = c.now
 	if c.isolated() {
 		// A 200 would hold the worker here, though a successor may be entitled.
 		c.redirect(e.Req, "")
@@ -44,7 +44,7 @@
 	}
 	m.pending, m.pendingStamp, m.deadline = e.Req, r.Stamp, c.now+reportHold
 	if c.reconcile(m, r, false) {
-		c.lastReport = c.now
+		c.workerContact.lastReport = c.now
 		c.placing = true
 	}
 	c.heldReports = append(c.heldReports, m)
--- a/internal/core/seven_test.go
+++ b/internal/core/seven_test.go
@@ -148,12 +148,12 @@
 		m := c.addMachine(g, listedMachine{id: MachineID(rune('a' + i)), kind: groupKind{"small", "a", false}}, 5)
 		m.since = 0
 	}
-	c.awakeAt = 0 // the step to 30 s was no standstill
-	c.lastReport = c.now - 3*second
+	c.process.resumedAt = 0 // the step to 30 s was no standstill
+	c.workerContact.lastReport = c.now - 3*second
 	if !c.workersOK() {
 		t.Error("workers count as lost while reports may still be on their way")
 	}
-	c.lastReport = c.now - 4*second
+	c.workerContact.lastReport = c.now - 4*second
 	if c.workersOK() {
 		t.Error("20 machines silent for 4 s, reports each 2.5 s: the workers count as in reach")
 	}
--- a/internal/core/submissions.go
+++ b/internal/core/submissions.go
@@ -15,7 +15,7 @@
 		r.Req = e.Req
 		c.emit(r)
 	}
-	if c.jobs.known[e.Job.ID] == nil && e.Bad == 0 && (c.storeSilent() || len(c.types) == 0) && c.handOn(e.Job, answer) {
+	if c.jobs.known[e.Job.ID] == nil && e.Bad == 0 && (c.storeHealth.silent(c.now) || len(c.types) == 0) && c.handOn(e.Job, answer) {
 		return
 	}
 	c.submit(e.Job, e.Bad, e.Why, answer)
@@ -117,7 +117,7 @@
 	a := &acceptance{spec: spec, respond: answer, deadline: c.now + acceptWithin}
 	c.after(acceptWithin, func() { a.answer(Respond{Status: 503, RetryAfter: retrySoon, Error: "not stored in time"}) })
 	c.after(storeSlow+50*milli, func() {
-		if !a.answered && c.storeSilent() {
+		if !a.answered && c.storeHealth.silent(c.now) {
 			c.handOn(a.spec, a.answer)
 		}
 	})
@@ -133,7 +133,7 @@
 func (c *Core) overloaded(prio Priority) int {
 	// A put takes several when many wait.
 	wait := (float64(len(c.w.queues[prioAccept])) + c.acceptances.transactions(c.cfg.TxnOps)) / max(c.w.puts.rate, 1)
-	wait = max(wait, float64(c.load.Lag)/float64(second)) // a process that falls behind takes on no more
+	wait = max(wait, float64(c.process.load.Lag)/float64(second)) // a process that falls behind takes on no more
 	limit := [...]float64{BestEffort: 1, Normal: 1.5, Urgent: 2.5, Production: 3}[prio]
 	if wait <= limit {
 		return 0
--- a/internal/core/writer.go
+++ b/internal/core/writer.go
@@ -79,15 +79,6 @@
 // and reports and records grow until then.
 const lazyShare = 0.25
 
-type storeHealth struct {
-	lastOK  Time
-	failing bool
-	since   Time // of the failing
-	okSince Time
-	waiting int  // requests without an answer yet, but for watches
-	quiet   Time // since when there have been some and none was answered
-}
-
 func (w *writer) init(c *Core) {
 	w.c = c
 	w.busy = map[string]bool{}
@@ -296,7 +287,7 @@
 	for i, n := range t.kinds {
 		c.counters.Kinds[i] += n
 	}
-	c.storeAsked()
+	c.storeHealth.sent(c.now)
 	c.emit(StoreTxn{Call: c.call(func(b any) { w.answered(t, b.(TxnReply)) }), When: t.when, Then: t.then})
 }
 
@@ -454,67 +445,3 @@
 	}
 	return x.W
 }
-
-// get reads a key through the request budget's books.
-func (c *Core) get(key string, fn func(GetReply)) {
-	c.w.reqs.refill(c.now)
-	c.w.reqs.have--
-	c.counters.Gets++
-	c.storeAsked()
-	c.emit(StoreGet{Call: c.call(func(b any) {
-		r := b.(GetReply)
-		c.storeResult(r.Out)
-		fn(r)
-	}), Key: key})
-}
-
-func (c *Core) list(prefix string, fn func(ListReply)) {
-	c.w.reqs.have--
-	c.counters.Gets++
-	c.storeAsked()
-	c.emit(StoreList{Call: c.call(func(b any) {
-		r := b.(ListReply)
-		c.storeResult(r.Out)
-		fn(r)
-	}), Prefix: prefix})
-}
-
-// storeAsked notes a request that the store should answer soon.
-func (c *Core) storeAsked() {
-	if c.storeUp.waiting++; c.storeUp.waiting == 1 {
-		c.storeUp.quiet = c.now
-	}
-}
-
-// storeSilent tells whether the store owes answers and has given none for
-// longer than the slow ones take. A cut that holds packets shows so long before
-// any request is given up, and on a controller that asks for little only now.
-func (c *Core) storeSilent() bool {
-	return c.storeLost(second/4) || c.storeUp.waiting > 0 && c.now-c.storeUp.quiet > storeSlow
-}
-
-// storeSlow is well above the few hundred milliseconds that some answers take.
-const storeSlow = 600 * milli
-
-func (c *Core) storeResult(o Outcome) {
-	c.storeUp.waiting, c.storeUp.quiet = c.storeUp.waiting-1, c.now
-	switch o {
-	case NotDone, Unknown:
-		if !c.storeUp.failing {
-			c.storeUp.failing, c.storeUp.since = true, c.now
-		}
-	case Throttled:
-		c.w.reqs.have = min(c.w.reqs.have, -1)
-	default:
-		if c.storeUp.failing || c.storeUp.lastOK == 0 || c.now-c.storeUp.lastOK > 3*second {
-			c.storeUp.okSince = c.now
-		}
-		c.storeUp.failing = false
-		c.storeUp.lastOK = c.now
-	}
-}
-
-// storeLost tells whether the store has not served this node for a while.
-func (c *Core) storeLost(d Time) bool {
-	return c.storeUp.failing && c.now-c.storeUp.since > d
-}
