Returns, timers, placement, spot losses and the stored catalogue get types

Sixteen more fields of Core: what is gathered for returns and for held reports, the timers and their numbers, when tasks are placed next, how spot machines fared, and what the store keeps of the machine types. Each is a type in the file of its logic with its invariant; pokes are urgentOrders, keepTypes is storeTypes. The return of machines moves to returns.go. Tests name the moved fields and orderSoon, with the same assertions.

--- a/internal/core/awaits.go
+++ b/internal/core/awaits.go
@@ -132,7 +132,7 @@
 	j.since = c.wall
 	c.logf("debug", "job released", "job", string(j.spec.ID), "awaited", len(k.awaits))
 	c.parts[j.part].order = nil
-	c.placing = true
+	c.placement.request()
 	c.rentSoon()
 }
 
--- a/internal/core/catalogue.go
+++ b/internal/core/catalogue.go
@@ -18,6 +18,24 @@
 	W     string        `json:"w"`
 }
 
+// storedCatalogue is the catalogue in the store as this controller last saw it.
+//
+// It is written only after it was read, and one write of it is under way at most.
+type storedCatalogue struct {
+	types    []MachineType // by name
+	revision Mark
+	read     bool
+	writing  bool
+}
+
+// describes tells whether the stored catalogue differs in prices alone.
+func (s *storedCatalogue) describes(types []MachineType) bool {
+	return slices.EqualFunc(types, s.types, func(a, b MachineType) bool {
+		return a.Name == b.Name && a.Cap == b.Cap && a.CacheGB == b.CacheGB && a.FetchGBs == b.FetchGBs &&
+			a.BootS == b.BootS && slices.Equal(a.Zones, b.Zones)
+	})
+}
+
 // fetchTypes asks the cloud for its machine types, and then once a minute, as
 // prices move.
 func (c *Core) fetchTypes() {
@@ -29,16 +47,17 @@
 			return
 		}
 		c.learnTypes(r.Types)
-		c.after(3*second, c.keepTypes) // the start has more urgent writes
+		c.after(3*second, c.storeTypes) // the start has more urgent writes
 		c.after(60*second, c.fetchTypes)
 	})})
 }
 
+// learnTypes takes in machine types as the cloud or the store gives them.
 func (c *Core) learnTypes(types []MachineType) {
 	for _, t := range types {
 		c.types[t.Name] = t
 	}
-	c.placing = true
+	c.placement.request()
 }
 
 // readTypes takes the catalogue from the store if the cloud has not given one.
@@ -46,68 +65,73 @@
 	c.get(typesKey, func(r GetReply) {
 		switch r.Out {
 		case OK:
-			c.noteTypes(r.KV)
+			c.learnCatalogue(r.KV)
 		case Missing:
-			c.keptRead = true
+			c.catalogue.read = true
 		default:
 			c.after(second, c.readTypes)
 			return
 		}
-		c.keepTypes()
+		c.storeTypes()
 	})
 }
 
-// noteTypes takes in what the store holds.
-func (c *Core) noteTypes(kv KV) {
-	c.keptRead, c.keptMark = true, kv.Mark
+// learnCatalogue takes in what the store holds.
+func (c *Core) learnCatalogue(kv KV) {
+	c.catalogue.read, c.catalogue.revision = true, kv.Mark
 	var rec typesRecord
 	if json.Unmarshal(kv.Value, &rec) != nil {
 		c.logf("error", "unreadable record", "key", kv.Key)
 		return
 	}
-	c.kept = rec.Types
+	c.catalogue.types = rec.Types
 	if len(c.types) == 0 && len(rec.Types) > 0 {
 		c.logf("info", "machine types from the store", "types", len(rec.Types))
 		c.learnTypes(rec.Types)
 	}
 }
 
-// keepTypes stores the catalogue where it differs from the one kept in more
-// than prices. The first live controller does, so that one put is spent.
-func (c *Core) keepTypes() {
+// firstAlive tells whether no controller listed before this one is alive.
+func (c *Core) firstAlive() bool {
 	for _, id := range c.cfg.Nodes {
 		if id == c.cfg.Self {
 			break
 		}
 		if !c.peers[id].failed {
-			return
+			return false
 		}
 	}
-	if !c.keptRead || c.keeping || len(c.types) == 0 {
+	return true
+}
+
+// storeTypes stores the catalogue where it differs from the one kept in more
+// than prices. The first live controller does, so that one put is spent.
+func (c *Core) storeTypes() {
+	s := &c.catalogue
+	if !c.firstAlive() || !s.read || s.writing || len(c.types) == 0 {
 		return
 	}
-	var now []MachineType
+	var types []MachineType
 	for _, name := range sortedKeys(c.types) {
-		now = append(now, c.types[name])
+		types = append(types, c.types[name])
 	}
-	if slices.EqualFunc(now, c.kept, func(a, b MachineType) bool {
-		return a.Name == b.Name && a.Cap == b.Cap && a.CacheGB == b.CacheGB && a.FetchGBs == b.FetchGBs && a.BootS == b.BootS && slices.Equal(a.Zones, b.Zones)
-	}) {
+	if s.describes(types) {
 		return
 	}
-	c.keeping = true
+	s.writing = true
 	c.w.add(prioLazy, &write{
-		part: NoPart, keys: []string{typesKey},
+		part: NoPart,
+		keys: []string{typesKey},
 		build: func(nonce string) ([]TxnOp, []Mark) {
-			v, _ := json.Marshal(typesRecord{now, nonce})
+			v, _ := json.Marshal(typesRecord{types, nonce})
 			if len(v) > c.cfg.ValueBytes { // does without
 				return nil, nil
 			}
-			return []TxnOp{{typesKey, v}}, []Mark{c.keptMark}
+			return []TxnOp{{typesKey, v}}, []Mark{s.revision}
 		},
-		ok: func(e Epoch) { c.keeping, c.kept, c.keptMark = false, now, Mark(e) },
+		ok: func(e Epoch) { s.writing, s.types, s.revision = false, types, Mark(e) },
 		conflict: func() { // another has stored it
-			c.keeping = false
+			s.writing = false
 			c.readTypes()
 		},
 	})
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"container/heap"
 	"sort"
 	"time"
 )
@@ -20,8 +19,7 @@
 
 	lastCall CallID
 	calls    map[CallID]func(any)
-	timers   timerHeap
-	timerSeq uint64
+	timers   timerQueue
 
 	w             writer
 	storeHealth   storeHealth
@@ -37,12 +35,14 @@
 	peers        map[NodeID]*peer
 	teams        map[string]*team
 	types        map[string]MachineType
+	catalogue    storedCatalogue
 	cloudListing cloudListing
+	returns      machineReturns
+	spotLosses   spotLosses
+	heldReports  heldReports
+	urgentOrders []*machine // whose commands can't wait for their reports
+	placement    placementTrigger
 	orphans      orphans
-	kept         []MachineType // the catalogue in the store
-	keptMark     Mark
-	keptRead     bool
-	keeping      bool
 
 	acceptances  acceptances
 	jobReads     jobReads
@@ -53,22 +53,11 @@
 	rentSeq      int
 	rentAsked    bool
 	cloud        cloudShare
-	heldReports  []*machine
-	holdWake     bool
-	pokes        []*machine
 	groupSeq     int
-	returnAsked  bool
-	returns      map[string]int // by why, not logged yet
-	returnTasks  int
-	nextPlace    Time
-	placeWake    bool
 	loadsAt      Time // when lastLoads was worked out; many ask within one interval
 	loadsEpoch   int
 	lastLoads    []PartLoad
-	spotLost     float64 // spot machines taken back or lost, and what they served in all, in seconds
-	spotTime     float64
 	claims       int // changes of the parts held here
-	placing      bool
 }
 
 // Counters are for the periodic log line.
@@ -154,7 +143,7 @@
 	}
 	c.wall = wall
 	c.out = nil
-	if stood && len(c.timers) > 0 {
+	if stood && c.timers.len() > 0 {
 		c.resume()
 	}
 	switch e := ev.(type) {
@@ -190,12 +179,12 @@
 
 // flush decides once per step on all that the step has changed.
 func (c *Core) flush() {
-	if c.placing && c.now >= c.nextPlace {
-		c.placing, c.nextPlace = false, c.now+c.process.pause(placePause)
+	switch c.placement.check(c.now) {
+	case placeNow:
+		c.placement.begin(c.now + c.process.pause(placePause))
 		c.place()
-	} else if c.placing && !c.placeWake {
-		c.placeWake = true
-		c.after(c.nextPlace-c.now, func() { c.placeWake = false })
+	case placeLater:
+		c.after(c.placement.schedule(c.now), func() { c.placement.wakeScheduled = false })
 	}
 	c.pushOrders()
 	c.w.pump()
@@ -221,58 +210,6 @@
 	c.emit(Respond{Req: req, Status: status, RetryAfter: after, Error: why})
 }
 
-type timer struct {
-	at  Time
-	seq uint64
-	fn  func()
-}
-
-type timerHeap []timer
-
-func (h timerHeap) Len() int { return len(h) }
-func (h timerHeap) Less(i, j int) bool {
-	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
-}
-func (h timerHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *timerHeap) Push(x any)   { *h = append(*h, x.(timer)) }
-func (h *timerHeap) Pop() any {
-	o := *h
-	x := o[len(o)-1]
-	*h = o[:len(o)-1]
-	return x
-}
-
-func (c *Core) after(d Time, fn func()) {
-	c.timerSeq++
-	heap.Push(&c.timers, timer{c.now + d, c.timerSeq, fn})
-}
-
-func (c *Core) every(d func() Time, fn func()) {
-	var loop func()
-	loop = func() {
-		fn()
-		c.after(d(), loop)
-	}
-	loop()
-}
-
-func fixed(d Time) func() Time { return func() Time { return d } }
-
-// NextWake says when the next Tick is due.
-func (c *Core) NextWake() (Time, bool) {
-	if len(c.timers) == 0 {
-		return 0, false
-	}
-	return c.timers[0].at, true
-}
-
-func (c *Core) runTimers() {
-	for len(c.timers) > 0 && c.timers[0].at <= c.now {
-		t := heap.Pop(&c.timers).(timer)
-		t.fn()
-	}
-}
-
 // bucket is a token bucket.
 type bucket struct {
 	rate, cap, have float64
@@ -318,7 +255,7 @@
 	c.every(fixed(2*second), c.beat)
 	c.every(fixed(second/2), c.askStore)
 	c.every(fixed(second), c.proveClaims)
-	c.every(fixed(second/4), func() { c.placing = true })
+	c.every(fixed(second/4), func() { c.placement.request() })
 	c.every(fixed(30*second), c.stats)
 }
 
--- a/internal/core/groups.go
+++ b/internal/core/groups.go
@@ -188,7 +188,7 @@
 			if !a.j.active() {
 				c.setGone(m, a) // cancelled meanwhile, never sent
 			} else {
-				c.poke(m)
+				c.orderSoon(m)
 			}
 		}
 		for _, a := range x.out {
--- a/internal/core/guards_test.go
+++ b/internal/core/guards_test.go
@@ -307,7 +307,7 @@
 		for _, m := range ms {
 			m.ordersBusy = false
 			m.assigns[TaskID{"j-1", slices.Index(ms, m)}].phase = aReady
-			c.poke(m)
+			c.orderSoon(m)
 		}
 		c.out, c.process.load = nil, l
 		c.pushOrders()
@@ -336,7 +336,7 @@
 // where nothing much is at stake the kind does not matter.
 func TestSuits(t *testing.T) {
 	c := sevenCores()
-	c.spotLost, c.spotTime = 10, 20_000 // two an hour
+	c.spotLosses.lost, c.spotLosses.seconds = 10, 20_000 // two an hour
 	c.types["small"] = MachineType{Name: "small", FetchGBs: 0.25}
 	p, spot, own := c.parts[0], &machine{spot: true}, &machine{}
 	like := func(run, checkpoint float64) *job {
--- a/internal/core/handed_on_test.go
+++ b/internal/core/handed_on_test.go
@@ -8,7 +8,7 @@
 func TestAwaitsNotHandedToOld(t *testing.T) {
 	for level, want := range map[int]bool{0: false, pipelineLevel: true} {
 		b := newBench()
-		b.timers, b.out = nil, nil
+		b.timers, b.out = timerQueue{}, nil
 		for _, p := range b.peers {
 			p.heard, p.pingAt, p.ping.StoreOK, p.ping.Level = true, b.now, true, level
 		}
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -303,7 +303,7 @@
 		return
 	}
 	c.release(j)
-	c.placing = true
+	c.placement.request()
 	c.rentSoon()
 	for n := 1; n < len(j.marks); n++ {
 		j.loading++
@@ -343,7 +343,7 @@
 			return
 		}
 		j.loading--
-		c.placing = true
+		c.placement.request()
 		if j.loading == 0 && j.done == j.spec.Tasks {
 			c.writeJob(j, prioAccept)
 		}
@@ -619,7 +619,7 @@
 	if end == StCancelled {
 		c.stopAll(j)
 	}
-	c.placing = true
+	c.placement.request()
 	if len(j.where) == 0 {
 		c.removeJob(j)
 	}
--- a/internal/core/limits_test.go
+++ b/internal/core/limits_test.go
@@ -193,7 +193,7 @@
 // Each is tried by itself, only the too large one is split, and no part is lost.
 func TestMalformedTransaction(t *testing.T) {
 	b := newBench()
-	b.timers = nil // no tidying up, which would split or join them first
+	b.timers = timerQueue{} // no tidying up, which would split or join them first
 	limit := 2048
 	b.refuseLonger(limit)
 	j := b.job("j-1", 20_000)
@@ -259,7 +259,7 @@
 	b.Core = c
 	c.types["small"] = MachineType{Name: "small", Cap: Res{CPU: 4_000_000, Mem: 16_000_000}, Zones: []string{"a"}}
 	c.now, c.acceptances.loaded = 100*second, true
-	c.timers = nil
+	c.timers = timerQueue{}
 	for _, p := range c.parts {
 		p.held, p.ready, p.holder, p.claim, p.mark, p.term, p.provenAt = true, true, "n0", 30, 30, 1, c.now
 		p.rentals, p.refused = map[string]*rental{}, map[rentOption]Time{}
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -105,7 +105,7 @@
 	deadline     Time
 	ordersBusy   bool
 	ordersAt     Time
-	poked        bool
+	orderQueued  bool // to be called for its commands
 	idleSince    Time
 	yield        bool // gets nothing new: another part needs it more
 	retire       bool // as before, but only because it costs more than others
@@ -238,7 +238,7 @@
 	if j.final != "" && len(j.where) == 0 && c.jobs.holds(j) {
 		c.removeJob(j)
 	}
-	c.placing = true
+	c.placement.request()
 }
 
 // checkOwner finds out whether a machine was moved to another part.
--- a/internal/core/maintenance.go
+++ b/internal/core/maintenance.go
@@ -1,13 +1,12 @@
 package core
 
-import "strings"
-
-// What becomes of machines: tokens raised, silent and idle ones returned.
+// Maintenance of the machines held here: tokens are raised, silent and idle ones
+// returned.
 
 func (c *Core) booted(m *machine) {
 	c.logf("debug", "machine up", "machine", string(m.id), "type", m.typ, "after_s", int((c.now-m.since)/second))
 	m.idleSince = c.now // it has not been idle while it booted
-	c.placing = true
+	c.placement.request()
 }
 
 const sweepEvery = second / 2
@@ -31,7 +30,7 @@
 	idle := c.idleJudge()
 	for _, m := range ms {
 		if m.spot && !m.booting {
-			c.spotTime += sweepEvery.seconds()
+			c.spotLosses.served(sweepEvery)
 		}
 		silent := c.silentFor(m)
 		hangs := c.holdsCancelled(m) && (silent > c.cfg.Lease+2*second || m.taken && c.now-max(m.since, c.process.resumedAt) > c.takenPatience())
@@ -112,7 +111,7 @@
 // lostSpot notes a spot machine that went without notice.
 func (c *Core) lostSpot(m *machine) {
 	if m.spot && !m.draining {
-		c.spotLost++
+		c.spotLosses.lost++
 	}
 }
 
@@ -189,117 +188,3 @@
 		}
 	}
 }
-
-// returnMachine gives a machine back: the record says so first, so that no
-// part can take it while the cloud is called.
-func (c *Core) returnMachine(m *machine, why string) {
-	if m.returning {
-		return
-	}
-	c.logf("debug", "returning machine", "machine", string(m.id), "why", why, "tasks", m.liveTasks())
-	c.noteReturn(why, m.liveTasks())
-	m.returning = true
-	c.writeMachine(m, prioDone)
-}
-
-// returnUnrecorded gives a machine back before its record says so: it holds
-// cancelled tasks, and an outage of the store may outlast their time. A machine whose record lists tasks can't be taken by another
-// part. One that has been claimed with its part meanwhile may be lost to its new
-// holder, as if it had died: the return itself frees nothing, the record does.
-func (c *Core) returnUnrecorded(m *machine) {
-	if c.entitled(c.parts[m.part]) {
-		c.returnMachine(m, "cancelled tasks in an outage")
-		m.returned = true
-	}
-}
-
-// noteReturn gathers what is returned within a second into one line: hundreds
-// of machines may fall together.
-func (c *Core) noteReturn(why string, tasks int) {
-	if c.returns == nil {
-		c.returns = map[string]int{}
-		c.after(second, func() {
-			args := make([]any, 0, 2*len(c.returns)+2)
-			for _, why := range sortedKeys(c.returns) {
-				args = append(args, strings.ReplaceAll(why, " ", "_"), c.returns[why])
-			}
-			c.logf("info", "returning machines", append(args, "tasks", c.returnTasks)...)
-			c.returns, c.returnTasks = nil, 0
-		})
-	}
-	c.returns[why]++
-	c.returnTasks += tasks
-}
-
-// returnSoon gathers the machines whose return is recorded into few calls.
-func (c *Core) returnSoon() {
-	if c.returnAsked {
-		return
-	}
-	c.returnAsked = true
-	c.after(50*milli, func() {
-		c.returnAsked = false
-		c.callReturn()
-	})
-}
-
-// maxReturn is how many machines the protocol lets one call return.
-const maxReturn = 100
-
-func (c *Core) callReturn() {
-	var ms []*machine
-	var ids []MachineID
-	for _, p := range c.parts {
-		for _, m := range p.ms {
-			if p.held && m.returned && !m.calling && !m.dead && len(ms) < maxReturn {
-				ms, ids = append(ms, m), append(ids, m.id)
-			}
-		}
-	}
-	if len(ms) == 0 || !c.mayCallCloud() {
-		return
-	}
-	for _, m := range ms {
-		m.calling = true
-	}
-	c.emit(CloudReturn{IDs: ids, Call: c.call(func(b any) {
-		if b.(ReturnReply).Out != OK {
-			c.after(2*second, func() {
-				for _, m := range ms {
-					m.calling = false
-				}
-			})
-			return
-		}
-		for _, m := range ms {
-			if c.machines[m.id] == m {
-				c.machineGone(m)
-			}
-		}
-	})})
-}
-
-// machineGone follows the cloud's word that a machine and all on it are gone.
-// What ran there may start elsewhere once the record says so.
-func (c *Core) machineGone(m *machine) {
-	m.dead = true
-	for _, a := range m.assigns {
-		a.gone = true
-	}
-	c.writeMachine(m, prioStart)
-}
-
-func (c *Core) forgetMachine(m *machine) {
-	if c.machines[m.id] != m {
-		return
-	}
-	c.removeMachine(m)
-	for _, a := range m.sorted() {
-		delete(m.assigns, a.task)
-		c.freeTask(a)
-	}
-	if m.pending != 0 {
-		c.redirect(m.pending, "")
-		m.pending = 0
-	}
-}
--- a/internal/core/meeting_guards_test.go
+++ b/internal/core/meeting_guards_test.go
@@ -216,7 +216,7 @@
 		b.out = nil
 		r := Report{Machine: m.id, Addr: m.addr, Session: 1, Stamp: 2, Token: m.token, Notice: -1, Tasks: []TaskReport{{Task: TaskID{"j-1", 0}, Attempt: 7, State: Running}}}
 		b.calls[o.Call](OrdersReply{Out: out, Report: r})
-		b.poke(m)
+		b.orderSoon(m)
 		b.out = nil
 		b.pushOrders()
 		if sent := len(b.out) > 0; sent != again {
--- a/internal/core/moves.go
+++ b/internal/core/moves.go
@@ -54,7 +54,7 @@
 	for _, g := range c.groups {
 		if g.offer != nil && c.now > g.offer.until {
 			g.offer = nil
-			c.placing = true
+			c.placement.request()
 		}
 	}
 }
@@ -216,7 +216,7 @@
 					}
 				}
 				c.logf("debug", "took idle machines", "group", id, "machines", len(ms), "part", int(p.id), "from", int(part))
-				c.placing = true
+				c.placement.request()
 				c.machineSweep()
 			},
 			conflict: func() {},
--- a/internal/core/orders.go
+++ b/internal/core/orders.go
@@ -4,19 +4,20 @@
 
 // Commands that are sent to a machine at once.
 
-func (c *Core) poke(m *machine) {
-	if !m.poked {
-		m.poked = true
-		c.pokes = append(c.pokes, m)
+// orderSoon notes a machine whose commands can't wait for its next report.
+func (c *Core) orderSoon(m *machine) {
+	if !m.orderQueued {
+		m.orderQueued = true
+		c.urgentOrders = append(c.urgentOrders, m)
 	}
 }
 
 // pushOrders sends what can't wait for the machines' next reports.
 func (c *Core) pushOrders() {
-	q := c.pokes
-	c.pokes = nil
-	for _, m := range q {
-		m.poked = false
+	queue := c.urgentOrders
+	c.urgentOrders = nil
+	for _, m := range queue {
+		m.orderQueued = false
 		if c.machines[m.id] != m || m.pending != 0 || m.ordersBusy || m.addr == "" || c.now-m.heard > 2*c.cfg.ReportEvery {
 			continue
 		}
@@ -99,6 +100,6 @@
 		return
 	}
 	if c.reconcile(m, r, true) {
-		c.placing = true
+		c.placement.request()
 	}
 }
--- a/internal/core/orphans.go
+++ b/internal/core/orphans.go
@@ -301,5 +301,5 @@
 			m.first = m.token
 		}
 	}
-	c.placing = true
+	c.placement.request()
 }
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -330,7 +330,7 @@
 				}
 			})
 		}
-		c.placing = true
+		c.placement.request()
 		if len(p.ms)+len(p.rentals) > 0 {
 			c.cloudListing.nextAt = 0 // the cloud's list shows what the records may lack
 		}
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -576,7 +576,7 @@
 		return 0
 	}
 	run := c.expectedRun(j)
-	return 4 * c.spotLossRate() * run * run / 2
+	return 4 * c.spotLosses.rate() * run * run / 2
 }
 
 // worthSparing is the stake, in seconds, from which a job should rather have
@@ -596,7 +596,7 @@
 	if stake == 0 || stake > worthSparing {
 		return stake > 0
 	}
-	if c.spotLossRate()*c.expectedRun(j)*float64(j.spec.Tasks) < likelyLoss {
+	if c.spotLosses.rate()*c.expectedRun(j)*float64(j.spec.Tasks) < likelyLoss {
 		return false
 	}
 	aim := 0.0
@@ -624,10 +624,6 @@
 	return c.stake(j) > max(fetch, worthSparing)
 }
 
-// spotLossRate is how often a spot machine goes in a second, as far as seen
-// here; before anything was seen, once in an hour.
-func (c *Core) spotLossRate() float64 { return (c.spotLost + 1) / (c.spotTime + 3600) }
-
 // mayUse tells whether a job may go to a machine that is to run empty because
 // it is dear: only one to which the cheaper ones are a risk.
 func (c *Core) mayUse(j *job, m *machine) bool { return !m.retire || !m.spot && c.risky(j) }
--- a/internal/core/production_test.go
+++ b/internal/core/production_test.go
@@ -38,7 +38,7 @@
 func TestProductionRecordsRead(t *testing.T) {
 	recs := productionRecords(t)
 	b := newBench()
-	b.timers = nil
+	b.timers = timerQueue{}
 	for _, k := range sortedKeys(recs) {
 		kv := KV{k, []byte(recs[k]), 31}
 		b.store.keys[k] = kv
--- a/internal/core/refused_job_test.go
+++ b/internal/core/refused_job_test.go
@@ -10,7 +10,7 @@
 // it isn't sent again unchanged.
 func TestOutcomesRefused(t *testing.T) {
 	b := newBench()
-	b.timers = nil
+	b.timers = timerQueue{}
 	b.refuseLonger(2000)
 	j := b.job("j-1", 16_000)
 	v, _ := json.Marshal(jobRecord{Spec: &j.spec, W: "x"})
--- a/internal/core/refused_split_test.go
+++ b/internal/core/refused_split_test.go
@@ -7,7 +7,7 @@
 // was to be written for is stored in the end.
 func TestSplitRefused(t *testing.T) {
 	b := newBench()
-	b.timers = nil
+	b.timers = timerQueue{}
 	const limit = 1000
 	b.refuseLonger(limit)
 	j := b.job("j-1", 20_000)
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -45,9 +45,17 @@
 	m.pending, m.pendingStamp, m.deadline = e.Req, r.Stamp, c.now+reportHold
 	if c.reconcile(m, r, false) {
 		c.workerContact.lastReport = c.now
-		c.placing = true
+		c.placement.request()
 	}
-	c.heldReports = append(c.heldReports, m)
+	c.heldReports.machines = append(c.heldReports.machines, m)
+}
+
+// heldReports lists the machines whose reports have no answer yet, in the order
+// in which they came in. One whose report was answered otherwise has no pending
+// request, and is left out with the next release.
+type heldReports struct {
+	machines      []*machine
+	wakeScheduled bool
 }
 
 // reportHold is how long a report's answer waits for the record that lists its
@@ -71,30 +79,37 @@
 // releaseReports answers the reports whose machine has no start on its way to
 // the record; the others wait for it a moment, so that the answer carries it.
 func (c *Core) releaseReports() {
-	rest := c.heldReports[:0]
-	for _, m := range c.heldReports {
-		if m.pending == 0 {
-			continue
-		}
-		wait := false
-		if c.now < m.deadline && !c.storeLost(500*milli) {
-			for _, a := range m.assigns {
-				wait = wait || a.phase == aRecording && !a.gone
-			}
-		}
-		if wait {
+	rest := c.heldReports.machines[:0]
+	for _, m := range c.heldReports.machines {
+		switch {
+		case m.pending == 0:
+		case c.awaitsRecord(m):
 			rest = append(rest, m)
-			continue
+		default:
+			c.answerReport(m)
 		}
-		c.answerReport(m)
 	}
-	c.heldReports = rest
-	if len(rest) > 0 && !c.holdWake {
-		c.holdWake = true
-		c.after(100*milli, func() { c.holdWake = false })
+	c.heldReports.machines = rest
+	if len(rest) > 0 && !c.heldReports.wakeScheduled {
+		c.heldReports.wakeScheduled = true
+		c.after(100*milli, func() { c.heldReports.wakeScheduled = false })
 	}
 }
 
+// awaitsRecord tells whether a machine's answer waits for a start's record.
+func (c *Core) awaitsRecord(m *machine) bool {
+	if c.now >= m.deadline || c.storeLost(500*milli) {
+		return false
+	}
+	for _, a := range m.assigns {
+		if a.phase == aRecording && !a.gone {
+			return true
+		}
+	}
+	return false
+}
+
+// answerReport answers a machine's report with what it is to do.
 func (c *Core) answerReport(m *machine) {
 	req := m.pending
 	m.pending = 0
@@ -108,7 +123,7 @@
 			a.phase, a.viaOrders, a.sentStamp = aSent, false, m.pendingStamp
 		}
 	}
-	m.poked = false
+	m.orderQueued = false
 	c.emit(Respond{Req: req, Status: 200, Worker: w})
 }
 
@@ -425,14 +440,14 @@
 
 func (c *Core) drain(m *machine) {
 	m.draining = true
-	c.placing = true
+	c.placement.request()
 }
 
 // onNotice: the cloud will take the machine. What can save does so in time,
 // what can't finish starts anew elsewhere, what can finish is left alone.
 func (c *Core) onNotice(m *machine, left float64) {
 	if !m.draining {
-		c.spotLost++
+		c.spotLosses.lost++
 		c.logf("debug", "spot notice", "machine", string(m.id), "left_s", left)
 		m.draining = true
 	}
@@ -470,7 +485,7 @@
 	if a.stopAt == 0 {
 		a.stopAt = c.now
 	}
-	c.poke(m)
+	c.orderSoon(m)
 }
 
 // held lists a job's tasks that are, or may be, on machines.
--- a/internal/core/share.go
+++ b/internal/core/share.go
@@ -120,7 +120,7 @@
 		var ms []*machine
 		for _, m := range p.ms {
 			if m.yield && spare <= 0 {
-				c.placing = true
+				c.placement.request()
 			}
 			m.yield, m.retire = false, false
 			if c.usable(m) {
