--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -60,17 +60,6 @@
 	claims       int // changes of the parts held here
 }
 
-// Counters are for the periodic log line.
-type Counters struct {
-	Kinds                                                                                          [prios]int // puts: claims, accepts, starts, outcomes, the rest
-	Reports, Submits, Queries, Cancels, Orders, Txns, Puts, Conflicts, Gets, PeerCalls, CloudCalls int
-}
-
-type team struct {
-	Team
-	part Part
-}
-
 // New makes a Core. Nothing happens before the first Step.
 func New(cfg Config) *Core {
 	c := &Core{
@@ -95,12 +84,9 @@
 			c.peers[n] = &peer{id: n}
 		}
 	}
-	for name, p := range assignTeams(cfg.Teams, len(cfg.Nodes)) {
-		for _, t := range cfg.Teams {
-			if t.Name == name {
-				c.teams[name] = &team{Team: t, part: p}
-			}
-		}
+	partOf := assignTeams(cfg.Teams, len(cfg.Nodes))
+	for _, t := range cfg.Teams {
+		c.teams[t.Name] = &team{Team: t, part: partOf[t.Name]}
 	}
 	c.divideCloud()
 	c.cloud.have = c.cloud.cap
@@ -109,32 +95,6 @@
 	return c
 }
 
-// assignTeams spreads the teams over the parts by guarantee, largest first.
-// It depends on the settings alone, so that every node finds the same.
-func assignTeams(teams []Team, parts int) map[string]Part {
-	ts := append([]Team(nil), teams...)
-	sort.SliceStable(ts, func(i, j int) bool {
-		a, b := ts[i].Guarantee.CPU+ts[i].Guarantee.GPU*8, ts[j].Guarantee.CPU+ts[j].Guarantee.GPU*8
-		if a != b {
-			return a > b
-		}
-		return ts[i].Name < ts[j].Name
-	})
-	load := make([]Amount, parts)
-	res := map[string]Part{}
-	for _, t := range ts {
-		best := 0
-		for p := range load {
-			if load[p] < load[best] {
-				best = p
-			}
-		}
-		load[best] += t.Guarantee.CPU + t.Guarantee.GPU*8 + 1
-		res[t.Name] = Part(best)
-	}
-	return res
-}
-
 // Step takes one event and returns what is to be done about it.
 func (c *Core) Step(now Time, wall Wall, ev Event) []Effect {
 	stood := now-c.now > standstill
@@ -256,66 +216,7 @@
 	c.every(fixed(second/2), c.askStore)
 	c.every(fixed(second), c.proveClaims)
 	c.every(fixed(second/4), func() { c.placement.request() })
-	c.every(fixed(30*second), c.stats)
-}
-
-func (c *Core) stats() {
-	k := c.counters
-	c.counters = Counters{}
-	held := 0
-	for _, p := range c.parts {
-		if p.held {
-			held++
-		}
-	}
-	var room, spot, recording, ready, fetching, running, ended, waiting, booting, idle Amount
-	sizes := 0
-	for _, p := range c.parts {
-		for _, m := range p.ms {
-			if m.booting {
-				booting += c.types[m.typ].Cap.CPU
-				continue
-			}
-			room += c.types[m.typ].Cap.CPU
-			if m.spot {
-				spot += c.types[m.typ].Cap.CPU
-			}
-			if m.liveTasks() == 0 {
-				idle += c.types[m.typ].Cap.CPU
-			}
-			for _, a := range m.assigns {
-				switch {
-				case a.phase == aEnded:
-					ended += a.need.CPU
-				case a.phase == aRecording:
-					recording += a.need.CPU
-				case a.phase == aReady:
-					ready += a.need.CPU
-				case a.runAt == 0:
-					fetching += a.need.CPU
-				default:
-					running += a.need.CPU
-				}
-			}
-		}
-		if p.held && p.ready {
-			for _, w := range c.unplaced(p) {
-				waiting += w.j.spec.Need.CPU * Amount(w.n)
-			}
-		}
-	}
-	for _, g := range c.groups {
-		sizes += g.size
-	}
-	cpus := func(a Amount) int { return int(a / 1_000_000) }
-	c.logf("info", "load", "cpus", cpus(room), "spot", cpus(spot), "idle", cpus(idle), "running", cpus(running), "fetching", cpus(fetching), "ready", cpus(ready),
-		"recording", cpus(recording), "ended", cpus(ended), "waiting", cpus(waiting), "booting", cpus(booting), "groups", len(c.groups),
-		"group_bytes", sizes/max(len(c.groups), 1), "puts_share", int(c.w.puts.rate*10)/10)
-	c.logf("info", "stats", "reports", k.Reports, "submits", k.Submits, "queries", k.Queries, "cancels", k.Cancels,
-		"orders", k.Orders, "txns", k.Txns, "puts", k.Puts, "claims", k.Kinds[prioClaim], "rentals", k.Kinds[prioRent], "accepts", k.Kinds[prioAccept], "starts", k.Kinds[prioStart],
-		"outcomes", k.Kinds[prioDone], "lazy", k.Kinds[prioLazy], "conflicts", k.Conflicts, "gets", k.Gets,
-		"peer_calls", k.PeerCalls, "cloud_calls", k.CloudCalls, "parts", held, "jobs", len(c.jobs.held),
-		"machines", len(c.machines), "queue", c.w.depth(), "inflight", c.w.inflight)
+	c.every(fixed(30*second), c.logStats)
 }
 
 func sortedKeys[K ~string, V any](m map[K]V) []K {
