The write of a job's outcomes is a type, the list of done tasks a file

writeJob was one function of 112 lines with three closures round shared variables. jobWrite holds what they shared and has a step each for build, stored, refused; doneranges.go encodes and decodes the done tasks; learnJob hands a new job on to holdJob. Stored bytes are the same.

Run: go test ./internal/core, passed.

--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"encoding/base64"
 	"encoding/json"
 	"slices"
 	"sort"
@@ -38,7 +37,7 @@
 	final      Status // stored
 	cancelling bool   // its user has asked for that, or it is stored
 	ending     bool   // a write of its end is under way: it may be carried out already
-	w          bool   // a write is queued
+	writing    bool   // a write is queued
 	again      bool
 	waiters    []func(Status)
 
@@ -161,81 +160,6 @@
 	return v
 }
 
-// encodeDone writes which of a chunk's tasks are done, in at most so many bytes:
-// from the index it returns on, what is done did not fit. To list fewer is safe,
-// as a task that is started again after it was done ends at once. It writes
-// ranges or as a bitmap, whichever is shorter.
-func encodeDone(state []uint8, limit int) (string, int) {
-	var b strings.Builder
-	full := len(state) // what lies from here on did not fit
-	for i := 0; i < len(state); i++ {
-		if state[i] < tDone {
-			continue
-		}
-		k := i
-		for k+1 < len(state) && state[k+1] >= tDone {
-			k++
-		}
-		if b.Len()+12 > limit {
-			full = i
-			break
-		}
-		if b.Len() > 0 {
-			b.WriteByte(',')
-		}
-		b.WriteString(strconv.Itoa(i))
-		if k > i {
-			b.WriteByte('-')
-			b.WriteString(strconv.Itoa(k))
-		}
-		i = k
-	}
-	bitmap := base64.RawStdEncoding.EncodedLen((len(state)+7)/8) + 1
-	if full == len(state) && b.Len() <= bitmap || bitmap > limit {
-		return b.String(), full
-	}
-	bits := make([]byte, (len(state)+7)/8)
-	for i, s := range state {
-		if s >= tDone {
-			bits[i/8] |= 1 << (i % 8)
-		}
-	}
-	return "b" + base64.RawStdEncoding.EncodeToString(bits), len(state)
-}
-
-func decodeDone(s string, n int, set func(int)) bool {
-	if strings.HasPrefix(s, "b") {
-		bits, err := base64.RawStdEncoding.DecodeString(s[1:])
-		if err != nil || len(bits) != (n+7)/8 {
-			return false
-		}
-		for i := 0; i < n; i++ {
-			if bits[i/8]&(1<<(i%8)) != 0 {
-				set(i)
-			}
-		}
-		return true
-	}
-	if s == "" {
-		return true
-	}
-	for _, r := range strings.Split(s, ",") {
-		lo, hi, two := strings.Cut(r, "-")
-		a, err := strconv.Atoi(lo)
-		z := a
-		if err == nil && two {
-			z, err = strconv.Atoi(hi)
-		}
-		if err != nil || a < 0 || z < a || z >= n {
-			return false
-		}
-		for i := a; i <= z; i++ {
-			set(i)
-		}
-	}
-	return true
-}
-
 func (j *job) chunk(k int) []uint8 {
 	return j.state[k*chunkTasks : min((k+1)*chunkTasks, len(j.state))]
 }
@@ -285,17 +209,28 @@
 		return
 	}
 	rec.Spec.ID = id
-	j := newJob(*rec.Spec, t.part, kv.Mark, c.now)
+	c.holdJob(c.jobOfRecord(kv, &rec, t.part), k, implied)
+}
+
+// jobOfRecord makes a job of its own record.
+func (c *Core) jobOfRecord(kv KV, rec *jobRecord, part Part) *job {
+	j := newJob(*rec.Spec, part, kv.Mark, c.now)
 	ok := decodeDone(rec.Done, len(j.chunk(0)), func(i int) {
 		j.state[i] = tStored
 		j.done++
 	})
-	if !ok {
-		// A task that is started again after it was done ends at once, so to
-		// take all of them for not done is safe.
-		c.logf("info", "impossible record", "key", kv.Key, "why", "done ranges")
-		j = newJob(*rec.Spec, t.part, kv.Mark, c.now)
+	if ok {
+		return j
 	}
+	// A task that is started again after it was done ends at once, so to
+	// take all of them for not done is safe.
+	c.logf("info", "impossible record", "key", kv.Key, "why", "done ranges")
+	return newJob(*rec.Spec, part, kv.Mark, c.now)
+}
+
+// holdJob begins to serve a job of a part held here. Where its cancellation is
+// implied by that of one that it needs, only its own record has to follow.
+func (c *Core) holdJob(j *job, k *knownJob, implied bool) {
 	j.prio = max(j.prio, k.prio)
 	c.addJob(j)
 	if implied {
@@ -411,166 +346,6 @@
 	j.waiters = nil
 }
 
-// writeJob stores what has become of a job's tasks, or its end.
-func (c *Core) writeJob(j *job, prio int) {
-	if j.final != "" {
-		return
-	}
-	if j.w {
-		j.again = true
-		if prio < prioLazy {
-			c.w.promote(j.key(0), prio)
-		}
-		return
-	}
-	j.w, j.again = true, false
-	keys, which := j.writeKeys(c.cfg.TxnOps)
-	var snapshot []int
-	var wrote []int
-	var end Status
-	c.w.add(prio, &write{
-		part: j.part, keys: keys,
-		build: func(nonce string) ([]TxnOp, []Mark) {
-			j.again = false
-			snapshot, wrote, end = nil, nil, ""
-			switch {
-			case j.done == j.spec.Tasks:
-				end = StDone
-			case j.cancelling:
-				end = StCancelled
-			}
-			j.ending = end != ""
-			var ops []TxnOp
-			var marks []Mark
-			for _, k := range which {
-				if end == "" && !j.dirty[k] || k > 0 && end != "" && j.marks[k] == 0 {
-					continue
-				}
-				rec, fits := jobRecord{W: nonce}, chunkTasks
-				if end != "" {
-					rec.State, rec.Team, rec.Tasks = end, j.spec.Team, j.spec.Tasks
-					if end == StCancelled {
-						rec.Need = &j.spec.Need
-					}
-				} else {
-					room := c.cfg.ValueBytes * 9 / 10
-					if k == 0 {
-						rec.Spec = &j.spec
-						v, _ := json.Marshal(rec)
-						room -= len(v)
-					}
-					rec.Done, fits = encodeDone(j.chunk(k), room)
-				}
-				v, _ := json.Marshal(rec)
-				if k > 0 && end != "" {
-					v = nil
-				}
-				ops = append(ops, TxnOp{j.key(k), v})
-				marks = append(marks, j.marks[k])
-				wrote = append(wrote, k)
-				for i, s := range j.chunk(k) {
-					if s == tDone && i < fits {
-						snapshot = append(snapshot, k*chunkTasks+i)
-					}
-				}
-			}
-			if len(ops) == 0 {
-				j.w = false
-				return nil, nil
-			}
-			return ops, marks
-		},
-		ok: func(e Epoch) {
-			j.w, j.ending = false, false
-			for _, k := range wrote {
-				j.marks[k] = Mark(e)
-			}
-			for _, i := range snapshot {
-				j.state[i] = tStored
-			}
-			// Only now: a build whose transaction failed must be built again.
-			for k := range j.dirty {
-				j.dirty[k] = false
-			}
-			for i, s := range j.state {
-				if s == tDone {
-					j.dirty[i/chunkTasks] = true
-				}
-			}
-			if c.jobs.holds(j) {
-				c.releaseDone(j)
-			}
-			if end != "" {
-				c.dropChunks(j, wrote)
-				c.jobEnded(j, end)
-			} else if j.again {
-				c.writeJob(j, prioDone)
-			}
-		},
-		conflict: func() {
-			j.w, j.ending = false, false
-			if !c.jobs.holds(j) {
-				return
-			}
-			if j.marks[0] == 0 {
-				c.ownRecord(j, prio)
-				return
-			}
-			c.broken(c.parts[j.part], j.key(0), "changed by another writer")
-		},
-		// A job accepted under higher limits: its outcomes wait for its end, whose
-		// record is short.
-		tooLarge: func() { j.w, j.ending, j.tooLong = false, false, true },
-		lost:     func() { j.w, j.ending = false, false },
-	})
-}
-
-// writeKeys picks the keys that a write of a job may set, within the changes that
-// a transaction may have: its own record, and further chunks that have changed or
-// exist. What does not fit has its turn in the next write.
-func (j *job) writeKeys(ops int) ([]string, []int) {
-	keys, chunks := []string{j.key(0)}, []int{0}
-	for _, changed := range []bool{true, false} {
-		for k := 1; k < len(j.marks) && len(keys) < ops; k++ {
-			if j.dirty[k] == changed && (changed || j.marks[k] != 0) {
-				keys, chunks = append(keys, j.key(k)), append(chunks, k)
-			}
-		}
-	}
-	return keys, chunks
-}
-
-// dropChunks removes the outcomes of a job that is over which its last write had
-// no room to remove.
-func (c *Core) dropChunks(j *job, wrote []int) {
-	for k := 1; k < len(j.marks); k++ {
-		if j.marks[k] != 0 && !slices.Contains(wrote, k) {
-			c.dropKey(c.parts[j.part], j.key(k), j.marks[k])
-		}
-	}
-}
-
-// ownRecord follows the conflict of a job's first own record: the job came in
-// twice at once, and its other acceptance has written one. That says no more
-// than the acceptance here.
-func (c *Core) ownRecord(j *job, prio int) {
-	c.get(j.key(0), func(r GetReply) {
-		if !c.jobs.holds(j) || j.w || j.marks[0] != 0 {
-			return
-		}
-		var rec jobRecord
-		switch {
-		case r.Out != OK:
-			c.after(second/2, func() { c.ownRecord(j, prio) })
-		case json.Unmarshal(r.KV.Value, &rec) != nil || rec.Spec == nil || rec.Done != "" || rec.State != "":
-			c.broken(c.parts[j.part], j.key(0), "changed by another writer")
-		default:
-			j.marks[0] = r.KV.Mark
-			c.writeJob(j, prio)
-		}
-	})
-}
-
 // releaseDone lets machine records forget the tasks whose outcome is stored:
 // they have exited, whoever owns the machine may reap them.
 func (c *Core) releaseDone(j *job) {
@@ -629,7 +404,7 @@
 // machine records that list more than they need to.
 func (c *Core) checkpoint() {
 	for _, j := range c.heldJobs() {
-		if j.w || j.final != "" || j.tooLong || c.now < j.outcomeAt && len(c.w.queues[prioStart]) > 0 {
+		if j.writing || j.final != "" || j.tooLong || c.now < j.outcomeAt && len(c.w.queues[prioStart]) > 0 {
 			continue
 		}
 		for _, d := range j.dirty {
