--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -237,6 +237,28 @@
 	if m.addr != r.Addr && r.Addr != "" {
 		m.addr = r.Addr
 	}
+	c.reconcileToken(m, r)
+	if fresh {
+		m.images = nil
+	}
+	if r.Notice >= 0 {
+		c.onNotice(m, r.Notice)
+	}
+	present := c.reconcilePresent(m, r)
+	if m.acked {
+		// Only under our token is absence proof: the report may be minutes
+		// old, or an earlier holder's late start may still be executed.
+		deaf = c.reconcileAbsent(m, r, present, fresh, viaOrders) || deaf
+	}
+	if deaf && m.acked {
+		c.bump(m)
+	}
+	m.forgetCleared(present)
+	return true
+}
+
+// reconcileToken takes in which token a worker has seen.
+func (c *Core) reconcileToken(m *machine, r *Report) {
 	// A worker that has seen no token at all, on a machine that nobody but this
 	// claim has ever owned, can have no older command on its way to it.
 	acked := r.Token == m.token || r.Token == 0 && m.token == m.first && !m.unsure && !m.bumping
@@ -253,14 +275,12 @@
 	if m.acked && !m.bumping {
 		m.unsure = false
 	}
-	if fresh {
-		m.images = nil
-	}
-	if r.Notice >= 0 {
-		c.onNotice(m, r.Notice)
-	}
-	// By start, not by task: an old report may show an earlier attempt of a
-	// task that runs here now, and must not make that one look gone.
+}
+
+// reconcilePresent takes in the tasks that a report shows, and returns them. It
+// goes by start, not by task: an old report may show an earlier attempt of a
+// task that runs here now, and must not make that one look gone.
+func (c *Core) reconcilePresent(m *machine, r *Report) map[start]bool {
 	present := make(map[start]bool, len(r.Tasks))
 	for i := range r.Tasks {
 		t := &r.Tasks[i]
@@ -272,48 +292,51 @@
 		}
 		c.seen(m, a, t)
 	}
+	return present
+}
+
+// reconcileAbsent takes in that a report under our token does not show the other
+// tasks. It tells whether a start was lost that an answer carried.
+func (c *Core) reconcileAbsent(m *machine, r *Report, present map[start]bool, fresh, viaOrders bool) bool {
+	lostInAnswer := false
 	for _, a := range m.sorted() {
-		// Only under our token is absence proof: the report may be minutes
-		// old, or an earlier holder's late start may still be executed.
-		if present[a.start()] || a.gone || !m.acked {
+		if present[a.start()] || a.gone {
 			continue
 		}
 		switch a.phase {
-		case aDoubt:
+		case aDoubt, aSeen:
 			c.setGone(m, a)
 		case aSent:
-			switch {
-			case fresh,
-				a.viaOrders && !m.unsure && !m.ordersBusy,
-				!a.viaOrders && !viaOrders && r.Stamp > a.sentStamp:
-				a.phase = aReady
-				deaf = deaf || !a.viaOrders
-				if !a.j.active() {
-					c.setGone(m, a)
-				}
+			arrived := !a.viaOrders && !viaOrders && r.Stamp > a.sentStamp // the answer that carried it
+			if !fresh && !arrived && !(a.viaOrders && !m.unsure && !m.ordersBusy) {
+				continue
+			}
+			a.phase = aReady
+			lostInAnswer = lostInAnswer || !a.viaOrders
+			if !a.j.active() {
+				c.setGone(m, a)
 			}
-		case aSeen:
-			c.setGone(m, a)
 		case aEnded:
 			if a.cause != CauseDone || c.storedDone(a) {
 				c.setGone(m, a)
 			}
 		}
 	}
-	if deaf && m.acked {
-		c.bump(m)
-	}
-	for t := range m.reap {
-		if !present[t] {
-			delete(m.reap, t)
+	return lostInAnswer
+}
+
+// forgetCleared forgets the starts to be cleared away that a report shows no more.
+func (m *machine) forgetCleared(present map[start]bool) {
+	for s := range m.reap {
+		if !present[s] {
+			delete(m.reap, s)
 		}
 	}
-	for t := range m.kill {
-		if !present[t] {
-			delete(m.kill, t)
+	for s := range m.kill {
+		if !present[s] {
+			delete(m.kill, s)
 		}
 	}
-	return true
 }
 
 // setGone notes that a task is proven to be off the machine. The record must
@@ -442,81 +465,3 @@
 	m.draining = true
 	c.placement.request()
 }
-
-// onNotice: the cloud will take the machine. What can save does so in time,
-// what can't finish starts anew elsewhere, what can finish is left alone.
-func (c *Core) onNotice(m *machine, left float64) {
-	if !m.draining {
-		c.spotLosses.lost++
-		c.logf("debug", "spot notice", "machine", string(m.id), "left_s", left)
-		m.draining = true
-	}
-	m.noticeAt = c.now + Time(left*float64(second))
-	for _, a := range m.sorted() {
-		if !a.live() || a.stop {
-			continue
-		}
-		rest := c.expectedRest(a)
-		s := a.j.spec
-		if s.CheckpntS > 0 {
-			if rest > left-2 && left < s.SaveS+10 {
-				c.stopTask(m, a, s.SaveS+1)
-			}
-		} else if rest > left*1.5+5 {
-			c.stopTask(m, a, 0)
-		}
-	}
-}
-
-func (c *Core) stopTask(m *machine, a *assign, grace float64) {
-	if a.stop {
-		return
-	}
-	a.stop, a.grace = true, grace
-	if a.phase == aReady || a.phase == aRecording {
-		// Never sent: only the record has to forget it.
-		if a.phase == aReady {
-			c.setGone(m, a)
-		} else {
-			a.stop = false
-		}
-		return
-	}
-	if a.stopAt == 0 {
-		a.stopAt = c.now
-	}
-	c.orderSoon(m)
-}
-
-// held lists a job's tasks that are, or may be, on machines.
-func (j *job) held() []*assign {
-	l := make([]*assign, 0, len(j.on))
-	for a := range j.on {
-		l = append(l, a)
-	}
-	sort.Slice(l, func(i, k int) bool {
-		a, b := l[i], l[k]
-		return a.task.Index < b.task.Index || a.task.Index == b.task.Index && a.mach < b.mach
-	})
-	return l
-}
-
-// unplan withdraws the starts that have not been sent.
-func (c *Core) unplan(j *job) {
-	for _, a := range j.held() {
-		if m := c.machines[a.mach]; m != nil && a.phase == aReady {
-			c.setGone(m, a)
-		}
-	}
-}
-
-// stopAll stops every task of a job that is cancelled.
-func (c *Core) stopAll(j *job) {
-	for _, a := range j.held() {
-		if m := c.machines[a.mach]; m != nil && a.live() && a.phase != aRecording {
-			a.stop = false
-			c.stopTask(m, a, 0)
-			a.grace, a.stopSent = 0, 0
-		}
-	}
-}
