--- a/internal/core/acceptance.go
+++ b/internal/core/acceptance.go
@@ -13,6 +13,9 @@
 // acceptPrefix is where the records of jobs accepted together are stored.
 const acceptPrefix = "accepts/"
 
+// acceptWithin is how long a submission may wait for its record.
+const acceptWithin = 3500 * milli
+
 // acceptRecord is what accepts/<name> holds: jobs that came in together. A job
 // has a record of its own, jobs/<id>, from its first outcome on; that one
 // counts where both exist.
@@ -109,6 +112,24 @@
 	return float64(len(s.waiting)) / float64(perPut)
 }
 
+// accept has a job stored and answers its submission then, or says that this
+// took too long.
+func (c *Core) accept(spec JobSpec, answer func(Respond)) {
+	a := &acceptance{spec: spec, respond: answer, deadline: c.now + acceptWithin}
+	c.after(acceptWithin, func() {
+		a.answer(Respond{Status: 503, RetryAfter: retrySoon, Error: "not stored in time"})
+	})
+	c.after(storeSlow+50*milli, func() {
+		if !a.answered && c.storeHealth.silent(c.now) {
+			c.handOn(a.spec, a.answer)
+		}
+	})
+	if c.acceptances.add(a) {
+		c.writeAccepted()
+	}
+	c.checkOtherAcceptance(a)
+}
+
 // checkOtherAcceptance finds out whether another controller has accepted the
 // job in a record of several, while its record here is being written: then this
 // is a repeat, and is answered as one. A reading begun now shows all that its
--- a/internal/core/orphans.go
+++ b/internal/core/orphans.go
@@ -240,7 +240,7 @@
 				}
 				c.machineSweep()
 			}
-			if !p.held || p.claim != claim {
+			if !p.heldUnder(claim) {
 				done()
 				continue
 			}
@@ -281,7 +281,7 @@
 			return []TxnOp{{"groups/" + id, v}}, []Mark{0}
 		},
 		ok: func(e Epoch) {
-			if p.held && p.claim == claim {
+			if p.heldUnder(claim) {
 				c.addGroup(p, id, ms, size, e)
 			}
 			done()
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -57,6 +57,9 @@
 
 func (p *part) key() string { return "parts/" + strconv.Itoa(int(p.id)) }
 
+// heldUnder tells whether the part is still held under a claim.
+func (p *part) heldUnder(claim Epoch) bool { return p.held && p.claim == claim }
+
 // changed notes that the part has a new holder.
 func (p *part) changed(now Time) {
 	p.since = now
@@ -282,82 +285,6 @@
 	c.rereadPart(p)
 }
 
-// loadPart reads the checkpoint of a part just claimed: the records come
-// first, what the workers say is compared with them afterwards.
-func (c *Core) loadPart(p *part) {
-	claim := p.claim
-	var machines, rentals, jobs, accepts *ListReply
-	step := func() {
-		if !p.held || p.claim != claim || machines == nil || rentals == nil || jobs == nil || accepts == nil {
-			return
-		}
-		for _, kv := range jobs.Items {
-			c.learnJob(kv, p)
-		}
-		for _, kv := range accepts.Items { // after the jobs' own records, which count
-			c.learnAccepted(kv, p)
-		}
-		for _, kv := range machines.Items {
-			c.learnGroup(kv, p)
-		}
-		for _, kv := range rentals.Items {
-			c.learnRental(kv, p)
-		}
-		if !p.held {
-			return
-		}
-		if len(p.aside) > 0 {
-			c.clearAside(p)
-			return
-		}
-		p.ready = true
-		c.claims++
-		early := p.early
-		p.early = nil
-		for _, kv := range early {
-			c.learnJob(kv, nil)
-		}
-		p.unanswered, p.ackedAt = 0, c.now
-		for _, m := range p.ms {
-			if m.taken = !m.booting; m.taken {
-				p.unanswered++
-			}
-		}
-		if taken := p.unanswered; taken > 0 {
-			c.after(c.cfg.Lease, func() {
-				if p.held && p.claim == claim {
-					c.logf("info", "machines answered", "part", int(p.id), "machines", taken, "silent", p.unanswered, "took_ms", int((p.ackedAt-p.since)/milli))
-				}
-			})
-		}
-		c.placement.request()
-		if len(p.ms)+len(p.rentals) > 0 {
-			c.cloudListing.nextAt = 0 // the cloud's list shows what the records may lack
-		}
-		c.logf("info", "part ready", "part", int(p.id), "machines", len(p.ms), "jobs", len(p.js), "took_ms", int((c.now-p.since)/milli))
-		c.machineSweep()
-	}
-	var read func(prefix string, to **ListReply)
-	read = func(prefix string, to **ListReply) {
-		c.list(prefix, func(r ListReply) {
-			if !p.held || p.claim != claim {
-				return
-			}
-			if r.Out != OK {
-				c.after(second/3, func() { read(prefix, to) })
-				return
-			}
-			*to = &r
-			step()
-		})
-	}
-	read("groups/", &machines)
-	read("rentals/", &rentals)
-	// The accepts first: what is accepted in between comes by the watch.
-	read(acceptPrefix, &accepts)
-	read(jobPrefix, &jobs)
-}
-
 // broken gives up a part whose records were changed in a way that this process
 // can't account for: nothing is guessed, it is claimed again after a pause and
 // read anew. Meanwhile every controller answers from the store. The pauses are
@@ -375,7 +302,7 @@
 func (c *Core) suspect(p *part, key, why string) {
 	claim := p.claim
 	c.get(p.key(), func(r GetReply) {
-		if !p.held || p.claim != claim {
+		if !p.heldUnder(claim) {
 			return
 		}
 		if r.Out != OK {
@@ -383,7 +310,7 @@
 			return
 		}
 		c.learnPart(r.KV)
-		if p.held && p.claim == claim {
+		if p.heldUnder(claim) {
 			c.broken(p, key, why)
 		}
 	})
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -45,9 +45,6 @@
 // retrySoon is how many seconds a user waits who is to come again at once.
 const retrySoon = 1
 
-// acceptWithin is how long a submission may wait for its record.
-const acceptWithin = 3500 * milli
-
 func (c *Core) onQuery(e Query) {
 	c.lookUp(e.ID, func(status int, v JobView) {
 		if status == 200 {
--- a/internal/core/submissions.go
+++ b/internal/core/submissions.go
@@ -22,109 +22,150 @@
 }
 
 // handOn passes a submission to another controller, where this one has lost
-// the store or does not know the machine types yet: any of them may store it, and its user would else come back
-// to this one until the load balancer has noticed. It is answered as that
-// controller says; a doubled one finds the job known. False: nobody can.
+// the store or does not know the machine types yet: any of them may store it,
+// and its user would else come back to this one until the load balancer has
+// noticed. It is answered as that controller says; a doubled one finds the job
+// known. False: nobody can.
 func (c *Core) handOn(spec JobSpec, answer func(Respond)) bool {
 	n := len(c.cfg.Nodes)
+	self := slices.Index(c.cfg.Nodes, c.cfg.Self)
 	for i := 1; i < n; i++ {
-		p := c.peers[c.cfg.Nodes[(slices.Index(c.cfg.Nodes, c.cfg.Self)+i)%n]]
-		if p == nil || p.failed || p.prone || !p.heard || c.now-p.pingAt > 2*second || !p.ping.StoreOK ||
-			len(spec.Awaits) > 0 && p.ping.Level < pipelineLevel { // it would start it at once
+		p := c.peers[c.cfg.Nodes[(self+i)%n]]
+		if p == nil || !c.canStore(p, &spec) {
 			continue
 		}
-		c.ask(p.id, 2500*milli, PeerMsg{Submit: &HandedOn{spec.ID, spec}}, func(r PeerReply) {
-			switch {
-			case r.Out != OK:
-				answer(Respond{Status: 503, RetryAfter: retrySoon, Error: "store out of reach"})
-			case len(r.Msg.Views) == 1:
-				if t := c.teams[spec.Team]; t != nil {
-					c.jobs.learn(spec.ID, t.part, spec.Team, spec.Tasks)
-				}
-				answer(Respond{Status: r.Msg.Status, View: &r.Msg.Views[0]})
-			default:
-				answer(Respond{Status: r.Msg.Status, RetryAfter: r.Msg.After, Error: r.Msg.Why})
-			}
+		c.ask(p.id, handOnTimeout, PeerMsg{Submit: &HandedOn{spec.ID, spec}}, func(r PeerReply) {
+			c.answerHandedOn(&spec, r, answer)
 		})
 		return true
 	}
 	return false
 }
 
+// handOnTimeout is how long another controller may take to store a submission.
+const handOnTimeout = 2500 * milli
+
+// canStore tells whether a peer can take a submission, as far as it has told.
+func (c *Core) canStore(p *peer, spec *JobSpec) bool {
+	if p.failed || p.prone || !p.heard || c.now-p.pingAt > 2*second || !p.ping.StoreOK {
+		return false
+	}
+	return len(spec.Awaits) == 0 || p.ping.Level >= pipelineLevel // else it would start it at once
+}
+
+// answerHandedOn answers a submission as the controller says that it went to.
+func (c *Core) answerHandedOn(spec *JobSpec, r PeerReply, answer func(Respond)) {
+	switch {
+	case r.Out != OK:
+		answer(Respond{Status: 503, RetryAfter: retrySoon, Error: "store out of reach"})
+	case len(r.Msg.Views) == 1:
+		if t := c.teams[spec.Team]; t != nil {
+			c.jobs.learn(spec.ID, t.part, spec.Team, spec.Tasks)
+		}
+		answer(Respond{Status: r.Msg.Status, View: &r.Msg.Views[0]})
+	default:
+		answer(Respond{Status: r.Msg.Status, RetryAfter: r.Msg.After, Error: r.Msg.Why})
+	}
+}
+
+// submission is one that is being judged: it is accepted, or refused with a
+// status and a reason.
+type submission struct {
+	core    *Core
+	spec    JobSpec
+	invalid int    // 400 or 422 where no repeat could be accepted, else 0
+	why     string // it is invalid
+	answer  func(Respond)
+}
+
 // submit takes a job, or says why not; what is accepted is stored first.
 func (c *Core) submit(spec JobSpec, bad int, why string, answer func(Respond)) {
-	c.take(spec, bad, why, false, answer)
+	s := &submission{core: c, spec: spec, invalid: bad, why: why, answer: answer}
+	s.judge(false)
+}
+
+func (s *submission) refuse(status, after int, why string) {
+	s.answer(Respond{Status: status, RetryAfter: after, Error: why})
 }
 
-// take is submit; checked tells whether what the job awaits was looked up.
-func (c *Core) take(spec JobSpec, bad int, why string, checked bool, answer func(Respond)) {
-	id := spec.ID
-	if c.jobs.known[id] != nil {
-		c.repeat(answer, id)
+// retryStore is how many seconds a user waits for what this node lacks: its
+// store, or the machine types.
+const retryStore = 2
+
+// judge decides on the submission; checked: what the job awaits was looked up.
+func (s *submission) judge(checked bool) {
+	c := s.core
+	if c.jobs.known[s.spec.ID] != nil {
+		c.repeat(s.answer, s.spec.ID)
 		return
 	}
-	refuse := func(status, after int, why string) {
-		answer(Respond{Status: status, RetryAfter: after, Error: why})
-	}
 	if c.storeLost(second) {
-		refuse(503, 2, "store out of reach")
+		s.refuse(503, retryStore, "store out of reach")
 		return
 	}
-	if bad == 0 {
+	if s.invalid == 0 {
 		if len(c.types) == 0 {
-			refuse(503, 2, "machine types not known yet")
+			s.refuse(503, retryStore, "machine types not known yet")
 			return
 		}
-		bad = c.neverRuns(&spec)
-	}
-	if bad != 0 {
-		// An accepted id never gets 400 or 422 later, whatever the repeat says.
-		c.lookInStore(id, func(status int, v JobView) {
-			switch status {
-			case 200:
-				answer(Respond{Status: 200, View: &v})
-			case 404:
-				refuse(bad, 0, why)
-			default:
-				refuse(503, 2, "store out of reach")
-			}
-		})
-		return
+		s.invalid = c.neverRuns(&s.spec)
 	}
-	if len(spec.Awaits) > 0 && !checked {
-		c.checkAwaits(&spec, func(status int) {
-			switch status {
-			case 0:
-				c.take(spec, 0, "", true, answer)
-			case 422: // unless its id was accepted before
-				c.take(spec, 422, "awaits a job that was never accepted", true, answer)
-			default:
-				refuse(503, 2, "what it awaits can't be looked up now")
-			}
-		})
-		return
+	switch {
+	case s.invalid != 0:
+		s.refuseInvalid()
+	case len(s.spec.Awaits) > 0 && !checked:
+		s.checkAwaits()
+	default:
+		s.admit()
 	}
-	if after := c.overloaded(spec.Priority); after > 0 {
-		refuse(429, after, "too many submissions of this priority")
+}
+
+// refuseInvalid refuses a submission that can't be accepted, unless its id was:
+// an accepted id never gets 400 or 422 later, whatever the repeat says.
+func (s *submission) refuseInvalid() {
+	s.core.lookInStore(s.spec.ID, func(status int, v JobView) {
+		switch status {
+		case 200:
+			s.answer(Respond{Status: 200, View: &v})
+		case 404:
+			s.refuse(s.invalid, 0, s.why)
+		default:
+			s.refuse(503, retryStore, "store out of reach")
+		}
+	})
+}
+
+// checkAwaits looks up what the job awaits and goes on.
+func (s *submission) checkAwaits() {
+	s.core.checkAwaits(&s.spec, func(status int) {
+		switch status {
+		case 0:
+			s.invalid, s.why = 0, ""
+			s.judge(true)
+		case 422: // unless its id was accepted before
+			s.invalid, s.why = 422, "awaits a job that was never accepted"
+			s.judge(true)
+		default:
+			s.refuse(503, retryStore, "what it awaits can't be looked up now")
+		}
+	})
+}
+
+// admit has the job stored, unless there is too much of its priority or its
+// record would be too long.
+func (s *submission) admit() {
+	c := s.core
+	if after := c.overloaded(s.spec.Priority); after > 0 {
+		s.refuse(429, after, "too many submissions of this priority")
 		return
 	}
-	c.shorten(&spec)
-	if v, _ := json.Marshal(jobRecord{Spec: &spec}); len(v) > c.cfg.ValueBytes*4/5 {
-		refuse(503, 30, "awaits more unfinished jobs than fit into a record")
+	c.shorten(&s.spec)
+	if v, _ := json.Marshal(jobRecord{Spec: &s.spec}); len(v) > c.cfg.ValueBytes*4/5 {
+		s.refuse(503, 30, "awaits more unfinished jobs than fit into a record")
 		return
 	}
-	spec.Submitted = c.wall
-	a := &acceptance{spec: spec, respond: answer, deadline: c.now + acceptWithin}
-	c.after(acceptWithin, func() { a.answer(Respond{Status: 503, RetryAfter: retrySoon, Error: "not stored in time"}) })
-	c.after(storeSlow+50*milli, func() {
-		if !a.answered && c.storeHealth.silent(c.now) {
-			c.handOn(a.spec, a.answer)
-		}
-	})
-	if c.acceptances.add(a) {
-		c.writeAccepted()
-	}
-	c.checkOtherAcceptance(a)
+	s.spec.Submitted = c.wall
+	c.accept(s.spec, s.answer)
 }
 
 // overloaded decides for all jobs of a priority alike whether submissions can
