Awaits wait until every controller is known to be upgraded; clusters of both releases

Need: a controller that had not been heard since the start here was not known to be old, so a job that awaits others could be stored while an old one lived, which ignores the list and starts the job at once.

Change: the stand-in plays the production release as the core behind a filter that drops in both directions what that release does not know, after the table of its reading rules. TestUpgradeDays plays seeded upgrades: one and then two at once, old ones ending and back old, in mid-take-over, cut from the others, limits lowered afterwards. The store's model holds transactions to its limits. Claims now list the controllers known to be upgraded (field up, ignored by the production release); a submission with awaits gets 503 until all are known to be.

--- a/internal/core/awaits.go
+++ b/internal/core/awaits.go
@@ -269,14 +269,12 @@
 
 // checkAwaits finds out whether all jobs that a submission names were accepted:
 // 0, or the status that it gets instead. Only the store can show that one never
-// was. While a controller of an earlier release is about, which would start the
-// job at once, it can't be taken.
+// was. While a controller may be of an earlier release, which would start the job
+// at once, it can't be taken.
 func (c *Core) checkAwaits(spec *JobSpec, fn func(int)) {
-	for _, p := range c.peers {
-		if p.heard && p.ping.Level < pipelineLevel {
-			fn(503)
-			return
-		}
+	if !c.everybodyUnderstandsAwaits() {
+		fn(503)
+		return
 	}
 	left, worst := 1, 0
 	done := func(status int) {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -34,6 +34,7 @@
 	owners   map[MachineID]ownerNote
 	peers    map[NodeID]*peer
 	teams    map[string]*team
+	releases releaseRegistry
 	types    map[string]MachineType
 	listed   cloudView
 	kept     []MachineType // the catalogue in the store
@@ -132,6 +133,7 @@
 		teams: map[string]*team{}, types: map[string]MachineType{}, askQueue: map[NodeID][]waitingView{},
 		askPending: map[NodeID]bool{}, strays: map[MachineID]Time{}, classes: map[string]*classStats{},
 	}
+	c.releases = newReleaseRegistry(cfg.Self)
 	c.w.init(c)
 	for i := range cfg.Nodes {
 		c.parts = append(c.parts, &part{id: Part(i), home: cfg.Nodes[i], refusals: map[rentOption]int{}})
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -53,6 +53,9 @@
 	Holder NodeID `json:"holder"`
 	Term   Term   `json:"term"`
 	W      string `json:"w"`
+	// Upgraded lists the controllers known to run a release that understands
+	// jobs that await others. Absent in releases before pipelines.
+	Upgraded []NodeID `json:"up,omitempty"`
 }
 
 func (p *part) key() string { return "parts/" + strconv.Itoa(int(p.id)) }
@@ -148,6 +151,7 @@
 		c.logf("error", "unreadable record", "key", kv.Key)
 		return
 	}
+	c.releases.learn(rec.Upgraded...)
 	if kv.Mark <= p.mark {
 		return
 	}
@@ -228,7 +232,7 @@
 	c.w.add(prioClaim, &write{
 		part: p.id, keys: []string{p.key()},
 		build: func(nonce string) ([]TxnOp, []Mark) {
-			v, _ := json.Marshal(partRecord{c.cfg.Self, term, nonce})
+			v, _ := json.Marshal(partRecord{Holder: c.cfg.Self, Term: term, W: nonce, Upgraded: c.releases.list()})
 			return []TxnOp{{p.key(), v}}, []Mark{p.mark}
 		},
 		ok: func(e Epoch) {
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -205,6 +205,9 @@
 		p.bootAt, p.wordAt, p.terms = c.now, 0, nil
 	}
 	p.ping, p.pingAt = g, c.now
+	if g.Level >= pipelineLevel {
+		c.releases.learn(p.id)
+	}
 	if !g.StoreOK || !g.WorkersOK {
 		p.goodFrom = 0
 	} else if p.goodFrom == 0 {
--- a/internal/core/production_test.go
+++ b/internal/core/production_test.go
@@ -82,7 +82,7 @@
 		t.Errorf("rental %+v", r)
 	}
 	var p partRecord
-	if json.Unmarshal(recs["parts/0"], &p) != nil || p != (partRecord{"n0", 7, "b1-13"}) {
+	if json.Unmarshal(recs["parts/0"], &p) != nil || !reflect.DeepEqual(p, partRecord{Holder: "n0", Term: 7, W: "b1-13"}) {
 		t.Errorf("part %+v", p)
 	}
 	var c typesRecord
--- a/internal/core/random_test.go
+++ b/internal/core/random_test.go
@@ -69,12 +69,7 @@
 // late messages, and checks the protocol's rules all along and that the work
 // gets done once the troubles are over.
 func TestRandomClusters(t *testing.T) {
-	from, to := 1, 25
-	if s := os.Getenv("STAIRRELAY_SEEDS"); s != "" { // "100-400": a hunt by hand
-		if _, err := fmt.Sscanf(s, "%d-%d", &from, &to); err != nil {
-			t.Fatalf("STAIRRELAY_SEEDS: %v", err)
-		}
-	}
+	from, to := seedRange(t, 1, 25)
 	var mu sync.Mutex
 	faults := map[string]int{}
 	t.Run("seeds", func(t *testing.T) {
@@ -120,6 +115,18 @@
 	t.Logf("starts after a confirmed cancellation: %d", faults["starts after a confirmed cancellation"])
 }
 
+// seedRange is the range of seeds to play: the given one, or that of
+// STAIRRELAY_SEEDS ("100-400") for a hunt by hand.
+func seedRange(t *testing.T, from, to int) (int, int) {
+	t.Helper()
+	if s := os.Getenv("STAIRRELAY_SEEDS"); s != "" {
+		if _, err := fmt.Sscanf(s, "%d-%d", &from, &to); err != nil {
+			t.Fatalf("STAIRRELAY_SEEDS: %v", err)
+		}
+	}
+	return from, to
+}
+
 func playDay(t *testing.T, seed uint64, cfg core.Config) map[string]int {
 	var w *standin.World
 	w = standin.NewWorld(seed, cfg, testCloud(func() *standin.World { return w }))
--- /dev/null
+++ b/internal/core/releases.go
@@ -0,0 +1,48 @@
+package core
+
+// Rolling upgrades. A controller of the release before pipelines would start a
+// job at once that awaits others, as it ignores that field of the job's record.
+// Such a record may therefore come about only once every controller is known to
+// run a release that understands it.
+//
+// A controller is known to be upgraded when it has said so in a call, or when a
+// claim in the store lists it: each claim lists its holder and all controllers
+// that the holder knew to be upgraded. An upgraded controller is not replaced by
+// an earlier release again, so the knowledge stays true and only grows.
+type releaseRegistry struct {
+	upgraded map[NodeID]bool
+}
+
+func newReleaseRegistry(self NodeID) releaseRegistry {
+	return releaseRegistry{upgraded: map[NodeID]bool{self: true}}
+}
+
+// learn adds controllers that are known to be upgraded.
+func (r *releaseRegistry) learn(ids ...NodeID) {
+	for _, id := range ids {
+		r.upgraded[id] = true
+	}
+}
+
+// list names the controllers that are known to be upgraded, sorted.
+func (r *releaseRegistry) list() []NodeID { return sortedKeys(r.upgraded) }
+
+// understandsAwaits tells whether a controller certainly runs a release that
+// knows what awaiting means. What it said last in its present run counts most.
+func (c *Core) understandsAwaits(p *peer) bool {
+	if p.pingAt > 0 {
+		return p.ping.Level >= pipelineLevel
+	}
+	return c.releases.upgraded[p.id]
+}
+
+// everybodyUnderstandsAwaits tells whether a job that awaits others may be
+// stored: no controller that could take its part would ignore the field.
+func (c *Core) everybodyUnderstandsAwaits() bool {
+	for _, p := range c.peers {
+		if !c.understandsAwaits(p) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/core/story_test.go
+++ b/internal/core/story_test.go
@@ -56,6 +56,7 @@
 	t.Helper()
 	var out strings.Builder
 	var w *standin.World
+	var before *standin.Limits
 	jobs := map[string]*standin.Job{}
 	cfg := testConfig()
 	cloud := testCloud(func() *standin.World { return w })
@@ -84,8 +85,20 @@
 			cfg.Objectives = append(cfg.Objectives, core.Objective{Kind: "finished", Class: f[2], WithinS: within})
 			continue
 		}
+		if f := strings.Fields(line); len(f) == 5 && f[1] == "production" { // the old release under these limits; the settings name those of upgradeConfig
+			var err error
+			if before, err = parseLimits(f[2:]); err != nil {
+				t.Fatalf("line %d: %v", i+1, err)
+			}
+			continue
+		}
 		if w == nil {
-			w = standin.NewWorld(1, cfg, cloud)
+			if before != nil {
+				cfg.WriteRPS, cfg.ValueBytes, cfg.TxnOps = upgradeConfig().WriteRPS, upgradeConfig().ValueBytes, upgradeConfig().TxnOps
+				w = standin.NewUpgradeWorld(1, cfg, *before, cloud)
+			} else {
+				w = standin.NewWorld(1, cfg, cloud)
+			}
 			w.Calm = true
 			w.Log = say
 		}
@@ -102,6 +115,23 @@
 	return out.String()
 }
 
+// parseLimits reads value bytes, changes a transaction and changes a second.
+func parseLimits(f []string) (*standin.Limits, error) {
+	valueBytes, err := strconv.Atoi(f[0])
+	if err != nil {
+		return nil, err
+	}
+	changes, err := strconv.Atoi(f[1])
+	if err != nil {
+		return nil, err
+	}
+	rate, err := strconv.ParseFloat(f[2], 64)
+	if err != nil {
+		return nil, err
+	}
+	return &standin.Limits{WriteRPS: rate, ValueBytes: valueBytes, TxnOps: changes}, nil
+}
+
 func act(w *standin.World, cloud *standin.Cloud, jobs map[string]*standin.Job, f []string, say func(string)) error {
 	opt := map[string]string{}
 	var arg []string
@@ -162,6 +192,9 @@
 		run := num("run", 10)
 		s := core.JobSpec{ID: core.JobID(arg[0]), Class: "c", Team: arg[1], Priority: core.Priority(num("priority", 1)), Tasks: int(num("tasks", 1)),
 			Need: core.Res{CPU: core.Amount(num("cpu", 1) * 1e6), Mem: cpu}, Image: "img", ImageGB: 1, RuntimeS: run, Spot: opt["spot"] != "", Submitted: core.Wall(w.Now / 1e6)}
+		if opt["awaits"] != "" {
+			s.Awaits = []core.JobID{core.JobID(opt["awaits"])}
+		}
 		info := standin.JobInfo{Need: s.Need, Run: core.Time(run * 1e9), Tasks: s.Tasks, Image: s.Image}
 		if v := num("save", 0); v > 0 {
 			s.CheckpntS, s.SaveS, info.Checkpoint, info.Save = 5, v, true, core.Time(v*1e9)
@@ -190,6 +223,10 @@
 			j.AskedCancel = true
 		}
 		w.Ask(node(arg[2]), func(id core.ReqID) core.Event { return core.Cancel{Req: id, ID: core.JobID(arg[0])} }, answered("cancels", arg[0]))
+	case "upgrade": // upgrade n0 6s: it ends and is back after that, new
+		w.Upgrade(node(arg[0]), dur(arg[1]))
+	case "limits": // the lower limits come into force
+		w.LowerLimits()
 	case "crash":
 		w.Kill(node(arg[0]))
 	case "boot":
--- a/internal/standin/effects.go
+++ b/internal/standin/effects.go
@@ -18,6 +18,9 @@
 		}
 	case core.StoreTxn:
 		w.store(n, f.Call, true, core.TxnReply{Out: core.NotDone}, core.TxnReply{Out: core.Unknown}, func() any {
+			if out := w.State.Admit(w.Now, f.Then, f.When); out != core.OK {
+				return core.TxnReply{Out: out}
+			}
 			r := w.State.Txn(f.When, f.Then)
 			what := "writes"
 			if r.Out != core.OK {
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -13,13 +13,54 @@
 // State is a model of the state service.
 type State struct {
 	Epoch core.Epoch
-	keys  map[string]core.KV
-	log   []core.KV
+	// Limits that a transaction is held to; those that are zero hold for none.
+	Limits Limits
+	// Refused counts the transactions above the limits.
+	Refused struct{ Size, Rate int }
+	writes  writeAllowance
+	keys    map[string]core.KV
+	log     []core.KV
 }
 
 // NewState makes an empty one.
 func NewState() *State { return &State{keys: map[string]core.KV{}, Epoch: 1} }
 
+// condsPerOp is how many conditions the protocol allows per change.
+const condsPerOp = 4
+
+// writeAllowance counts down the changes that the rate limit still allows.
+type writeAllowance struct {
+	left float64
+	at   core.Time
+}
+
+// Admit holds a transaction to the limits: core.OK, or what the service answers
+// instead. A burst of one second's worth is allowed.
+func (s *State) Admit(now core.Time, then []core.TxnOp, when []core.Cond) core.Outcome {
+	l := s.Limits
+	if l.TxnOps > 0 && (len(then) > l.TxnOps || len(when) > condsPerOp*l.TxnOps) {
+		s.Refused.Size++
+		return core.Invalid
+	}
+	for _, op := range then {
+		if l.ValueBytes > 0 && len(op.Value) > l.ValueBytes {
+			s.Refused.Size++
+			return core.Invalid
+		}
+	}
+	if l.WriteRPS <= 0 {
+		return core.OK
+	}
+	s.writes.left = min(s.writes.left+l.WriteRPS*float64(now-s.writes.at)/float64(second), l.WriteRPS)
+	s.writes.at = now
+	if s.writes.left < float64(len(then)) {
+		s.Refused.Rate++
+		return core.Throttled
+	}
+	s.writes.left -= float64(len(then))
+	return core.OK
+}
+
 // Txn compares and changes atomically.
 func (s *State) Txn(when []core.Cond, then []core.TxnOp) core.TxnReply {
 	var failed []string
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -45,7 +45,12 @@
 
 func (w *World) resubmit(j *Job) {
 	asked := w.Now
-	w.Ask(w.any(), func(id core.ReqID) core.Event { return core.Submit{Req: id, Job: j.Spec} }, func(r core.Respond) {
+	to := w.submitTo(j)
+	if to == nil {
+		w.After(second, func() { w.resubmit(j) })
+		return
+	}
+	w.Ask(to, func(id core.ReqID) core.Event { return core.Submit{Req: id, Job: j.Spec} }, func(r core.Respond) {
 		switch r.Status {
 		case 200, 201:
 			first := !j.Accepted
@@ -60,6 +65,9 @@
 		case 400, 422:
 			w.broke("%s refused with %d", j.Spec.ID, r.Status)
 		default:
+			if len(j.Spec.Awaits) > 0 && !w.Upgraded() {
+				w.Faults["jobs that await others refused in the upgrade"]++
+			}
 			w.After(max(second, core.Time(r.RetryAfter)*second), func() { w.resubmit(j) })
 		}
 	})
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -39,16 +39,18 @@
 	more      trouble
 	lastKill  core.Time // of a controller
 	cfg       core.Config
-	done      map[core.TaskID]bool
-	events    events
-	seq       uint64
-	boots     int
-	live      []core.MachineID // sorted; nil: to be worked out anew
-	Log       func(string)
-	Spent     time.Duration // real time that the cores took
-	Steps     int           // events that they were given
-	Count     bool          // count the cores' allocations, which takes time itself
-	Allocs    uint64        // counted
+	// limitsBefore are the store's limits before the upgrade.
+	limitsBefore Limits
+	done         map[core.TaskID]bool
+	events       events
+	seq          uint64
+	boots        int
+	live         []core.MachineID // sorted; nil: to be worked out anew
+	Log          func(string)
+	Spent        time.Duration // real time that the cores took
+	Steps        int           // events that they were given
+	Count        bool          // count the cores' allocations, which takes time itself
+	Allocs       uint64        // counted
 }
 
 // Node is one controller.
@@ -68,6 +70,7 @@
 	NoPeers   core.Time // its connections with the others are refused until then
 	Unheard   core.Time // its transactions are carried out until then, their answers lost
 	Frozen    core.Time // stands still until then, its clocks run on
+	Release   Release   // of its next or present process
 }
 
 // Live is a running worker with its habits.
@@ -123,16 +126,36 @@
 
 // NewWorld makes a cluster whose controllers all start at once.
 func NewWorld(seed uint64, cfg core.Config, cloud *Cloud) *World {
-	w := &World{Rand: rand.New(rand.NewPCG(seed, 1)), State: NewState(), Cloud: cloud, Workers: map[core.MachineID]*Live{},
-		Jobs: map[core.JobID]*Job{}, done: map[core.TaskID]bool{}, Faults: map[string]int{}, cfg: cfg, Log: func(string) {}}
+	w := emptyWorld(seed, cfg, cloud)
+	w.start()
+	return w
+}
+
+// emptyWorld makes a cluster none of whose controllers has started.
+func emptyWorld(seed uint64, cfg core.Config, cloud *Cloud) *World {
+	w := &World{
+		Rand:    rand.New(rand.NewPCG(seed, 1)),
+		State:   NewState(),
+		Cloud:   cloud,
+		Workers: map[core.MachineID]*Live{},
+		Jobs:    map[core.JobID]*Job{},
+		done:    map[core.TaskID]bool{},
+		Faults:  map[string]int{},
+		cfg:     cfg,
+		Log:     func(string) {},
+	}
 	for _, id := range cfg.Nodes {
 		w.Nodes = append(w.Nodes, &Node{ID: id})
 	}
+	return w
+}
+
+// start boots all controllers.
+func (w *World) start() {
 	for _, n := range w.Nodes {
 		w.Boot(n)
 	}
 	w.every(500*milli, w.sweep)
-	return w
 }
 
 // After runs fn later.
@@ -170,7 +193,7 @@
 		return
 	}
 	w.boots++
-	cfg := w.cfg
+	cfg := w.configOf(n)
 	cfg.Self, cfg.Boot = n.ID, fmt.Sprintf("b%d", w.boots)
 	n.core, n.up, n.started = core.New(cfg), true, w.Now
 	n.waiting, n.wake = map[core.ReqID]func(core.Respond){}, 0
@@ -210,11 +233,11 @@
 	w.Steps++
 	before := w.allocs()
 	begun := time.Now()
-	effects := n.core.Step(w.Now-n.started, core.Wall(w.Now/milli), ev)
+	effects := n.core.Step(w.Now-n.started, core.Wall(w.Now/milli), releaseEvent(n.Release, ev))
 	w.Spent += time.Since(begun)
 	w.Allocs += w.allocs() - before
 	for _, f := range effects {
-		w.effect(n, f)
+		w.effect(n, releaseEffect(n.Release, f))
 	}
 	if at, ok := n.core.NextWake(); ok {
 		at += n.started
