Move ids, times and amounts into a leaf package, model

Packages below core need MachineID, TaskID, Time, Amount and their like, and core can't be imported by what it imports. They stand in internal/model now; core names them by type aliases, so its users and its stored and sent forms stay as they are. TaskID literals in core name their fields, as go vet wants of a struct of another package.

--- a/internal/core/group_record_test.go
+++ b/internal/core/group_record_test.go
@@ -11,9 +11,9 @@
 	a := func(claim, n uint64) Attempt { return Attempt(claim<<attemptBits | n) }
 	in := []listedMachine{
 		{id: "m-000001", kind: groupKind{"small", "a", true}, addr: "10.1.0.232:9000", tasks: []listedTask{
-			{TaskID{"j-1", 0}, a(41, 7)}, {TaskID{"j-1", 1}, a(41, 8)}, {TaskID{"j-1", 2}, a(41, 9)}, // one range
-			{TaskID{"j-1", 3}, a(41, 11)}, // another attempt's counter
-			{TaskID{"j-2", 99_999}, a(7, 1<<attemptBits-1)}}},
+			{TaskID{Job: "j-1", Index: 0}, a(41, 7)}, {TaskID{Job: "j-1", Index: 1}, a(41, 8)}, {TaskID{Job: "j-1", Index: 2}, a(41, 9)}, // one range
+			{TaskID{Job: "j-1", Index: 3}, a(41, 11)}, // another attempt's counter
+			{TaskID{Job: "j-2", Index: 99_999}, a(7, 1<<attemptBits-1)}}},
 		{id: "m-000002", kind: groupKind{"big", "b", false}, returned: true},
 		{id: "m-000003", kind: groupKind{"small", "a", true}, addr: "host:1", booting: true},
 	}
@@ -54,7 +54,7 @@
 		for i := range c.groupMachines() {
 			m := listedMachine{id: MachineID(fmt.Sprintf("m-%06d", i)), kind: groupKind{"depot-small", "haverhill-yard", true}, addr: "10.1.0.232:9000"}
 			for k := range 3 { // three tasks of three jobs, of an earlier claim and this one
-				m.tasks = append(m.tasks, listedTask{TaskID{JobID(fmt.Sprintf("j-%06d", (i+k)%30)), 100 + i*3 + k}, Attempt((40+uint64(k%2))<<attemptBits | uint64(20_000+i*7+k))})
+				m.tasks = append(m.tasks, listedTask{TaskID{Job: JobID(fmt.Sprintf("j-%06d", (i+k)%30)), Index: 100 + i*3 + k}, Attempt((40+uint64(k%2))<<attemptBits | uint64(20_000+i*7+k))})
 			}
 			ms = append(ms, m)
 		}
--- a/internal/core/grouprecord.go
+++ b/internal/core/grouprecord.go
@@ -197,7 +197,7 @@
 		return bad
 	}
 	for i := from; i <= to; i++ {
-		m.tasks = append(m.tasks, listedTask{TaskID{rec.Jobs[j], i}, Attempt(rec.Claims[claim]<<attemptBits | n + uint64(i-from))})
+		m.tasks = append(m.tasks, listedTask{TaskID{Job: rec.Jobs[j], Index: i}, Attempt(rec.Claims[claim]<<attemptBits | n + uint64(i-from))})
 	}
 	return nil
 }
--- a/internal/core/guards_test.go
+++ b/internal/core/guards_test.go
@@ -265,7 +265,7 @@
 		urgent := newJob(JobSpec{ID: "j-2", Team: "red", Tasks: 1, Need: Res{CPU: 4_000_000}, Priority: Urgent, Submitted: c.wall}, 0, 0, 0)
 		c.addJob(old)
 		c.addJob(urgent)
-		a := &assign{task: TaskID{"j-1", 0}, j: old, need: old.spec.Need, mach: "m-1", phase: aSeen, state: Running}
+		a := &assign{task: TaskID{Job: "j-1", Index: 0}, j: old, need: old.spec.Need, mach: "m-1", phase: aSeen, state: Running}
 		m.addAssign(a)
 		old.setPlaced(0, a)
 		c.preempt(p, []*job{urgent}, map[*job]bool{}, c.teamUse(p))
@@ -286,7 +286,7 @@
 	c.addJob(j)
 	g := c.newGroup(p, "g", 1)
 	put := func(m *machine, i int, ph phase) {
-		a := &assign{task: TaskID{"j-1", i}, j: j, need: j.spec.Need, mach: m.id, phase: ph}
+		a := &assign{task: TaskID{Job: "j-1", Index: i}, j: j, need: j.spec.Need, mach: m.id, phase: ph}
 		m.addAssign(a)
 		j.setPlaced(i, a)
 	}
@@ -301,7 +301,7 @@
 	called := func(l Load) (to []string) {
 		for _, m := range ms {
 			m.ordersBusy = false
-			m.assigns[TaskID{"j-1", slices.Index(ms, m)}].phase = aReady
+			m.assigns[TaskID{Job: "j-1", Index: slices.Index(ms, m)}].phase = aReady
 			c.poke(m)
 		}
 		c.out, c.load = nil, l
--- a/internal/core/limits_test.go
+++ b/internal/core/limits_test.go
@@ -112,7 +112,7 @@
 		m.acked, m.session, m.stamp, m.heard = true, 1, 1, b.now
 		for k := range tasks {
 			n := from + (k*machines+i)*2
-			a := &assign{task: TaskID{j.spec.ID, n}, j: j, need: j.spec.Need, mach: id, attempt: Attempt(n + 1), phase: aSeen, state: Running}
+			a := &assign{task: TaskID{Job: j.spec.ID, Index: n}, j: j, need: j.spec.Need, mach: id, attempt: Attempt(n + 1), phase: aSeen, state: Running}
 			m.addAssign(a)
 			j.setPlaced(n, a)
 		}
--- a/internal/core/meeting_guards_test.go
+++ b/internal/core/meeting_guards_test.go
@@ -123,7 +123,7 @@
 func (b *bench) running(j *job) (*machine, *assign) {
 	m := b.addMachine(b.newGroup(b.parts[0], "g", 31), listedMachine{id: "m-1", kind: groupKind{"small", "a", false}, addr: "m-1"}, 31)
 	m.acked, m.session, m.stamp, m.heard = true, 1, 1, b.now
-	a := &assign{task: TaskID{j.spec.ID, 0}, j: j, need: j.spec.Need, mach: m.id, attempt: 7, phase: aSeen, state: Running}
+	a := &assign{task: TaskID{Job: j.spec.ID, Index: 0}, j: j, need: j.spec.Need, mach: m.id, attempt: 7, phase: aSeen, state: Running}
 	m.addAssign(a)
 	j.setPlaced(0, a)
 	return m, a
@@ -173,7 +173,7 @@
 			b := newBench()
 			m, a := b.running(b.job("j-1", 2))
 			other := b.job("j-2", 1)
-			ready := &assign{task: TaskID{"j-2", 0}, j: other, mach: m.id, attempt: 8, phase: aReady}
+			ready := &assign{task: TaskID{Job: "j-2", Index: 0}, j: other, mach: m.id, attempt: 8, phase: aReady}
 			m.addAssign(ready)
 			other.setPlaced(0, ready)
 			b.cancelHere("j-1", func(int, *JobView) {})
@@ -214,7 +214,7 @@
 		b.pushOrders()
 		o := b.out[len(b.out)-1].(Orders)
 		b.out = nil
-		r := Report{Machine: m.id, Addr: m.addr, Session: 1, Stamp: 2, Token: m.token, Notice: -1, Tasks: []TaskReport{{Task: TaskID{"j-1", 0}, Attempt: 7, State: Running}}}
+		r := Report{Machine: m.id, Addr: m.addr, Session: 1, Stamp: 2, Token: m.token, Notice: -1, Tasks: []TaskReport{{Task: TaskID{Job: "j-1", Index: 0}, Attempt: 7, State: Running}}}
 		b.calls[o.Call](OrdersReply{Out: out, Report: r})
 		b.poke(m)
 		b.out = nil
@@ -291,7 +291,7 @@
 			a.stop = true
 		}
 		b.now += second
-		r := Report{Machine: "m-1", Addr: "m-1", Session: 1, Stamp: 5, Token: 12, Notice: -1, Tasks: []TaskReport{{Task: TaskID{"j-1", 0}, Attempt: 7, State: Running}}}
+		r := Report{Machine: "m-1", Addr: "m-1", Session: 1, Stamp: 5, Token: 12, Notice: -1, Tasks: []TaskReport{{Task: TaskID{Job: "j-1", Index: 0}, Attempt: 7, State: Running}}}
 		if x.acks {
 			r.Token = m.token
 		}
@@ -425,7 +425,7 @@
 		b := newBench()
 		p := b.parts[0]
 		b.learnJob(KV{"jobs/j-1", []byte(`{"st":"cancelled","tm":"red","n":2,"r":{"CPU":3000000,"GPU":0,"Mem":1},"w":"b9-1"}`), 20}, p)
-		l := listedMachine{id: "m-1", kind: groupKind{"small", "a", false}, addr: "m-1", tasks: []listedTask{{TaskID{"j-1", 0}, 7}}}
+		l := listedMachine{id: "m-1", kind: groupKind{"small", "a", false}, addr: "m-1", tasks: []listedTask{{TaskID{Job: "j-1", Index: 0}, 7}}}
 		b.learnGroup(KV{"groups/g", encodeGroup(0, []listedMachine{l}, "b9-2"), 25}, p)
 		m := b.machines["m-1"]
 		r := Report{Machine: "m-1", Addr: "m-1", Session: 1, Stamp: 5, Token: 12, Notice: -1} // an old one, without the task
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -529,7 +529,7 @@
 			if j.spec.SamePlace && !onlyZone(zones, m.zone) || j.spec.Scatter && zones[m.zone] >= (j.spec.Tasks+1)/2 {
 				break
 			}
-			task := TaskID{j.spec.ID, i}
+			task := TaskID{Job: j.spec.ID, Index: i}
 			if m.assigns[task] != nil {
 				break // an earlier attempt is still being cleared away there
 			}
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -7,68 +7,54 @@
 package core
 
 import (
-	"math"
-	"strconv"
-	"strings"
 	"time"
+
+	"stairrelay/internal/model"
 )
 
-// Small types of their own, so that a token can't be passed for an attempt.
+// The small types that packages below core share; see package model.
 type (
-	// JobID is the id that a job's user chose.
-	JobID string
-	// MachineID is the cloud's name for a machine.
-	MachineID string
-	// NodeID names a controller.
-	NodeID string
-	// Part numbers a part: a set of teams and some machines with one owner.
-	Part int
-	// Epoch is the state service's change counter.
-	Epoch uint64
-	// Mark is the revision of a key's last change; 0 means the key is absent.
-	Mark uint64
-	// Token says to a worker who is entitled to command it.
-	Token uint64
-	// Attempt distinguishes the starts of one task.
-	Attempt uint64
-	// Session counts a worker's lives; it rises when its lease runs out.
-	Session uint64
-	// Stamp orders a worker's messages within a session.
-	Stamp uint64
-	// Term counts the claims of a part.
-	Term uint64
-	// ReqID names a request that waits for its Respond effect.
-	ReqID uint64
-	// CallID names an outgoing call that will be answered by an event.
-	CallID uint64
-	// Time is the steady clock, counted from the process's start.
-	Time time.Duration
-	// Wall is time of day in milliseconds; used for display and ordering only.
-	Wall int64
-	// Amount is a resource quantity in millionths, so that sums are exact.
-	Amount int64
+	JobID     = model.JobID
+	MachineID = model.MachineID
+	NodeID    = model.NodeID
+	Part      = model.Part
+	Epoch     = model.Epoch
+	Mark      = model.Mark
+	Token     = model.Token
+	Attempt   = model.Attempt
+	Session   = model.Session
+	Stamp     = model.Stamp
+	Term      = model.Term
+	Time      = model.Time
+	Wall      = model.Wall
+	Amount    = model.Amount
+	Priority  = model.Priority
+	TaskID    = model.TaskID
 )
 
-func (t Time) seconds() float64 { return time.Duration(t).Seconds() }
-
-// FloorAmount turns a stated quantity that must not be exceeded into an Amount.
-func FloorAmount(x float64) Amount { return Amount(math.Floor(x*1e6 + 1e-4)) }
+// Values of the shared types.
+const (
+	NoLimit = model.NoLimit
+	NoPart  = model.NoPart
 
-// NoLimit is the limit of a team that has none. Sums with it don't overflow.
-const NoLimit Amount = math.MaxInt64 / 4
+	BestEffort = model.BestEffort
+	Normal     = model.Normal
+	Urgent     = model.Urgent
+	Production = model.Production
+)
 
-// NoPart is for writes that no claim guards.
-const NoPart Part = -1
+// FloorAmount turns a stated quantity that must not be exceeded into an Amount.
+func FloorAmount(x float64) Amount { return model.FloorAmount(x) }
 
-// Priority of a job, higher is more important.
-type Priority int
+// ParseTask reads the form that TaskID's String writes.
+func ParseTask(s string) (TaskID, bool) { return model.ParseTask(s) }
 
-// The priorities, least first.
-const (
-	BestEffort Priority = iota
-	Normal
-	Urgent
-	Production
+// Ids of what waits for an answer.
+type (
+	// ReqID names a request that waits for its Respond effect.
+	ReqID uint64
+	// CallID names an outgoing call that will be answered by an event.
+	CallID uint64
 )
 
 // Res is what a task takes or a machine has.
@@ -86,27 +72,6 @@
 	return r.CPU <= in.CPU && r.GPU <= in.GPU && r.Mem <= in.Mem
 }
 
-// TaskID is one task of a job.
-type TaskID struct {
-	Job   JobID
-	Index int
-}
-
-func (t TaskID) String() string { return string(t.Job) + "/" + strconv.Itoa(t.Index) }
-
-// ParseTask reads the form that String writes.
-func ParseTask(s string) (TaskID, bool) {
-	i := strings.LastIndexByte(s, '/')
-	if i <= 0 {
-		return TaskID{}, false
-	}
-	n, err := strconv.Atoi(s[i+1:])
-	if err != nil || n < 0 {
-		return TaskID{}, false
-	}
-	return TaskID{JobID(s[:i]), n}, true
-}
-
 // JobSpec is what a user submitted, with the protocol's names gone. Its JSON
 // form is what jobs/<id> holds, hence the short names.
 type JobSpec struct {
--- a/internal/core/upkeep.go
+++ b/internal/core/upkeep.go
@@ -31,7 +31,7 @@
 	idle := c.idleJudge()
 	for _, m := range ms {
 		if m.spot && !m.booting {
-			c.spotTime += sweepEvery.seconds()
+			c.spotTime += sweepEvery.Seconds()
 		}
 		silent := c.silentFor(m)
 		hangs := c.holdsCancelled(m) && (silent > c.cfg.Lease+2*second || m.taken && c.now-max(m.since, c.awakeAt) > c.takenPatience())
