Move token buckets and the division of rates into package ratelimit

The bucket stood in core.go with fields that five files changed directly, and the division of a shared rate was a method on Core. ratelimit.TokenBucket says what is done to it (Take, Spend, Refund, Lower, Refill, Fill, SetRate); ratelimit.Divide takes the limit, the own demand and what the others told, and core only gathers that. The others are gathered in the order of the settings, where they were summed in a map's order before. The arithmetic is the same.

--- a/internal/core/awaits.go
+++ b/internal/core/awaits.go
@@ -256,7 +256,7 @@
 		}
 	}
 	c.readAccepts(done)
-	c.w.reqs.have--
+	c.w.reqs.Spend(1)
 	c.counters.Gets++
 	c.emit(StoreWatch{Call: c.call(func(b any) {
 		r := b.(WatchReply)
--- a/internal/core/cloudrate.go
+++ b/internal/core/cloudrate.go
@@ -1,5 +1,7 @@
 package core
 
+import "stairrelay/internal/ratelimit"
+
 // The cloud's request rate is one limit for all controllers. Each takes a part
 // of it by what it could use, as with the store's write rate: the one that
 // holds the only team with work would otherwise rent a fleet with a seventh of
@@ -7,35 +9,27 @@
 
 // cloudShare is this controller's part of the cloud's request rate.
 type cloudShare struct {
-	bucket
+	bucket ratelimit.TokenBucket
 	sent   int     // calls since demand was last worked out
 	denied bool    // something had to wait since then
 	demand float64 // calls a second that this controller could use
 }
 
-// shareByNeed divides a limit among the live controllers. A fifth is divided
-// evenly, so that an idle one can begin; of the rest each gets what it could
-// use, in proportion where that is more than there is. A controller not heard
-// yet counts with an even part.
-func (c *Core) shareByNeed(total, demand float64, told func(*Ping) float64) float64 {
-	live := float64(c.w.live)
-	floor, rest := total/5/live, total*4/5
-	need := func(demand float64) float64 { return demand * 1.25 }
-	mine := need(demand)
-	sum := mine
-	for _, p := range c.peers {
-		switch {
-		case p.failed:
-		case p.heard && c.now-p.pingAt < 3*second:
-			sum += need(told(&p.ping))
-		default:
-			sum += rest / live
+// demandHeard is how long what another controller told of its demand counts:
+// calls come each second, so it has missed two by then.
+const demandHeard = 3 * second
+
+// shareByNeed returns this controller's part of a limit that all live ones
+// share. told picks the demand on it from what another one has told.
+func (c *Core) shareByNeed(limit, demand float64, told func(*Ping) float64) float64 {
+	others := make([]ratelimit.Demand, 0, len(c.peers))
+	for _, id := range c.cfg.Nodes {
+		if p := c.peers[id]; p != nil && !p.failed {
+			known := p.heard && c.now-p.pingAt < demandHeard
+			others = append(others, ratelimit.Demand{Rate: told(&p.ping), Known: known})
 		}
 	}
-	if sum > rest {
-		return floor + mine*rest/sum
-	}
-	return floor + mine + (rest-sum)/live
+	return ratelimit.Divide(limit, demand, c.w.live, others)
 }
 
 // measureCloud works out once a second what this controller could use. A need
@@ -51,16 +45,19 @@
 	c.divideCloud()
 }
 
+// cloudBurst is for how many seconds of the rate the cloud allows bursts.
+const cloudBurst = 2
+
 func (c *Core) divideCloud() {
 	s := &c.cloud
-	s.refill(c.now)
-	s.rate = c.shareByNeed(c.cfg.CloudRPS*c.cfg.Tuning.BudgetShare, s.demand, func(g *Ping) float64 { return g.Cloud })
-	s.cap = max(2*s.rate, 1) // the cloud allows bursts worth two seconds
+	s.bucket.Refill(c.now)
+	rate := c.shareByNeed(c.cfg.CloudRPS*c.cfg.Tuning.BudgetShare, s.demand, func(g *Ping) float64 { return g.Cloud })
+	s.bucket.SetRate(rate, max(cloudBurst*rate, 1))
 }
 
 // mayCallCloud takes a call out of the share, or notes that one had to wait.
 func (c *Core) mayCallCloud() bool {
-	if !c.cloud.take(c.now, 1) {
+	if !c.cloud.bucket.Take(c.now, 1) {
 		c.cloud.denied = true
 		return false
 	}
@@ -71,8 +68,8 @@
 // mustCallCloud counts a call that waits for nothing: without the machine types
 // nothing runs, and a request that is repeated was paid for once.
 func (c *Core) mustCallCloud() {
-	c.cloud.refill(c.now)
-	c.cloud.have--
+	c.cloud.bucket.Refill(c.now)
+	c.cloud.bucket.Spend(1)
 	c.countCloudCall()
 }
 
@@ -83,4 +80,4 @@
 
 // cloudThrottled follows a 429: the controllers' views of their shares differ
 // for a moment, and this one has used more than there was.
-func (c *Core) cloudThrottled() { c.cloud.have = min(c.cloud.have, 0) }
+func (c *Core) cloudThrottled() { c.cloud.bucket.Lower(0) }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -147,7 +147,7 @@
 		}
 	}
 	c.divideCloud()
-	c.cloud.have = c.cloud.cap
+	c.cloud.bucket.Fill()
 	c.nextList = c.firstList()
 	c.after(0, c.boot)
 	return c
@@ -340,29 +340,6 @@
 	}
 }
 
-// bucket is a token bucket.
-type bucket struct {
-	rate, cap, have float64
-	at              Time
-}
-
-func (b *bucket) refill(now Time) {
-	b.have += b.rate * float64(now-b.at) / float64(second)
-	if b.have > b.cap {
-		b.have = b.cap
-	}
-	b.at = now
-}
-
-func (b *bucket) take(now Time, n float64) bool {
-	b.refill(now)
-	if b.have < n {
-		return false
-	}
-	b.have -= n
-	return true
-}
-
 // boot starts everything that runs on its own.
 func (c *Core) boot() {
 	t := c.cfg.Tuning
@@ -440,7 +417,7 @@
 	cpus := func(a Amount) int { return int(a / 1_000_000) }
 	c.logf("info", "load", "cpus", cpus(room), "spot", cpus(spot), "idle", cpus(idle), "running", cpus(running), "fetching", cpus(fetching), "ready", cpus(ready),
 		"recording", cpus(recording), "ended", cpus(ended), "waiting", cpus(waiting), "booting", cpus(booting), "groups", len(c.groups),
-		"group_bytes", sizes/max(len(c.groups), 1), "puts_share", int(c.w.puts.rate*10)/10)
+		"group_bytes", sizes/max(len(c.groups), 1), "puts_share", int(c.w.puts.Rate()*10)/10)
 	c.logf("info", "stats", "reports", k.Reports, "submits", k.Submits, "queries", k.Queries, "cancels", k.Cancels,
 		"orders", k.Orders, "txns", k.Txns, "puts", k.Puts, "claims", k.Kinds[prioClaim], "rentals", k.Kinds[prioRent], "accepts", k.Kinds[prioAccept], "starts", k.Kinds[prioStart],
 		"outcomes", k.Kinds[prioDone], "lazy", k.Kinds[prioLazy], "conflicts", k.Conflicts, "gets", k.Gets,
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -89,7 +89,7 @@
 }
 
 func (c *Core) lookInStore(id JobID, fn func(int, JobView)) {
-	if c.storeLost(second) || c.w.reqs.have < -c.w.reqs.cap {
+	if c.storeLost(second) || c.w.reqs.Level() < -c.w.reqs.Capacity() {
 		fn(503, JobView{})
 		return
 	}
@@ -588,7 +588,7 @@
 // readAccepts reads the records of several that were stored since the last
 // reading; fn gets whether that worked.
 func (c *Core) readAccepts(fn func(bool)) {
-	c.w.reqs.have--
+	c.w.reqs.Spend(1)
 	c.counters.Gets++
 	c.emit(StoreWatch{Call: c.call(func(b any) {
 		r := b.(WatchReply)
@@ -604,7 +604,7 @@
 // priorities are refused, least important first. It returns when to come back.
 func (c *Core) overloaded(prio Priority) int {
 	// A put takes several when many wait.
-	wait := (float64(len(c.w.queues[prioAccept])) + float64(len(c.accepting))/float64(c.cfg.TxnOps)) / max(c.w.puts.rate, 1)
+	wait := (float64(len(c.w.queues[prioAccept])) + float64(len(c.accepting))/float64(c.cfg.TxnOps)) / max(c.w.puts.Rate(), 1)
 	wait = max(wait, float64(c.load.Lag)/float64(second)) // a process that falls behind takes on no more
 	limit := [...]float64{BestEffort: 1, Normal: 1.5, Urgent: 2.5, Production: 3}[prio]
 	if wait <= limit {
--- a/internal/core/seven_test.go
+++ b/internal/core/seven_test.go
@@ -16,7 +16,7 @@
 		}
 		c.cloud.demand = demand[self]
 		c.divideCloud()
-		return c.cloud.rate
+		return c.cloud.bucket.Rate()
 	}
 	demand := map[NodeID]float64{"n0": 4}
 	busy := view("n0", demand)
@@ -36,13 +36,13 @@
 	}
 	// A call that had to wait shows as demand at once.
 	c := sevenCores()
-	c.cloud.have = 0
+	c.cloud.bucket.Lower(0)
 	if c.mayCallCloud() || !c.cloud.denied {
 		t.Error("a call without a share was let through, or not noted")
 	}
-	before := c.cloud.rate
-	if c.measureCloud(); c.cloud.rate <= before {
-		t.Errorf("rate %.2f before and %.2f after calls had to wait", before, c.cloud.rate)
+	before := c.cloud.bucket.Rate()
+	if c.measureCloud(); c.cloud.bucket.Rate() <= before {
+		t.Errorf("rate %.2f before and %.2f after calls had to wait", before, c.cloud.bucket.Rate())
 	}
 }
 
@@ -57,14 +57,14 @@
 func TestNoDebtAfterCut(t *testing.T) {
 	c := sevenCores()
 	x := &txn{then: make([]TxnOp, 20), part: NoPart}
-	before := c.w.puts.have
+	before := c.w.puts.Level()
 	c.w.send(x)
 	for i, out := range []Outcome{Unknown, NotDone, Unknown, Throttled, Unknown} {
 		c.w.answered(x, TxnReply{Out: out})
 		c.w.inflight--
 		c.w.send(x)
-		if c.w.puts.have < before-21 {
-			t.Fatalf("after %d tries %.0f puts in debt", i+2, -c.w.puts.have)
+		if c.w.puts.Level() < before-21 {
+			t.Fatalf("after %d tries %.0f puts in debt", i+2, -c.w.puts.Level())
 		}
 	}
 }
--- a/internal/core/strays.go
+++ b/internal/core/strays.go
@@ -85,7 +85,7 @@
 			}
 			// A machine that changed groups between two pages may be on neither. The
 			// record that lists it now was written after the first page was read.
-			c.w.reqs.have--
+			c.w.reqs.Spend(1)
 			c.counters.Gets++
 			c.emit(StoreWatch{Prefix: "groups/", Since: r.Epoch, Call: c.call(func(b any) {
 				if r := b.(WatchReply); r.Out != OK || !c.noteListed(r.Items, listed) {
--- a/internal/core/writer.go
+++ b/internal/core/writer.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"slices"
 	"strconv"
+
+	"stairrelay/internal/ratelimit"
 )
 
 // Write priorities, most urgent first: the store's write rate is spent in this
@@ -65,8 +67,8 @@
 	busy     map[string]bool
 	inflight int
 	seq      int
-	puts     bucket
-	reqs     bucket
+	puts     ratelimit.TokenBucket
+	reqs     ratelimit.TokenBucket
 	wake     bool
 	live     int     // controllers that are alive
 	demand   float64 // puts a second that this one could use, smoothed
@@ -92,14 +94,15 @@
 	w.c = c
 	w.busy = map[string]bool{}
 	w.setShare(len(c.cfg.Nodes))
-	w.puts.have, w.reqs.have = w.puts.cap, w.reqs.cap
+	w.puts.Fill()
+	w.reqs.Fill()
 }
 
 // setShare divides the store's limits among the controllers that are alive.
 func (w *writer) setShare(live int) {
 	w.live = max(live, 1)
-	f := w.c.cfg.Tuning.BudgetShare / float64(w.live)
-	w.reqs.rate, w.reqs.cap = w.c.cfg.StoreRPS*f, w.c.cfg.StoreRPS*f
+	requests := w.c.cfg.StoreRPS * (w.c.cfg.Tuning.BudgetShare / float64(w.live))
+	w.reqs.SetRate(requests, requests)
 	w.divide()
 }
 
@@ -117,8 +120,8 @@
 // demand from their calls; where they differ for a moment the store refuses.
 func (w *writer) divide() {
 	c := w.c
-	w.puts.rate = c.shareByNeed(c.cfg.WriteRPS*c.cfg.Tuning.BudgetShare, w.demand, func(g *Ping) float64 { return g.Puts })
-	w.puts.cap = max(w.puts.rate, float64(c.cfg.TxnOps))
+	rate := c.shareByNeed(c.cfg.WriteRPS*c.cfg.Tuning.BudgetShare, w.demand, func(g *Ping) float64 { return g.Puts })
+	w.puts.SetRate(rate, max(rate, float64(c.cfg.TxnOps)))
 }
 
 func (w *writer) depth() int {
@@ -175,12 +178,12 @@
 
 func (w *writer) gather() *txn {
 	c := w.c
-	w.puts.refill(c.now)
-	w.reqs.refill(c.now)
+	w.puts.Refill(c.now)
+	w.reqs.Refill(c.now)
 	if w.depth() == 0 {
 		return nil
 	}
-	if w.reqs.have < 1 {
+	if w.reqs.Level() < 1 {
 		w.wakeIn(second / 20)
 		return nil
 	}
@@ -191,11 +194,11 @@
 	}
 	w.seq++
 	t := &txn{nonce: c.cfg.Boot + "-" + strconv.Itoa(w.seq), part: NoPart, prio: prios}
-	budget, bytes := w.puts.have, 0
+	budget, bytes := w.puts.Level(), 0
 	used := map[string]bool{}
 	for prio := 0; prio < prios; prio++ {
 		// Checkpoint writes leave some of the budget to what may come next.
-		if prio == prioLazy && budget < w.puts.cap/3 {
+		if prio == prioLazy && budget < w.puts.Capacity()/3 {
 			if len(w.queues[prio]) > 0 {
 				w.wakeIn(second / 10)
 			}
@@ -284,10 +287,10 @@
 func (w *writer) send(t *txn) {
 	c := w.c
 	w.inflight++
-	w.puts.have -= float64(len(t.then))
+	w.puts.Spend(float64(len(t.then)))
 	w.sent += len(t.then)
 	w.credit = min(w.credit+lazyShare*float64(len(t.then)), 2)
-	w.reqs.have--
+	w.reqs.Spend(1)
 	if t.tries++; t.tries == 1 {
 		t.sentAt = c.now
 	}
@@ -310,7 +313,7 @@
 // refund gives back what a sending took that is going to be repeated. Charged
 // for each, a controller that was cut from the store for half a minute came back
 // with a debt of hundreds of puts and stored no submission for a minute.
-func (w *writer) refund(t *txn) { w.puts.have = min(w.puts.have+float64(len(t.then)), w.puts.cap) }
+func (w *writer) refund(t *txn) { w.puts.Refund(float64(len(t.then))) }
 
 func (w *writer) retry(t *txn) {
 	d := 100 * milli << min(t.tries, 4)
@@ -457,8 +460,8 @@
 
 // get reads a key through the request budget's books.
 func (c *Core) get(key string, fn func(GetReply)) {
-	c.w.reqs.refill(c.now)
-	c.w.reqs.have--
+	c.w.reqs.Refill(c.now)
+	c.w.reqs.Spend(1)
 	c.counters.Gets++
 	c.storeAsked()
 	c.emit(StoreGet{Call: c.call(func(b any) {
@@ -469,7 +472,7 @@
 }
 
 func (c *Core) list(prefix string, fn func(ListReply)) {
-	c.w.reqs.have--
+	c.w.reqs.Spend(1)
 	c.counters.Gets++
 	c.storeAsked()
 	c.emit(StoreList{Call: c.call(func(b any) {
@@ -504,7 +507,7 @@
 			c.storeUp.failing, c.storeUp.since = true, c.now
 		}
 	case Throttled:
-		c.w.reqs.have = min(c.w.reqs.have, -1)
+		c.w.reqs.Lower(-1)
 	default:
 		if c.storeUp.failing || c.storeUp.lastOK == 0 || c.now-c.storeUp.lastOK > 3*second {
 			c.storeUp.okSince = c.now
