--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -26,9 +26,8 @@
 	w       writer
 	storeUp storeHealth
 
-	parts    []*part             // by number
-	jobs     map[JobID]*job      // jobs of held parts
-	known    map[JobID]*knownJob // what is known of all jobs: part, final state
+	parts    []*part // by number
+	jobs     jobRegistry
 	machines map[MachineID]*machine
 	groups   map[string]*group // of held parts
 	owners   map[MachineID]ownerNote
@@ -42,20 +41,9 @@
 	keptRead bool
 	keeping  bool
 
-	accepting    []*acceptance // submissions that wait for their record
-	looking      []*acceptance // and of which it is to be read whether others took them
-	acceptWrites int           // writes queued for them
-	acceptSeq    int
-	accepted     map[JobID]Mark // by a record of several, the first one's revision
-	acceptsEpoch Epoch
-	acceptsRead  bool
-	askQueue     map[NodeID][]waitingView
-	askPending   map[NodeID]bool
-	jobsEpoch    Epoch
-	dependents   map[JobID][]JobID // jobs that await a job
-	freshQ       []func(bool)
-	freshening   bool
-	freshAt      Time
+	acceptances  acceptances
+	jobReads     jobReads
+	ownerQueries ownerQueries
 	partsEpoch   Epoch
 	counters     Counters
 	classes      map[string]*classStats
@@ -107,19 +95,6 @@
 	part Part
 }
 
-type knownJob struct {
-	part   Part
-	final  Status
-	stored bool // its own record says so; else it follows from that of a job that it needs
-	tasks  int
-	team   string
-	need   Res      // of a cancelled job
-	spec   *JobSpec // while it is unfinished, and its record was seen
-	awaits []JobID
-	prio   Priority // its own, or that of one that needs it
-	by     float64  // when it has to be done for itself and all that need it, as time of day; 0: any time
-}
-
 type ownerNote struct {
 	part Part
 	at   Time
@@ -128,10 +103,20 @@
 // New makes a Core. Nothing happens before the first Step.
 func New(cfg Config) *Core {
 	c := &Core{
-		cfg: cfg, calls: map[CallID]func(any){}, jobs: map[JobID]*job{}, known: map[JobID]*knownJob{},
-		machines: map[MachineID]*machine{}, groups: map[string]*group{}, accepted: map[JobID]Mark{}, dependents: map[JobID][]JobID{}, inspecting: map[MachineID]bool{}, owners: map[MachineID]ownerNote{}, peers: map[NodeID]*peer{},
-		teams: map[string]*team{}, types: map[string]MachineType{}, askQueue: map[NodeID][]waitingView{},
-		askPending: map[NodeID]bool{}, strays: map[MachineID]Time{}, classes: map[string]*classStats{},
+		cfg:          cfg,
+		calls:        map[CallID]func(any){},
+		jobs:         newJobRegistry(),
+		machines:     map[MachineID]*machine{},
+		groups:       map[string]*group{},
+		acceptances:  acceptances{revisions: map[JobID]Mark{}},
+		inspecting:   map[MachineID]bool{},
+		owners:       map[MachineID]ownerNote{},
+		peers:        map[NodeID]*peer{},
+		ownerQueries: newOwnerQueries(),
+		teams:        map[string]*team{},
+		types:        map[string]MachineType{},
+		strays:       map[MachineID]Time{},
+		classes:      map[string]*classStats{},
 	}
 	c.releases = newReleaseRegistry(cfg.Self)
 	c.w.init(c)
@@ -423,7 +408,7 @@
 	c.logf("info", "stats", "reports", k.Reports, "submits", k.Submits, "queries", k.Queries, "cancels", k.Cancels,
 		"orders", k.Orders, "txns", k.Txns, "puts", k.Puts, "claims", k.Kinds[prioClaim], "rentals", k.Kinds[prioRent], "accepts", k.Kinds[prioAccept], "starts", k.Kinds[prioStart],
 		"outcomes", k.Kinds[prioDone], "lazy", k.Kinds[prioLazy], "conflicts", k.Conflicts, "gets", k.Gets,
-		"peer_calls", k.PeerCalls, "cloud_calls", k.CloudCalls, "parts", held, "jobs", len(c.jobs),
+		"peer_calls", k.PeerCalls, "cloud_calls", k.CloudCalls, "parts", held, "jobs", len(c.jobs.held),
 		"machines", len(c.machines), "queue", c.w.depth(), "inflight", c.w.inflight)
 }
 
--- a/internal/core/meeting_guards_test.go
+++ b/internal/core/meeting_guards_test.go
@@ -62,7 +62,7 @@
 	c := New(Config{Self: "n0", Nodes: []NodeID{"n0", "n1", "n2"}, Boot: "b0", ReportEvery: 5 * second, Lease: 26 * second, CancelWithin: 60 * second,
 		StoreRPS: 1000, WriteRPS: 1000, ValueBytes: 4096, TxnOps: 12, CloudRPS: 5, Teams: []Team{{Name: "red", Limit: Res{CPU: 100_000_000}}}, Tuning: DefaultTuning()})
 	c.types["small"] = MachineType{Name: "small", Cap: Res{CPU: 4_000_000, Mem: 16_000_000}, Zones: []string{"a"}}
-	c.now, c.acceptsRead = 100*second, true
+	c.now, c.acceptances.loaded = 100*second, true
 	b := &bench{Core: c, store: &testStore{keys: map[string]KV{}, epoch: 30}, lose: func(StoreTxn) bool { return false }}
 	for _, p := range c.parts {
 		p.held, p.ready, p.holder, p.claim, p.mark, p.term, p.provenAt = true, true, "n0", 30, 30, 1, c.now
@@ -115,7 +115,7 @@
 	spec := JobSpec{ID: id, Team: "red", Tasks: tasks, Need: Res{CPU: 1_000_000}}
 	j := newJob(spec, 0, 0, b.now)
 	b.addJob(j)
-	b.known[id] = &knownJob{part: 0, tasks: tasks, team: "red"}
+	b.jobs.known[id] = &knownJob{part: 0, tasks: tasks, team: "red"}
 	return j
 }
 
@@ -142,7 +142,7 @@
 	if b.store.get("jobs/j-1").Out != OK || j.final != "" {
 		t.Fatal("the end is not stored, or its answer is not lost")
 	}
-	b.known["j-1"].final = "" // nothing has told this controller
+	b.jobs.known["j-1"].final = "" // nothing has told this controller
 	b.onQuery(Query{Req: 5, ID: "j-1"})
 	var views []JobView
 	b.answerAsk([]JobID{"j-1"}, func(v []JobView) { views = v })
