Settings: one file a format, one function a check, errors with a field

The reader of the platform's file was one function of 120 lines, and its errors were bare texts. The TOML form, the checks of it and the operators' file have a file each; each check is a function; FieldError carries the field; limits have names. Settings.Odd is called Warnings. Texts of errors and warnings are unchanged, but for Go's own type names in a TOML type mismatch.

--- a/cmd/stairrelay/main.go
+++ b/cmd/stairrelay/main.go
@@ -78,7 +78,7 @@
 			if err != nil {
 				return fmt.Errorf("%w%w", errSettings, err)
 			}
-			for _, o := range s.Odd {
+			for _, o := range s.Warnings {
 				fmt.Fprintln(cmd.ErrOrStderr(), "odd:", o)
 			}
 			fmt.Fprintln(cmd.OutOrStdout(), "ok")
@@ -143,7 +143,7 @@
 	f := sockets.NewFront(plan.Front)
 	go serve(front, f, users.Handler(e, f.Users, workers.Handler(e, log)))
 	go serve(back, sockets.NewFront(0), peers.Handler(e, log))
-	for _, o := range s.Odd {
+	for _, o := range s.Warnings {
 		log.Warn("odd setting", "what", o)
 	}
 	log.Info("started", "version", version, "node", string(s.Core.Self), "listen", s.Listen)
--- /dev/null
+++ b/internal/settings/platform.go
@@ -0,0 +1,270 @@
+package settings
+
+import (
+	"fmt"
+	"math"
+	"net"
+	"slices"
+
+	"stairrelay/internal/core"
+	"stairrelay/internal/sockets"
+)
+
+const (
+	// leastTxnOps and leastValueKB are the smallest limits of the state service
+	// that the records can be cut to.
+	leastTxnOps  = 4
+	leastValueKB = 2
+	bytesPerKB   = 1024
+	// fewConnections is the number of sockets below which a controller serves
+	// so few workers and users that its operators should know.
+	fewConnections = 256
+)
+
+// parsePlatform reads and checks the platform's file.
+func parsePlatform(text []byte) (*Settings, error) {
+	file, err := decodePlatform(text)
+	if err != nil {
+		return nil, err
+	}
+	settings := &Settings{
+		Listen:      file.Listen,
+		Back:        file.Back,
+		Cloud:       file.External.Cloud,
+		State:       file.External.State,
+		MemoryMB:    file.Cluster.Limits.MemoryMB,
+		Connections: file.Cluster.Limits.Connections,
+		CoreShare:   file.Cluster.Limits.CoreShare,
+	}
+	steps := []func(*platformFile) error{
+		settings.readNodes,
+		checkAddresses,
+		checkRequiredAmounts,
+		settings.readStateLimits,
+		settings.readCloudLimits,
+		checkNodeCount,
+		settings.readTeams,
+		settings.readObjectives,
+		settings.readWorkerTimes,
+		settings.checkMachineLimits,
+	}
+	for _, step := range steps {
+		if err := step(file); err != nil {
+			return nil, err
+		}
+	}
+	return settings, nil
+}
+
+// readNodes takes in this controller's name and the other controllers.
+func (s *Settings) readNodes(file *platformFile) error {
+	if file.Host == "" {
+		return fieldErrorf("host_name", "missing")
+	}
+	s.Core.Self = core.NodeID(file.Host)
+	s.Core.Zone = file.Domain
+	s.Core.Nodes = []core.NodeID{s.Core.Self}
+	s.Peers = map[core.NodeID]string{}
+	for _, peer := range file.Peers {
+		node := core.NodeID(peer.Host)
+		if node == "" || slices.Contains(s.Core.Nodes, node) {
+			return fieldErrorf("peers.host_name", "%q is missing, repeated or this controller's own", peer.Host)
+		}
+		s.Peers[node] = peer.Endpoint
+		s.Core.Nodes = append(s.Core.Nodes, node)
+	}
+	slices.Sort(s.Core.Nodes)
+	return nil
+}
+
+func checkAddresses(file *platformFile) error {
+	type namedAddress struct{ field, address string }
+	addresses := []namedAddress{
+		{"listen", file.Listen},
+		{"back", file.Back},
+		{"external.cloud", file.External.Cloud},
+		{"external.state", file.External.State},
+	}
+	for _, peer := range file.Peers {
+		addresses = append(addresses, namedAddress{"peers.endpoint", peer.Endpoint})
+	}
+	for _, a := range addresses {
+		if _, _, err := net.SplitHostPort(a.address); err != nil {
+			return fieldErrorf(a.field, "%q is not an address with a port", a.address)
+		}
+	}
+	return nil
+}
+
+// checkRequiredAmounts checks the figures that have no default.
+func checkRequiredAmounts(file *platformFile) error {
+	cluster := &file.Cluster
+	for _, required := range []struct {
+		field string
+		value float64
+	}{
+		{"cluster.workers.report_s", cluster.Workers.ReportS},
+		{"cluster.workers.lease_s", cluster.Workers.LeaseS},
+		{"cluster.workers.cancel_s", cluster.Workers.CancelS},
+		{"cluster.state.rps", cluster.State.RPS},
+		{"cluster.state.write_rps", cluster.State.WriteRPS},
+		{"cluster.state.value_kb", cluster.State.ValueKB},
+		{"cluster.state.txn_ops", float64(cluster.State.TxnOps)},
+		{"cluster.cloud.rps", cluster.Cloud.RPS},
+	} {
+		if !positive(required.value) {
+			return fieldErrorf(required.field, "missing or not above 0")
+		}
+	}
+	return nil
+}
+
+// positive tells whether x is a finite number above 0; NaN is not.
+func positive(x float64) bool { return x > 0 && !math.IsInf(x, 1) }
+
+// readStateLimits takes in the limits of the state service. Those to come hold
+// without notice from some moment on, so the lower of both holds all the time.
+func (s *Settings) readStateLimits(file *platformFile) error {
+	state := file.Cluster.State
+	if state.Next != nil {
+		if err := checkNextState(state.Next); err != nil {
+			return err
+		}
+		state.WriteRPS = lower(state.WriteRPS, state.Next.WriteRPS)
+		state.ValueKB = lower(state.ValueKB, state.Next.ValueKB)
+		state.TxnOps = lower(state.TxnOps, state.Next.TxnOps)
+	}
+	if state.TxnOps < leastTxnOps || state.ValueKB < leastValueKB {
+		return fieldErrorf("cluster.state",
+			"txn_ops below %d or value_kb below %d, now or next, is more than the records can be cut to",
+			leastTxnOps, leastValueKB)
+	}
+	s.Core.StoreRPS = state.RPS
+	s.Core.WriteRPS = state.WriteRPS
+	s.Core.ValueBytes = int(state.ValueKB * bytesPerKB)
+	s.Core.TxnOps = state.TxnOps
+	return nil
+}
+
+func checkNextState(next *nextStateTable) error {
+	if next.WriteRPS != nil && !positive(*next.WriteRPS) {
+		return fieldErrorf("cluster.state.next.write_rps", "not above 0")
+	}
+	if next.ValueKB != nil && !positive(*next.ValueKB) {
+		return fieldErrorf("cluster.state.next.value_kb", "not above 0")
+	}
+	if next.TxnOps != nil && *next.TxnOps <= 0 {
+		return fieldErrorf("cluster.state.next.txn_ops", "not above 0")
+	}
+	return nil
+}
+
+// lower is the lower of a present limit and one to come, if there is one.
+func lower[T int | float64](now T, next *T) T {
+	if next == nil {
+		return now
+	}
+	return min(now, *next)
+}
+
+func (s *Settings) readCloudLimits(file *platformFile) error {
+	cloud := file.Cluster.Cloud
+	if cloud.ListLagS < 0 {
+		return fieldErrorf("cluster.cloud.list_lag_s", "below 0")
+	}
+	s.Core.CloudRPS = cloud.RPS
+	s.Core.ListLag = seconds(cloud.ListLagS)
+	return nil
+}
+
+func checkNodeCount(file *platformFile) error {
+	if len(file.Cluster.Teams) == 0 {
+		return fieldErrorf("cluster.teams", "missing")
+	}
+	named := len(file.Peers) + 1
+	if stated := file.Cluster.Count; stated != 0 && stated != named {
+		return fieldErrorf("cluster.count", "%d, but peers and this controller make %d", stated, named)
+	}
+	return nil
+}
+
+func (s *Settings) readTeams(file *platformFile) error {
+	seen := map[string]bool{}
+	for _, table := range file.Cluster.Teams {
+		if table.Name == "" || seen[table.Name] {
+			return fieldErrorf("cluster.teams.name", "%q is missing or repeated", table.Name)
+		}
+		seen[table.Name] = true
+		if table.CPUs < 0 || table.GPUs < 0 || table.CPUsMax < 0 || table.GPUsMax < 0 {
+			return fieldErrorf("cluster.teams", "%s has an amount below 0", table.Name)
+		}
+		team := teamOf(table)
+		if team.Limit.CPU < team.Guarantee.CPU || team.Limit.GPU < team.Guarantee.GPU {
+			s.warnf("cluster.teams: %s is guaranteed more than its limit; the limit holds", team.Name)
+		}
+		s.Core.Teams = append(s.Core.Teams, team)
+	}
+	return nil
+}
+
+func teamOf(table teamTable) core.Team {
+	return core.Team{
+		Name:      table.Name,
+		Guarantee: core.Res{CPU: core.FloorAmount(table.CPUs), GPU: core.FloorAmount(table.GPUs)},
+		Limit:     core.Res{CPU: limitOf(table.CPUsMax), GPU: limitOf(table.GPUsMax)},
+	}
+}
+
+// limitOf reads a team's limit, where 0 means none: the team may use all there
+// is. Read as nothing at all, every job of such a team would get 422.
+func limitOf(most float64) core.Amount {
+	if most == 0 {
+		return core.NoLimit
+	}
+	return core.FloorAmount(most)
+}
+
+func (s *Settings) readObjectives(file *platformFile) error {
+	for _, table := range file.Cluster.Objectives {
+		s.Core.Objectives = append(s.Core.Objectives, core.Objective(table))
+	}
+	return nil
+}
+
+func (s *Settings) readWorkerTimes(file *platformFile) error {
+	workers := file.Cluster.Workers
+	s.Core.ReportEvery = seconds(workers.ReportS)
+	s.Core.Lease = seconds(workers.LeaseS)
+	s.Core.CancelWithin = seconds(workers.CancelS)
+	entitlement := core.Entitlement(s.Core.CancelWithin, s.Core.Lease)
+	if entitlement >= core.LeastEntitlement {
+		return nil
+	}
+	// The entitlement grows by a little less than a second for each second of
+	// cancel_s, so somewhat more than what is missing is needed.
+	const margin = 1.01
+	missing := float64(core.LeastEntitlement-entitlement) / nanosPerSecond
+	enough := math.Ceil(workers.CancelS + missing*margin)
+	s.warnf("cluster.workers: with lease_s %g a cancel_s of %g leaves a cut-off controller %.2f s to notice that it was succeeded, of %g that it needs; "+
+		"in an outage of the state service a cancelled task may run on past cancel_s. A cancel_s of %g would do",
+		workers.LeaseS, workers.CancelS, float64(entitlement)/nanosPerSecond, float64(core.LeastEntitlement)/nanosPerSecond, enough)
+	return nil
+}
+
+func (s *Settings) checkMachineLimits(*platformFile) error {
+	if s.CoreShare < 0 || math.IsNaN(s.CoreShare) {
+		return fieldErrorf("cluster.machine_limits.core_share", "below 0")
+	}
+	if s.Connections < 0 {
+		return fieldErrorf("cluster.machine_limits.max_connections", "below 0")
+	}
+	if s.Connections > 0 && s.Connections < fewConnections {
+		plan := sockets.MakePlan(s.Connections, len(s.Peers))
+		s.warnf("cluster.machine_limits.max_connections: %d serves about %d workers and users at once", s.Connections, plan.Front)
+	}
+	return nil
+}
+
+func (s *Settings) warnf(format string, args ...any) {
+	s.Warnings = append(s.Warnings, fmt.Sprintf(format, args...))
+}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -62,22 +62,22 @@
 	if s.Core.Teams[0].Limit.CPU != 8_500_000 || s.Core.Lease != core.Time(12*time.Second) {
 		t.Errorf("read %+v", s.Core)
 	}
-	if len(s.Odd) != 0 {
-		t.Errorf("called odd: %v", s.Odd)
+	if len(s.Warnings) != 0 {
+		t.Errorf("called odd: %v", s.Warnings)
 	}
 	odd, err := Load(write(t, "s.toml", strings.Replace(good, "cpus = 4.0", "cpus = 9.0", 1)), "")
-	if err != nil || len(odd.Odd) != 1 || !strings.Contains(odd.Odd[0], "red") {
+	if err != nil || len(odd.Warnings) != 1 || !strings.Contains(odd.Warnings[0], "red") {
 		t.Errorf("a guarantee above the limit: %v, %v", odd, err)
 	}
 	// A team that states neither figure is guaranteed nothing and limited by
 	// nothing; nor is that odd. Taken for a limit of 0, all its jobs got 422.
 	free, err := Load(write(t, "s.toml", strings.Replace(good, "cpus = 4.0\ncpus_max = 8.5\n", "", 1)), "")
-	if err != nil || len(free.Odd) != 0 || free.Core.Teams[0].Guarantee.CPU != 0 || free.Core.Teams[0].Limit.CPU != core.NoLimit || free.Core.Teams[0].Limit.GPU != core.NoLimit {
+	if err != nil || len(free.Warnings) != 0 || free.Core.Teams[0].Guarantee.CPU != 0 || free.Core.Teams[0].Limit.CPU != core.NoLimit || free.Core.Teams[0].Limit.GPU != core.NoLimit {
 		t.Errorf("a team without figures: %+v, %v", free, err)
 	}
 	limits := good + "\n[cluster.machine_limits]\ncore_share = 0.18\nmax_connections = "
 	few, err := Load(write(t, "s.toml", limits+"200\n"), "")
-	if err != nil || few.CoreShare != 0.18 || few.Connections != 200 || len(few.Odd) != 1 || !strings.Contains(few.Odd[0], "max_connections") {
+	if err != nil || few.CoreShare != 0.18 || few.Connections != 200 || len(few.Warnings) != 1 || !strings.Contains(few.Warnings[0], "max_connections") {
 		t.Errorf("few sockets: %+v, %v", few, err)
 	}
 	if _, err := Load(write(t, "s.toml", limits+"-1\n"), ""); err == nil || !strings.Contains(err.Error(), "max_connections") {
@@ -87,7 +87,7 @@
 	// part: 12 + 2 + 4 s and 0.1% of both are not there with 18, and are with 19.
 	for cancel, want := range map[string]int{"18.0": 1, "19.0": 0} {
 		s, err := Load(write(t, "s.toml", strings.Replace(good, "cancel_s = 37.0", "cancel_s = "+cancel, 1)), "")
-		if err != nil || len(s.Odd) != want || want > 0 && (!strings.Contains(s.Odd[0], "3.97 s") || !strings.HasSuffix(s.Odd[0], "A cancel_s of 19 would do")) {
+		if err != nil || len(s.Warnings) != want || want > 0 && (!strings.Contains(s.Warnings[0], "3.97 s") || !strings.HasSuffix(s.Warnings[0], "A cancel_s of 19 would do")) {
 			t.Errorf("cancel_s %s with lease_s 12: %+v, %v", cancel, s, err)
 		}
 	}
