--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -1,118 +1,145 @@
-// Package cloud is the actor that talks to the cloud's interface.
+// Package cloud carries out the core's calls of the cloud's interface.
 package cloud
 
 import (
-	"context"
-	"encoding/json"
 	"net/http"
 	"net/url"
+	"strconv"
 	"time"
 
 	"stairrelay/internal/core"
+	"stairrelay/internal/engine"
 	"stairrelay/internal/wire"
 )
 
+const (
+	dialTimeout = time.Second
+	callTimeout = 4 * time.Second
+	// idleCalls is the number of idle connections that are kept.
+	idleCalls = 2
+	// pageSize is the number of machines that is asked for in a page of the list.
+	pageSize = 500
+)
+
 // Cloud carries out the core's cloud effects.
 type Cloud struct {
-	base    string
-	h       *http.Client
-	answer  func(core.CallID, any)
-	timeout time.Duration
+	baseURL string
+	client  *wire.Client
+	reply   engine.ReplyFunc
 }
 
-// New makes the actor for the cloud's interface at addr.
-func New(addr string, answer func(core.CallID, any)) *Cloud {
-	return &Cloud{base: "http://" + addr, h: wire.NewClient(time.Second, 2, 0), answer: answer, timeout: 4 * time.Second}
+// New makes a Cloud for the cloud's interface at addr.
+func New(addr string, reply engine.ReplyFunc) *Cloud {
+	return &Cloud{
+		baseURL: "http://" + addr,
+		client:  wire.NewClient(wire.ClientOptions{DialTimeout: dialTimeout, IdlePerHost: idleCalls}),
+		reply:   reply,
+	}
 }
 
-// Do starts a call; its answer comes as a message.
-func (c *Cloud) Do(e core.Effect) {
-	switch e := e.(type) {
+// Do starts a call; its reply follows.
+func (c *Cloud) Do(effect core.Effect) {
+	switch effect := effect.(type) {
 	case core.CloudTypes:
-		go func() { c.answer(e.Call, c.types()) }()
+		go func() { c.reply(effect.Call, c.machineTypes()) }()
 	case core.CloudRent:
-		go func() { c.answer(e.Call, c.rent(e)) }()
+		go func() { c.reply(effect.Call, c.rent(effect)) }()
 	case core.CloudReturn:
-		go func() { c.answer(e.Call, c.giveBack(e)) }()
+		go func() { c.reply(effect.Call, c.returnMachines(effect)) }()
 	case core.CloudList:
-		go func() { c.answer(e.Call, c.list()) }()
+		go func() { c.reply(effect.Call, c.list()) }()
 	}
 }
 
-func (c *Cloud) call(method, path string, body []byte) (int, []byte, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), c.timeout)
-	defer cancel()
-	return wire.Call(ctx, c.h, method, c.base+path, "application/json", body)
+func (c *Cloud) call(method, path string, body []byte) (wire.Response, error) {
+	return c.client.Do(wire.Request{
+		Method:      method,
+		URL:         c.baseURL + path,
+		ContentType: wire.JSON,
+		Body:        body,
+		Timeout:     callTimeout,
+	})
 }
 
-func (c *Cloud) types() core.TypesReply {
-	status, b, err := c.call("GET", "/flavors", nil)
-	if err != nil || status != 200 {
+func (c *Cloud) machineTypes() core.TypesReply {
+	response, err := c.call(http.MethodGet, "/flavors", nil)
+	if err != nil || response.Status != http.StatusOK {
 		return core.TypesReply{Out: core.NotDone}
 	}
-	t, err := wire.DecodeTypes(b)
+	types, err := wire.DecodeTypes(response.Body)
 	if err != nil {
 		return core.TypesReply{Out: core.Unknown}
 	}
-	return core.TypesReply{Out: core.OK, Types: t}
+	return core.TypesReply{Out: core.OK, Types: types}
 }
 
-func (c *Cloud) rent(e core.CloudRent) core.RentReply {
-	status, b, err := c.call("POST", "/rentals", wire.EncodeRental(e))
-	switch {
-	case err != nil:
+func (c *Cloud) rent(rent core.CloudRent) core.RentReply {
+	response, err := c.call(http.MethodPost, "/rentals", wire.EncodeRental(rent))
+	if err != nil {
 		return core.RentReply{Out: core.Unknown}
-	case status == 200:
-		ids, err := wire.DecodeRental(b)
-		if err != nil {
-			return core.RentReply{Out: core.Unknown}
-		}
-		return core.RentReply{Out: core.OK, IDs: ids}
-	case status == 503:
-		// Out of machines and out of order share a status; only the first is final.
-		var r struct {
-			Error string `json:"error"`
-		}
-		if json.Unmarshal(b, &r) == nil && r.Error == "no capacity" {
+	}
+	switch response.Status {
+	case http.StatusOK:
+		return decodeRental(response.Body)
+	case http.StatusServiceUnavailable:
+		if wire.SaysNoCapacity(response.Body) {
 			return core.RentReply{Out: core.Missing}
 		}
 		return core.RentReply{Out: core.NotDone}
-	case status == 400:
+	case http.StatusBadRequest:
 		return core.RentReply{Out: core.Invalid}
-	case status == 429:
+	case http.StatusTooManyRequests:
 		return core.RentReply{Out: core.Throttled}
 	}
 	return core.RentReply{Out: core.Unknown}
 }
 
-func (c *Cloud) giveBack(e core.CloudReturn) core.ReturnReply {
-	status, _, err := c.call("POST", "/rentals/return", wire.EncodeReturn(e.IDs))
-	if err != nil || status != 200 {
+func decodeRental(body []byte) core.RentReply {
+	ids, err := wire.DecodeRental(body)
+	if err != nil {
+		return core.RentReply{Out: core.Unknown}
+	}
+	return core.RentReply{Out: core.OK, IDs: ids}
+}
+
+func (c *Cloud) returnMachines(effect core.CloudReturn) core.ReturnReply {
+	response, err := c.call(http.MethodPost, "/rentals/return", wire.EncodeReturn(effect.IDs))
+	if err != nil || response.Status != http.StatusOK {
 		return core.ReturnReply{Out: core.Unknown}
 	}
 	return core.ReturnReply{Out: core.OK}
 }
 
+// list reads all pages of the machine list.
 func (c *Cloud) list() core.CloudListReply {
-	var all []core.Listed
-	since := ""
+	var machines []core.Listed
+	lastID := ""
 	for {
-		q := url.Values{"page": {"500"}}
-		if since != "" {
-			q.Set("since", since)
-		}
-		status, b, err := c.call("GET", "/rentals?"+q.Encode(), nil)
-		if err != nil || status != 200 {
-			return core.CloudListReply{Out: core.NotDone}
+		page, outcome := c.page(lastID)
+		if outcome != core.OK {
+			return core.CloudListReply{Out: outcome}
 		}
-		items, more, err := wire.DecodeList(b)
-		if err != nil {
-			return core.CloudListReply{Out: core.Unknown}
+		machines = append(machines, page.Machines...)
+		if !page.More || len(page.Machines) == 0 {
+			return core.CloudListReply{Out: core.OK, Items: machines}
 		}
-		all = append(all, items...)
-		if !more || len(items) == 0 {
-			return core.CloudListReply{Out: core.OK, Items: all}
-		}
-		since = string(items[len(items)-1].ID)
+		lastID = string(page.Machines[len(page.Machines)-1].ID)
+	}
+}
+
+// page reads the page that follows a machine; the first has no such machine.
+func (c *Cloud) page(lastID string) (wire.MachinePage, core.Outcome) {
+	query := url.Values{"page": {strconv.Itoa(pageSize)}}
+	if lastID != "" {
+		query.Set("since", lastID)
+	}
+	response, err := c.call(http.MethodGet, "/rentals?"+query.Encode(), nil)
+	if err != nil || response.Status != http.StatusOK {
+		return wire.MachinePage{}, core.NotDone
+	}
+	page, err := wire.DecodeMachines(response.Body)
+	if err != nil {
+		return wire.MachinePage{}, core.Unknown
 	}
+	return page, core.OK
 }
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -14,11 +14,11 @@
 func TestLoadTold(t *testing.T) {
 	e := New(core.Config{Self: "n0", Nodes: []core.NodeID{"n0"}, ValueBytes: 4096, TxnOps: 12, Tuning: core.DefaultTuning()}, 0.1, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	look := func(used, lag time.Duration) (core.Load, bool) {
-		e.gauge.at = time.Now().Add(-2 * time.Second)
-		e.gauge.cpu, _ = usedSoFar()
-		e.gauge.cpu -= used
-		e.gauge.lag = lag
-		return e.load()
+		e.load.since = time.Now().Add(-2 * time.Second)
+		e.load.cpuThen, _ = processorTime()
+		e.load.cpuThen -= used
+		e.load.lag = lag
+		return e.load.measure()
 	}
 	if l, ok := look(0, 0); ok {
 		t.Errorf("told at ease: %+v", l)
@@ -26,7 +26,7 @@
 	if l, ok := look(190*time.Millisecond, 0); !ok || l.Busy < 0.9 || l.Busy > 1.5 { // 0.095 of a core of 0.1
 		t.Errorf("near the share: %+v, told %v", l, ok)
 	}
-	if _, ok := e.load(); ok {
+	if _, ok := e.load.measure(); ok {
 		t.Error("told again within the second")
 	}
 	if l, ok := look(0, 0); !ok || l.Busy > 0.5 {
--- /dev/null
+++ b/internal/peers/codec.go
@@ -0,0 +1,60 @@
+package peers
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"stairrelay/internal/core"
+)
+
+// MaxFrame bounds a message.
+const MaxFrame = 1 << 20
+
+// The bounds of a message's contents, against malformed ones.
+const (
+	maxElements = 1 << 16
+	maxNesting  = 16
+)
+
+// ErrNoSender is the error of a message that does not say what it is or whose.
+var ErrNoSender = errors.New("message without version or sender")
+
+var decodeMode = newDecodeMode()
+
+func newDecodeMode() cbor.DecMode {
+	options := cbor.DecOptions{
+		MaxArrayElements: maxElements,
+		MaxMapPairs:      maxElements,
+		MaxNestedLevels:  maxNesting,
+	}
+	mode, err := options.DecMode()
+	if err != nil {
+		panic(err) // the options are constants
+	}
+	return mode
+}
+
+// Encode writes a message.
+func Encode(message core.PeerMsg) ([]byte, error) {
+	frame, err := cbor.Marshal(message)
+	if err != nil {
+		return nil, fmt.Errorf("encoding message: %w", err)
+	}
+	return frame, nil
+}
+
+// Decode reads a message.
+func Decode(frame []byte) (core.PeerMsg, error) {
+	var message core.PeerMsg
+	// A decoder, unlike Unmarshal, allows bytes after the message.
+	if err := decodeMode.NewDecoder(bytes.NewReader(frame)).Decode(&message); err != nil {
+		return message, fmt.Errorf("decoding message: %w", err)
+	}
+	if message.Version == 0 || message.From == "" {
+		return message, ErrNoSender
+	}
+	return message, nil
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -1,158 +1,203 @@
-// Package store is the actor that talks to the state service.
+// Package store carries out the core's calls of the state service.
 package store
 
 import (
-	"context"
 	"net/http"
 	"net/url"
 	"strconv"
 	"time"
 
 	"stairrelay/internal/core"
+	"stairrelay/internal/engine"
 	"stairrelay/internal/wire"
 )
 
-// Answer hands a call's result back to the core.
-type Answer func(core.CallID, any)
+const (
+	dialTimeout = time.Second
+	callTimeout = 1200 * time.Millisecond
+	// watchMargin is how much longer than its own wait a watch may take.
+	watchMargin = 3 * time.Second
+	// throttledPause is the wait before a page of a list is asked for again.
+	throttledPause = 200 * time.Millisecond
+	// pageSize is the number of keys that is asked for in a page of a list.
+	pageSize = 1000
+	// The idle connections that are kept for calls and for watches.
+	idleCalls, idleWatches = 8, 4
+)
 
 // Store carries out the core's store effects.
 type Store struct {
-	base    string
-	h       *http.Client
-	watch   *http.Client
-	answer  Answer
-	timeout time.Duration
+	baseURL string
+	calls   *wire.Client
+	watches *wire.Client
+	reply   engine.ReplyFunc
 }
 
-// New makes the actor for the state service at addr.
-func New(addr string, answer Answer) *Store {
-	return &Store{base: "http://" + addr, h: wire.NewClient(time.Second, 8, 0), watch: wire.NewClient(time.Second, 4, 0),
-		answer: answer, timeout: 1200 * time.Millisecond}
+// New makes a Store for the state service at addr.
+func New(addr string, reply engine.ReplyFunc) *Store {
+	return &Store{
+		baseURL: "http://" + addr,
+		calls:   wire.NewClient(wire.ClientOptions{DialTimeout: dialTimeout, IdlePerHost: idleCalls}),
+		watches: wire.NewClient(wire.ClientOptions{DialTimeout: dialTimeout, IdlePerHost: idleWatches}),
+		reply:   reply,
+	}
 }
 
-// Do starts a call; its answer comes as a message.
-func (s *Store) Do(e core.Effect) {
-	switch e := e.(type) {
+// Do starts a call; its reply follows.
+func (s *Store) Do(effect core.Effect) {
+	switch effect := effect.(type) {
 	case core.StoreTxn:
-		go func() { s.answer(e.Call, s.txn(e)) }()
+		go func() { s.reply(effect.Call, s.txn(effect)) }()
 	case core.StoreGet:
-		go func() { s.answer(e.Call, s.get(e)) }()
+		go func() { s.reply(effect.Call, s.get(effect)) }()
 	case core.StoreList:
-		go func() { s.answer(e.Call, s.list(e)) }()
+		go func() { s.reply(effect.Call, s.list(effect)) }()
 	case core.StoreWatch:
-		go func() { s.answer(e.Call, s.watchFor(e)) }()
+		go func() { s.reply(effect.Call, s.watch(effect)) }()
 	}
 }
 
-func (s *Store) call(method, path string, body []byte) (int, []byte, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), s.timeout)
-	defer cancel()
-	return wire.Call(ctx, s.h, method, s.base+path, "application/json", body)
+func (s *Store) call(method, path string, body []byte) (wire.Response, error) {
+	return s.calls.Do(wire.Request{
+		Method:      method,
+		URL:         s.baseURL + path,
+		ContentType: wire.JSON,
+		Body:        body,
+		Timeout:     callTimeout,
+	})
 }
 
-// outcome maps what is common to all calls.
-func outcome(status int, err error) core.Outcome {
-	switch {
-	case err != nil:
-		return core.Unknown
-	case status == 200:
+// outcomeOf maps the statuses that all calls share.
+func outcomeOf(status int) core.Outcome {
+	switch status {
+	case http.StatusOK:
 		return core.OK
-	case status == 429:
+	case http.StatusTooManyRequests:
 		return core.Throttled
-	case status == 503:
+	case http.StatusServiceUnavailable:
 		return core.NotDone
-	case status == 400:
+	case http.StatusBadRequest:
 		return core.Invalid
 	}
 	return core.Unknown
 }
 
-func (s *Store) txn(e core.StoreTxn) core.TxnReply {
-	status, b, err := s.call("POST", "/multi", wire.EncodeTxn(e))
-	if err == nil && (status == 200 || status == 409) {
-		epoch, failed, err := wire.DecodeTxn(b)
-		switch {
-		case err != nil:
-			return core.TxnReply{Out: core.Unknown}
-		case status == 200:
-			return core.TxnReply{Out: core.OK, Epoch: epoch}
-		case len(failed) == 0:
-			return core.TxnReply{Out: core.Unknown}
-		}
-		return core.TxnReply{Out: core.Conflict, Epoch: epoch, Failed: failed}
+func (s *Store) txn(txn core.StoreTxn) core.TxnReply {
+	response, err := s.call(http.MethodPost, "/multi", wire.EncodeTxn(txn))
+	if err != nil {
+		return core.TxnReply{Out: core.Unknown}
+	}
+	if response.Status != http.StatusOK && response.Status != http.StatusConflict {
+		return core.TxnReply{Out: outcomeOf(response.Status)}
+	}
+	answer, err := wire.DecodeTxn(response.Body)
+	switch {
+	case err != nil:
+		return core.TxnReply{Out: core.Unknown}
+	case response.Status == http.StatusOK:
+		return core.TxnReply{Out: core.OK, Epoch: answer.Epoch}
+	case len(answer.Failed) == 0: // a conflict that names no key makes no sense
+		return core.TxnReply{Out: core.Unknown}
 	}
-	return core.TxnReply{Out: outcome(status, err)}
+	return core.TxnReply{Out: core.Conflict, Epoch: answer.Epoch, Failed: answer.Failed}
 }
 
-func (s *Store) get(e core.StoreGet) core.GetReply {
-	status, b, err := s.call("GET", "/keys/"+e.Key, nil)
-	if err == nil && status == 404 {
+func (s *Store) get(get core.StoreGet) core.GetReply {
+	response, err := s.call(http.MethodGet, "/keys/"+get.Key, nil)
+	if err != nil {
+		return core.GetReply{Out: core.Unknown}
+	}
+	if response.Status == http.StatusNotFound {
 		return core.GetReply{Out: core.Missing}
 	}
-	out := outcome(status, err)
-	if out != core.OK {
-		return core.GetReply{Out: out}
+	if outcome := outcomeOf(response.Status); outcome != core.OK {
+		return core.GetReply{Out: outcome}
 	}
-	kv, err := wire.DecodeGet(b)
+	kv, err := wire.DecodeGet(response.Body)
 	if err != nil {
 		return core.GetReply{Out: core.Unknown}
 	}
-	kv.Key = e.Key
+	kv.Key = get.Key
 	return core.GetReply{Out: core.OK, KV: kv}
 }
 
 // list reads all pages. The epoch is the first page's: whatever changes while
 // the others are read is shown again by a watch from there.
-func (s *Store) list(e core.StoreList) core.ListReply {
-	var all []core.KV
-	var first core.Epoch
-	since := ""
-	for page := 0; ; page++ {
-		q := url.Values{"prefix": {e.Prefix}, "page": {"1000"}}
-		if since != "" {
-			q.Set("since", since)
-		}
-		status, b, err := s.call("GET", "/keys?"+q.Encode(), nil)
-		if out := outcome(status, err); out != core.OK {
-			if out == core.Throttled && page > 0 {
-				time.Sleep(200 * time.Millisecond)
-				page--
-				continue
-			}
-			return core.ListReply{Out: out}
-		}
-		items, more, epoch, err := wire.DecodeItems(b)
-		if err != nil {
-			return core.ListReply{Out: core.Unknown}
-		}
-		if page == 0 {
-			first = epoch
+func (s *Store) list(list core.StoreList) core.ListReply {
+	first, outcome := s.page(list.Prefix, "")
+	if outcome != core.OK {
+		return core.ListReply{Out: outcome}
+	}
+	reply := core.ListReply{Out: core.OK, Items: first.Items, Epoch: first.Epoch}
+	for page := first; page.More && len(page.Items) > 0; {
+		lastKey := page.Items[len(page.Items)-1].Key
+		page, outcome = s.nextPage(list.Prefix, lastKey)
+		if outcome != core.OK {
+			return core.ListReply{Out: outcome}
 		}
-		all = append(all, items...)
-		if !more || len(items) == 0 {
-			return core.ListReply{Out: core.OK, Items: all, Epoch: first, Paged: page > 0}
+		reply.Items = append(reply.Items, page.Items...)
+		reply.Paged = true
+	}
+	return reply
+}
+
+// nextPage reads a page after the first. A list that is half read is not given
+// up because of the request limit.
+func (s *Store) nextPage(prefix, lastKey string) (wire.ItemPage, core.Outcome) {
+	for {
+		page, outcome := s.page(prefix, lastKey)
+		if outcome != core.Throttled {
+			return page, outcome
 		}
-		since = items[len(items)-1].Key
+		time.Sleep(throttledPause)
 	}
 }
 
-func (s *Store) watchFor(e core.StoreWatch) core.WatchReply {
-	wait := time.Duration(e.Wait)
-	ctx, cancel := context.WithTimeout(context.Background(), wait+3*time.Second)
-	defer cancel()
-	q := url.Values{"prefix": {e.Prefix}, "since": {strconv.FormatUint(uint64(e.Since), 10)},
-		"blockMs": {strconv.FormatInt(wait.Milliseconds(), 10)}}
-	status, b, err := wire.Call(ctx, s.watch, "GET", s.base+"/watch?"+q.Encode(), "", nil)
-	if err == nil && status == 410 {
-		return core.WatchReply{Out: core.Gone}
+// page reads the page of a list that follows a key; the first has no such key.
+func (s *Store) page(prefix, lastKey string) (wire.ItemPage, core.Outcome) {
+	query := url.Values{
+		"prefix": {prefix},
+		"page":   {strconv.Itoa(pageSize)},
+	}
+	if lastKey != "" {
+		query.Set("since", lastKey)
+	}
+	response, err := s.call(http.MethodGet, "/keys?"+query.Encode(), nil)
+	return decodePage(response, err)
+}
+
+func decodePage(response wire.Response, err error) (wire.ItemPage, core.Outcome) {
+	if err != nil {
+		return wire.ItemPage{}, core.Unknown
 	}
-	out := outcome(status, err)
-	if out != core.OK {
-		return core.WatchReply{Out: out}
+	if outcome := outcomeOf(response.Status); outcome != core.OK {
+		return wire.ItemPage{}, outcome
 	}
-	items, _, epoch, err := wire.DecodeItems(b)
+	page, err := wire.DecodeItems(response.Body)
 	if err != nil {
-		return core.WatchReply{Out: core.Unknown}
+		return wire.ItemPage{}, core.Unknown
+	}
+	return page, core.OK
+}
+
+func (s *Store) watch(watch core.StoreWatch) core.WatchReply {
+	wait := time.Duration(watch.Wait)
+	query := url.Values{
+		"prefix":  {watch.Prefix},
+		"since":   {strconv.FormatUint(uint64(watch.Since), 10)},
+		"blockMs": {strconv.FormatInt(wait.Milliseconds(), 10)},
+	}
+	response, err := s.watches.Do(wire.Request{
+		Method:  http.MethodGet,
+		URL:     s.baseURL + "/watch?" + query.Encode(),
+		Timeout: wait + watchMargin,
+	})
+	if err == nil && response.Status == http.StatusGone {
+		return core.WatchReply{Out: core.Gone}
+	}
+	page, outcome := decodePage(response, err)
+	if outcome != core.OK {
+		return core.WatchReply{Out: outcome}
 	}
-	return core.WatchReply{Out: core.OK, Items: items, Epoch: epoch}
+	return core.WatchReply{Out: core.OK, Items: page.Items, Epoch: page.Epoch}
 }
--- a/internal/users/users.go
+++ b/internal/users/users.go
@@ -1,50 +1,36 @@
-// Package users is the handler of the users' interface and the health check.
+// Package users serves the users' interface and the health check.
 package users
 
 import (
-	"context"
 	"io"
 	"net/http"
 	"strconv"
 
 	"stairrelay/internal/core"
+	"stairrelay/internal/engine"
 	"stairrelay/internal/wire"
 )
 
-// Asker hands a request to the core and waits for its answer.
-type Asker interface {
-	Ask(ctx context.Context, event func(core.ReqID) core.Event) (core.Respond, bool)
-}
+// retryAfterSeconds is when a user should ask again whose request was not
+// answered in time.
+const retryAfterSeconds = 1
+
+// checkinPath is where workers send their reports.
+const checkinPath = "/checkin"
 
-// Handler answers users, the health check and, through checkin, workers. What
-// is not a worker's goes through mark.
-func Handler(a Asker, mark func(http.Handler) http.Handler, checkin http.Handler) http.Handler {
+// Handler serves users, the health check and, through checkin, workers. What
+// is not a worker's goes through markUser.
+func Handler(asker engine.Asker, markUser func(http.Handler) http.Handler, checkin http.Handler) http.Handler {
+	h := &handler{asker: asker}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, r *http.Request) {
-		ask(a, w, r, func(id core.ReqID) core.Event { return core.Health{Req: id} })
-	})
-	mux.HandleFunc("POST /v2/runs", func(w http.ResponseWriter, r *http.Request) { submit(a, w, r) })
-	mux.HandleFunc("GET /v2/runs/{id}", func(w http.ResponseWriter, r *http.Request) {
-		job := r.PathValue("id")
-		if !wire.ValidJobID(job) { // no such id was ever accepted
-			http.NotFound(w, r)
-			return
-		}
-		ask(a, w, r, func(id core.ReqID) core.Event { return core.Query{Req: id, ID: core.JobID(job)} })
-	})
-	mux.HandleFunc("POST /v2/runs/{id}/cancel", func(w http.ResponseWriter, r *http.Request) {
-		job := r.PathValue("id")
-		if !wire.ValidJobID(job) {
-			http.NotFound(w, r)
-			return
-		}
-		_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, wire.MaxBody))
-		ask(a, w, r, func(id core.ReqID) core.Event { return core.Cancel{Req: id, ID: core.JobID(job)} })
-	})
-	marked := mark(mux)
+	mux.HandleFunc("GET /healthz", h.health)
+	mux.HandleFunc("POST /v2/runs", h.submit)
+	mux.HandleFunc("GET /v2/runs/{id}", h.query)
+	mux.HandleFunc("POST /v2/runs/{id}/cancel", h.cancel)
+	marked := markUser(mux)
 	// Reports are most of what comes in: they don't go through the patterns.
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == "/checkin" && r.Method == http.MethodPost {
+		if r.URL.Path == checkinPath && r.Method == http.MethodPost {
 			checkin.ServeHTTP(w, r)
 			return
 		}
@@ -52,44 +38,81 @@
 	})
 }
 
-func submit(a Asker, w http.ResponseWriter, r *http.Request) {
+type handler struct {
+	asker engine.Asker
+}
+
+func (h *handler) health(w http.ResponseWriter, r *http.Request) {
+	h.ask(w, r, func(id core.ReqID) core.Event { return core.Health{Req: id} })
+}
+
+func (h *handler) submit(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, wire.MaxBody))
 	if err != nil {
 		http.Error(w, "body unreadable or too large", http.StatusBadRequest)
 		return
 	}
 	spec, err := wire.DecodeSubmission(body)
-	e := core.Submit{Job: spec}
+	submit := core.Submit{Job: spec}
 	if err != nil {
 		if spec.ID == "" {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
-		e.Bad, e.Why = http.StatusBadRequest, err.Error()
+		// The id may be that of a known job, which only the core can tell.
+		submit.Bad = http.StatusBadRequest
+		submit.Why = err.Error()
 	}
-	ask(a, w, r, func(id core.ReqID) core.Event {
-		e.Req = id
-		return e
+	h.ask(w, r, func(id core.ReqID) core.Event {
+		submit.Req = id
+		return submit
 	})
 }
 
-func ask(a Asker, w http.ResponseWriter, r *http.Request, event func(core.ReqID) core.Event) {
-	res, ok := a.Ask(r.Context(), event)
-	if !ok {
-		res = core.Respond{Status: http.StatusServiceUnavailable, RetryAfter: 1}
-	}
-	if res.RetryAfter > 0 {
-		w.Header().Set("Retry-After", strconv.Itoa(res.RetryAfter))
+func (h *handler) query(w http.ResponseWriter, r *http.Request) {
+	job, valid := jobOf(r)
+	if !valid {
+		http.NotFound(w, r)
+		return
 	}
-	if res.View == nil {
-		if res.Status == http.StatusOK {
-			w.WriteHeader(http.StatusOK)
-			return
-		}
-		http.Error(w, res.Error, res.Status)
+	h.ask(w, r, func(id core.ReqID) core.Event { return core.Query{Req: id, ID: job} })
+}
+
+func (h *handler) cancel(w http.ResponseWriter, r *http.Request) {
+	job, valid := jobOf(r)
+	if !valid {
+		http.NotFound(w, r)
 		return
 	}
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(res.Status)
-	_, _ = w.Write(wire.EncodeView(*res.View))
+	// A body has no meaning here; read, it does not cost the connection.
+	_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, wire.MaxBody))
+	h.ask(w, r, func(id core.ReqID) core.Event { return core.Cancel{Req: id, ID: job} })
+}
+
+// jobOf is the job that a request's path names. One whose id is malformed was
+// never accepted.
+func jobOf(r *http.Request) (core.JobID, bool) {
+	id := r.PathValue("id")
+	return core.JobID(id), wire.ValidJobID(id)
+}
+
+// ask hands a request to the core and writes its answer.
+func (h *handler) ask(w http.ResponseWriter, r *http.Request, event func(core.ReqID) core.Event) {
+	answer, answered := h.asker.Ask(r.Context(), event)
+	if !answered {
+		answer = core.Respond{Status: http.StatusServiceUnavailable, RetryAfter: retryAfterSeconds}
+	}
+	if answer.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(answer.RetryAfter))
+	}
+	switch {
+	case answer.View != nil:
+		w.Header().Set("Content-Type", wire.JSON)
+		w.WriteHeader(answer.Status)
+		_, _ = w.Write(wire.EncodeView(*answer.View))
+	case answer.Status == http.StatusOK:
+		w.WriteHeader(http.StatusOK)
+	default:
+		http.Error(w, answer.Error, answer.Status)
+	}
 }
--- /dev/null
+++ b/internal/wire/client.go
@@ -0,0 +1,116 @@
+package wire
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+)
+
+const (
+	// maxAnswer bounds what is read of any answer.
+	maxAnswer = 16 << 20
+	// idleTimeout is how long a connection is kept without a call.
+	idleTimeout = 60 * time.Second
+	// bufferSize is small, since a thousand connections may be kept.
+	bufferSize = 2 << 10
+)
+
+// The content types of request bodies.
+const (
+	JSON = "application/json"
+	CBOR = "application/cbor"
+)
+
+// ErrNotSent marks a call that certainly never reached the other side.
+var ErrNotSent = errors.New("not sent")
+
+// ClientOptions bound a client's connections.
+type ClientOptions struct {
+	DialTimeout time.Duration
+	IdlePerHost int // idle connections that are kept for each host
+	Idle        int // idle connections that are kept in all; 0: not limited
+}
+
+// Client makes HTTP calls over few, kept connections. It follows no redirects.
+type Client struct {
+	http *http.Client
+}
+
+// NewClient makes a client.
+func NewClient(options ClientOptions) *Client {
+	dialer := &net.Dialer{Timeout: options.DialTimeout, KeepAlive: -1}
+	transport := &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConns:        options.Idle,
+		MaxIdleConnsPerHost: options.IdlePerHost,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+		ReadBufferSize:      bufferSize,
+		WriteBufferSize:     bufferSize,
+	}
+	useLastResponse := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &Client{http: &http.Client{Transport: transport, CheckRedirect: useLastResponse}}
+}
+
+// Request is one call.
+type Request struct {
+	Method      string
+	URL         string
+	ContentType string // of the body
+	Body        []byte // nil: none
+	Timeout     time.Duration
+}
+
+// Response is a call's whole answer.
+type Response struct {
+	Status int
+	Body   []byte
+}
+
+// Do makes a call and reads its whole answer. A connection that could not be
+// made is ErrNotSent; any other error leaves open what has happened.
+func (c *Client) Do(request Request) (Response, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), request.Timeout)
+	defer cancel()
+	outgoing, err := request.build(ctx)
+	if err != nil {
+		return Response{}, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	incoming, err := c.http.Do(outgoing)
+	if err != nil {
+		return Response{}, callError(err)
+	}
+	defer incoming.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(incoming.Body, maxAnswer))
+	if err != nil {
+		return Response{}, fmt.Errorf("reading answer: %w", err)
+	}
+	return Response{Status: incoming.StatusCode, Body: body}, nil
+}
+
+func (r *Request) build(ctx context.Context) (*http.Request, error) {
+	if r.Body == nil {
+		return http.NewRequestWithContext(ctx, r.Method, r.URL, nil)
+	}
+	outgoing, err := http.NewRequestWithContext(ctx, r.Method, r.URL, bytes.NewReader(r.Body))
+	if err != nil {
+		return nil, err
+	}
+	outgoing.Header.Set("Content-Type", r.ContentType)
+	return outgoing, nil
+}
+
+// callError tells a connection that was never made from a call that may have
+// been carried out.
+func callError(err error) error {
+	var operation *net.OpError
+	if errors.As(err, &operation) && operation.Op == "dial" {
+		return fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	return fmt.Errorf("calling: %w", err)
+}
--- /dev/null
+++ b/internal/wire/cloud.go
@@ -0,0 +1,154 @@
+package wire
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"stairrelay/internal/core"
+)
+
+// ErrNoMachines is the error of a rental's answer without a list of machines.
+var ErrNoMachines = errors.New("rental answer names no machines")
+
+// BadMachineTypeError is the error of a machine type that can't run anything.
+type BadMachineTypeError struct{ Name string }
+
+func (e *BadMachineTypeError) Error() string {
+	return fmt.Sprintf("machine type %q makes no sense", e.Name)
+}
+
+type machineType struct {
+	Name      string   `json:"name"`
+	CPU       float64  `json:"vcpus"`
+	GPU       float64  `json:"accelerators"`
+	Memory    float64  `json:"memoryGb"`
+	Cache     float64  `json:"cacheGb"`
+	Fetch     float64  `json:"pullGbPerS"`
+	Price     float64  `json:"rate"`
+	SpotPrice float64  `json:"spotPrice"`
+	Boot      float64  `json:"bootS"`
+	Zones     []string `json:"yards"`
+}
+
+// DecodeTypes reads the cloud's machine types.
+func DecodeTypes(body []byte) ([]core.MachineType, error) {
+	var form struct {
+		Types []machineType `json:"fleets"`
+	}
+	if err := json.Unmarshal(body, &form); err != nil {
+		return nil, fmt.Errorf("reading machine types: %w", err)
+	}
+	var types []core.MachineType
+	for _, t := range form.Types {
+		if t.Name == "" || t.CPU <= 0 {
+			return nil, &BadMachineTypeError{Name: t.Name}
+		}
+		types = append(types, t.decode())
+	}
+	return types, nil
+}
+
+func (t *machineType) decode() core.MachineType {
+	return core.MachineType{
+		Name: t.Name,
+		Cap: core.Res{
+			CPU: core.FloorAmount(t.CPU),
+			GPU: core.FloorAmount(t.GPU),
+			Mem: core.FloorAmount(t.Memory),
+		},
+		CacheGB:   t.Cache,
+		FetchGBs:  t.Fetch,
+		Price:     t.Price,
+		SpotPrice: t.SpotPrice,
+		BootS:     t.Boot,
+		Zones:     t.Zones,
+	}
+}
+
+// rental's fields are in the order of their names, as all releases send them.
+type rental struct {
+	Name  string `json:"charter"`
+	Count int    `json:"count"`
+	Type  string `json:"fleet"`
+	Spot  bool   `json:"standby"`
+	Zone  string `json:"yard"`
+}
+
+// EncodeRental writes a rental request.
+func EncodeRental(r core.CloudRent) []byte {
+	return marshal(rental{Name: r.Name, Count: r.Count, Type: r.Type, Spot: r.Spot, Zone: r.Zone})
+}
+
+type machineReturn struct {
+	IDs []core.MachineID `json:"coaches"`
+}
+
+// EncodeReturn writes a return request.
+func EncodeReturn(ids []core.MachineID) []byte { return marshal(machineReturn{IDs: ids}) }
+
+// DecodeRental reads which machines a request got.
+func DecodeRental(body []byte) ([]core.MachineID, error) {
+	var form struct {
+		IDs *[]core.MachineID `json:"coaches"`
+	}
+	if err := json.Unmarshal(body, &form); err != nil {
+		return nil, fmt.Errorf("reading rental: %w", err)
+	}
+	if form.IDs == nil {
+		return nil, ErrNoMachines
+	}
+	return *form.IDs, nil
+}
+
+type listedMachine struct {
+	ID     string  `json:"id"`
+	Addr   string  `json:"addr"`
+	Type   string  `json:"fleet"`
+	Zone   string  `json:"yard"`
+	Spot   bool    `json:"standby"`
+	Status string  `json:"status"`
+	Age    float64 `json:"ageS"`
+}
+
+// MachinePage is a page of the cloud's machine list.
+type MachinePage struct {
+	Machines []core.Listed
+	More     bool // there is another page
+}
+
+// DecodeMachines reads a page of the machine list.
+func DecodeMachines(body []byte) (MachinePage, error) {
+	var form struct {
+		Machines []listedMachine `json:"coaches"`
+		More     bool            `json:"truncated"`
+	}
+	if err := json.Unmarshal(body, &form); err != nil {
+		return MachinePage{}, fmt.Errorf("reading machine list: %w", err)
+	}
+	page := MachinePage{More: form.More}
+	for _, m := range form.Machines {
+		page.Machines = append(page.Machines, core.Listed{
+			ID:     core.MachineID(m.ID),
+			Addr:   m.Addr,
+			Type:   m.Type,
+			Zone:   m.Zone,
+			Spot:   m.Spot,
+			Status: m.Status,
+			AgeS:   m.Age,
+		})
+	}
+	return page, nil
+}
+
+// noCapacity is the error text of a cloud that has no machine of the kind.
+const noCapacity = "no capacity"
+
+// SaysNoCapacity tells whether an answer's body says that the cloud has no
+// machine of the kind. The status alone does not tell that from trouble.
+func SaysNoCapacity(body []byte) bool {
+	var form struct {
+		Error string `json:"error"`
+	}
+	return json.Unmarshal(body, &form) == nil && form.Error == noCapacity
+}
--- /dev/null
+++ b/internal/wire/store.go
@@ -0,0 +1,134 @@
+package wire
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"stairrelay/internal/core"
+)
+
+var (
+	// ErrNoEpoch is the error of a state service's answer without its epoch.
+	ErrNoEpoch = errors.New("answer has no epoch")
+	// ErrNoValue is the error of a key's answer without value or mark.
+	ErrNoValue = errors.New("key's answer has no value or mark")
+)
+
+type condition struct {
+	Key  string `json:"key"`
+	Mark uint64 `json:"mark"`
+}
+
+type operation struct {
+	Set   string          `json:"set,omitempty"`
+	Value json.RawMessage `json:"value,omitempty"`
+	Drop  string          `json:"drop,omitempty"`
+}
+
+// transaction's fields are in the order of their names, as all releases send them.
+type transaction struct {
+	Then []operation `json:"then"`
+	When []condition `json:"when"`
+}
+
+// EncodeTxn writes a transaction.
+func EncodeTxn(txn core.StoreTxn) []byte {
+	form := transaction{
+		Then: make([]operation, 0, len(txn.Then)),
+		When: make([]condition, 0, len(txn.When)),
+	}
+	for _, c := range txn.When {
+		form.When = append(form.When, condition{Key: c.Key, Mark: uint64(c.Mark)})
+	}
+	for _, o := range txn.Then {
+		if o.Value == nil {
+			form.Then = append(form.Then, operation{Drop: o.Key})
+		} else {
+			form.Then = append(form.Then, operation{Set: o.Key, Value: o.Value})
+		}
+	}
+	return marshal(form)
+}
+
+// TxnAnswer is the answer to a transaction.
+type TxnAnswer struct {
+	Epoch  core.Epoch
+	Failed []string // keys whose conditions did not hold
+}
+
+// DecodeTxn reads a transaction's answer.
+func DecodeTxn(body []byte) (TxnAnswer, error) {
+	var form struct {
+		Epoch  *uint64  `json:"epoch"`
+		Failed []string `json:"failed"`
+	}
+	if err := json.Unmarshal(body, &form); err != nil {
+		return TxnAnswer{}, fmt.Errorf("reading transaction's answer: %w", err)
+	}
+	if form.Epoch == nil {
+		return TxnAnswer{}, fmt.Errorf("transaction: %w", ErrNoEpoch)
+	}
+	return TxnAnswer{Epoch: core.Epoch(*form.Epoch), Failed: form.Failed}, nil
+}
+
+// item is a key of a list, with Key, or a change of a watch, with Set or Drop.
+type item struct {
+	Key   string          `json:"key"`
+	Set   string          `json:"set"`
+	Drop  string          `json:"drop"`
+	Value json.RawMessage `json:"value"`
+	Mark  uint64          `json:"mark"`
+}
+
+func (i *item) decode() core.KV {
+	kv := core.KV{Key: i.Key, Value: i.Value, Mark: core.Mark(i.Mark)}
+	switch {
+	case i.Drop != "":
+		kv.Key = i.Drop
+		kv.Value = nil
+	case i.Set != "":
+		kv.Key = i.Set
+	}
+	return kv
+}
+
+// DecodeGet reads a key.
+func DecodeGet(body []byte) (core.KV, error) {
+	var form item
+	if err := json.Unmarshal(body, &form); err != nil {
+		return core.KV{}, fmt.Errorf("reading key: %w", err)
+	}
+	if form.Mark == 0 || len(form.Value) == 0 {
+		return core.KV{}, ErrNoValue
+	}
+	return core.KV{Key: form.Key, Value: form.Value, Mark: core.Mark(form.Mark)}, nil
+}
+
+// ItemPage is a page of keys, or of changes. A dropped key has no value.
+type ItemPage struct {
+	Items []core.KV
+	More  bool // there is another page
+	Epoch core.Epoch
+}
+
+// DecodeItems reads a page of keys, or of changes.
+func DecodeItems(body []byte) (ItemPage, error) {
+	var form struct {
+		Items  []item  `json:"items"`
+		Events []item  `json:"events"`
+		More   bool    `json:"truncated"`
+		Epoch  *uint64 `json:"epoch"`
+	}
+	if err := json.Unmarshal(body, &form); err != nil {
+		return ItemPage{}, fmt.Errorf("reading keys: %w", err)
+	}
+	if form.Epoch == nil {
+		return ItemPage{}, ErrNoEpoch
+	}
+	page := ItemPage{More: form.More, Epoch: core.Epoch(*form.Epoch)}
+	for _, i := range append(form.Items, form.Events...) {
+		page.Items = append(page.Items, i.decode())
+	}
+	return page, nil
+}
--- /dev/null
+++ b/internal/wire/submission.go
@@ -0,0 +1,282 @@
+package wire
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"regexp"
+	"slices"
+
+	"stairrelay/internal/core"
+)
+
+// The limits of a submission. Those of lengths keep its record under the state
+// service's limit for a value.
+const (
+	maxNameLength       = 200
+	maxTypes            = 32
+	maxTypeNamesLength  = 1000
+	maxTasks            = 100_000
+	maxQuantity         = 1e9
+	amountsPerUnit      = 1e6  // core.Amount counts millionths
+	amountRoundingError = 1e-4 // of a millionth, which a stated quantity may be off by
+)
+
+// sweepShape is the only shape of jobs that the protocol has.
+const sweepShape = "sweep"
+
+// noType stands for an empty list of machine types, which allows none; a
+// missing list allows all.
+const noType = "-"
+
+var jobIDPattern = regexp.MustCompile(`^j-[0-9]{1,40}$`)
+
+var priorities = map[string]core.Priority{
+	"best_effort": core.BestEffort,
+	"normal":      core.Normal,
+	"urgent":      core.Urgent,
+	"production":  core.Production,
+}
+
+// ValidJobID tells whether an id has the form that all ids have.
+func ValidJobID(id string) bool { return jobIDPattern.MatchString(id) }
+
+// InvalidFieldError says what is wrong with a field of a submission.
+type InvalidFieldError struct {
+	Field   string
+	Problem string
+}
+
+func (e *InvalidFieldError) Error() string { return e.Field + " " + e.Problem }
+
+// The problems that several fields may have.
+const (
+	missingOrInvalid = "is missing or invalid"
+	missing          = "is missing"
+	invalid          = "is invalid"
+	tooLong          = "is too long"
+	notKnown         = "is not known"
+)
+
+// submission is the protocol's form of a job. Pointers tell a missing field
+// from a zero.
+type submission struct {
+	ID         *string  `json:"id"`
+	Class      *string  `json:"route"`
+	Team       *string  `json:"crew"`
+	Shape      *string  `json:"shape"`
+	Priority   *string  `json:"urgency"`
+	Tasks      *float64 `json:"legs"`
+	CPU        *float64 `json:"vcpus"`
+	GPU        *float64 `json:"accelerators"`
+	Memory     *float64 `json:"memoryGb"`
+	Image      *string  `json:"bundle"`
+	ImageGB    *float64 `json:"sizeGb"`
+	Types      []string `json:"fleets"`
+	Zone       *string  `json:"yard"`
+	SamePlace  *bool    `json:"samePlace"`
+	Scatter    *bool    `json:"scatter"`
+	Spot       *bool    `json:"standby"`
+	Runtime    *float64 `json:"runtimeS"`
+	Checkpoint *float64 `json:"waypointS"`
+	Save       *float64 `json:"stowS"`
+	Deadline   *float64 `json:"dueS"`
+	Awaits     []string `json:"awaits"`
+}
+
+// DecodeSubmission reads a submission. With an error, the spec's ID is still
+// set when the body names a well-formed one: such an id may be known already.
+func DecodeSubmission(body []byte) (core.JobSpec, error) {
+	spec := core.JobSpec{ID: decodeID(body)}
+	var form submission
+	if err := json.Unmarshal(body, &form); err != nil {
+		return spec, fmt.Errorf("reading submission: %w", err)
+	}
+	if spec.ID == "" {
+		return spec, &InvalidFieldError{"id", "is missing or malformed"}
+	}
+	if err := form.check(); err != nil {
+		return spec, err
+	}
+	awaits, err := form.awaited(spec.ID)
+	if err != nil {
+		return spec, err
+	}
+	spec.Awaits = awaits
+	form.fill(&spec)
+	return spec, nil
+}
+
+// decodeID reads the id of a body whose other fields may be malformed; empty
+// when there is none.
+func decodeID(body []byte) core.JobID {
+	var form struct {
+		ID *string `json:"id"`
+	}
+	if json.Unmarshal(body, &form) != nil || form.ID == nil || !ValidJobID(*form.ID) {
+		return ""
+	}
+	return core.JobID(*form.ID)
+}
+
+func (s *submission) check() error {
+	for _, check := range []func() error{s.checkTexts, s.checkQuantities, s.checkFlags, s.checkTasks, s.checkChoices, s.checkOptional, s.checkTypes} {
+		if err := check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *submission) checkTexts() error {
+	for _, required := range []struct {
+		field string
+		text  *string
+	}{
+		{"route", s.Class},
+		{"crew", s.Team},
+		{"bundle", s.Image},
+		{"shape", s.Shape},
+		{"urgency", s.Priority},
+	} {
+		if required.text == nil || !validName(*required.text) {
+			return &InvalidFieldError{required.field, missingOrInvalid}
+		}
+	}
+	return nil
+}
+
+func validName(name string) bool { return name != "" && len(name) <= maxNameLength }
+
+func (s *submission) checkQuantities() error {
+	for _, required := range []struct {
+		field    string
+		quantity *float64
+	}{
+		{"vcpus", s.CPU},
+		{"accelerators", s.GPU},
+		{"memoryGb", s.Memory},
+		{"sizeGb", s.ImageGB},
+		{"runtimeS", s.Runtime},
+		{"waypointS", s.Checkpoint},
+		{"stowS", s.Save},
+	} {
+		if q := required.quantity; q == nil || *q < 0 || *q > maxQuantity {
+			return &InvalidFieldError{required.field, missingOrInvalid}
+		}
+	}
+	return nil
+}
+
+func (s *submission) checkFlags() error {
+	if s.SamePlace == nil || s.Scatter == nil || s.Spot == nil {
+		return &InvalidFieldError{"samePlace, scatter or standby", missing}
+	}
+	return nil
+}
+
+func (s *submission) checkTasks() error {
+	if n := s.Tasks; n == nil || *n < 1 || *n > maxTasks || *n != math.Trunc(*n) {
+		return &InvalidFieldError{"legs", missingOrInvalid}
+	}
+	return nil
+}
+
+func (s *submission) checkChoices() error {
+	if *s.Shape != sweepShape {
+		return &InvalidFieldError{"shape", notKnown}
+	}
+	if _, known := priorities[*s.Priority]; !known {
+		return &InvalidFieldError{"urgency", notKnown}
+	}
+	return nil
+}
+
+func (s *submission) checkOptional() error {
+	if s.Deadline != nil && (*s.Deadline <= 0 || *s.Deadline > maxQuantity) {
+		return &InvalidFieldError{"dueS", invalid}
+	}
+	if s.Zone != nil && !validName(*s.Zone) {
+		return &InvalidFieldError{"yard", invalid}
+	}
+	return nil
+}
+
+func (s *submission) checkTypes() error {
+	if len(s.Types) > maxTypes {
+		return &InvalidFieldError{"fleets", tooLong}
+	}
+	length := 0
+	for _, name := range s.Types {
+		if !validName(name) {
+			return &InvalidFieldError{"fleets", invalid}
+		}
+		length += len(name)
+	}
+	if length > maxTypeNamesLength {
+		return &InvalidFieldError{"fleets", tooLong}
+	}
+	return nil
+}
+
+// awaited lists each job once that the job has to wait for.
+func (s *submission) awaited(self core.JobID) ([]core.JobID, error) {
+	var awaits []core.JobID
+	for _, text := range s.Awaits {
+		id := core.JobID(text)
+		if !ValidJobID(text) || id == self {
+			return nil, &InvalidFieldError{"awaits", "names no job that it could wait for"}
+		}
+		if !slices.Contains(awaits, id) {
+			awaits = append(awaits, id)
+		}
+	}
+	return awaits, nil
+}
+
+// fill sets the spec's fields from a checked submission.
+func (s *submission) fill(spec *core.JobSpec) {
+	spec.Class = *s.Class
+	spec.Team = *s.Team
+	spec.Priority = priorities[*s.Priority]
+	spec.Tasks = int(*s.Tasks)
+	spec.Need = core.Res{
+		CPU: ceilAmount(*s.CPU),
+		GPU: ceilAmount(*s.GPU),
+		Mem: ceilAmount(*s.Memory),
+	}
+	spec.Types = s.Types
+	if s.Types != nil && len(s.Types) == 0 {
+		spec.Types = []string{noType}
+	}
+	if s.Zone != nil {
+		spec.Zone = *s.Zone
+	}
+	spec.SamePlace = *s.SamePlace
+	spec.Scatter = *s.Scatter
+	spec.Spot = *s.Spot
+	spec.Image = *s.Image
+	spec.ImageGB = *s.ImageGB
+	spec.RuntimeS = *s.Runtime
+	spec.CheckpntS = *s.Checkpoint
+	spec.SaveS = *s.Save
+	if s.Deadline != nil {
+		spec.DeadlineS = *s.Deadline
+	}
+}
+
+// ceilAmount turns a stated need, which must be met in full, into an Amount.
+func ceilAmount(quantity float64) core.Amount {
+	return core.Amount(math.Ceil(quantity*amountsPerUnit - amountRoundingError))
+}
+
+// jobView is a job's state as users get it.
+type jobView struct {
+	ID      core.JobID  `json:"id"`
+	Status  core.Status `json:"status"`
+	Done    int         `json:"done"`
+	Running int         `json:"running"`
+}
+
+// EncodeView writes a job's state.
+func EncodeView(view core.JobView) []byte { return marshal(jobView(view)) }
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -145,20 +145,21 @@
 	if _, err := DecodeRental([]byte(`{}`)); err == nil {
 		t.Error("a rental without machines passed")
 	}
-	if _, _, err := DecodeTxn([]byte(`{"failed":["a"]}`)); err == nil {
+	if _, err := DecodeTxn([]byte(`{"failed":["a"]}`)); err == nil {
 		t.Error("a transaction without epoch passed")
 	}
 	if _, err := DecodeGet([]byte(`{"key":"a","mark":3}`)); err == nil {
 		t.Error("a key without value passed")
 	}
-	if _, _, _, err := DecodeItems([]byte(`{"items":[]}`)); err == nil {
+	if _, err := DecodeItems([]byte(`{"items":[]}`)); err == nil {
 		t.Error("a page without epoch passed")
 	}
 	if _, err := DecodeTypes([]byte(`{"fleets":[{"name":"x","vcpus":0}]}`)); err == nil {
 		t.Error("a machine type without CPUs passed")
 	}
-	items, _, epoch, err := DecodeItems([]byte(`{"epoch":433,"events":[{"set":"c/9","value":{"a":1},"mark":433},{"drop":"c/d","mark":432}]}`))
-	if err != nil || epoch != 433 || len(items) != 2 || items[0].Key != "c/9" || items[1].Key != "c/d" || items[1].Value != nil {
+	page, err := DecodeItems([]byte(`{"epoch":433,"events":[{"set":"c/9","value":{"a":1},"mark":433},{"drop":"c/d","mark":432}]}`))
+	items := page.Items
+	if err != nil || page.Epoch != 433 || len(items) != 2 || items[0].Key != "c/9" || items[1].Key != "c/d" || items[1].Value != nil {
 		t.Errorf("read %+v %v", items, err)
 	}
 }
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -1,131 +1,101 @@
-// Package workers is the actor that sends commands straight to workers, and
-// the handler of their reports.
+// Package workers sends commands straight to workers and serves their reports.
 package workers
 
 import (
-	"context"
 	"errors"
-	"io"
-	"log/slog"
 	"net/http"
-	"sync"
 	"time"
 
 	"stairrelay/internal/core"
+	"stairrelay/internal/engine"
 	"stairrelay/internal/sockets"
 	"stairrelay/internal/wire"
 )
 
-// Asker hands a request to the core and waits for its answer.
-type Asker interface {
-	Ask(ctx context.Context, event func(core.ReqID) core.Event) (core.Respond, bool)
-}
+const (
+	dialTimeout = 1500 * time.Millisecond
+	callTimeout = 2500 * time.Millisecond
+	// slotWait is how long a call waits for others to end before it is given up
+	// as certainly not made.
+	slotWait = time.Second
+)
 
-// Workers carries out the core's Orders effects.
+// Workers carries out the core's Orders and Inspect effects.
 type Workers struct {
-	h       *http.Client
-	answer  func(core.CallID, any)
-	timeout time.Duration
-	slots   *sockets.Slots
+	client *wire.Client
+	slots  *sockets.Slots
+	reply  engine.ReplyFunc
 }
 
-// slotWait is how long a call waits for others to end before it is given up as
-// certainly not made.
-const slotWait = time.Second
-
-// New makes the actor, for so many calls at once; 0: without limit.
-func New(calls int, answer func(core.CallID, any)) *Workers {
-	return &Workers{h: wire.NewClient(1500*time.Millisecond, 1, calls), answer: answer, timeout: 2500 * time.Millisecond, slots: sockets.NewSlots(calls)}
+// New makes Workers for so many calls at once; 0: without limit.
+func New(calls int, reply engine.ReplyFunc) *Workers {
+	return &Workers{
+		client: wire.NewClient(wire.ClientOptions{DialTimeout: dialTimeout, IdlePerHost: 1, Idle: calls}),
+		slots:  sockets.NewSlots(calls),
+		reply:  reply,
+	}
 }
 
-// Do sends commands, or asks for a report; the answer comes as a message.
-func (w *Workers) Do(e core.Effect) {
-	switch e := e.(type) {
+// Do sends commands, or asks for a report; the reply follows.
+func (w *Workers) Do(effect core.Effect) {
+	switch effect := effect.(type) {
 	case core.Orders:
-		go func() { w.answer(e.Call, w.send("POST", e.Addr, "/orders", wire.EncodeOrders(e))) }()
+		go func() { w.reply(effect.Call, w.order(effect)) }()
 	case core.Inspect:
-		go func() { w.answer(e.Call, w.send("GET", e.Addr, "/inspect", nil)) }()
+		go func() { w.reply(effect.Call, w.inspect(effect)) }()
 	}
 }
 
-func (w *Workers) send(method, addr, path string, body []byte) core.OrdersReply {
-	done, ok := w.slots.Take(addr, slotWait)
-	if !ok {
+func (w *Workers) order(orders core.Orders) core.OrdersReply {
+	return w.send(orders.Addr, wire.Request{
+		Method:      http.MethodPost,
+		URL:         "http://" + orders.Addr + "/orders",
+		ContentType: wire.JSON,
+		Body:        wire.EncodeOrders(orders),
+		Timeout:     callTimeout,
+	})
+}
+
+func (w *Workers) inspect(inspect core.Inspect) core.OrdersReply {
+	return w.send(inspect.Addr, wire.Request{
+		Method:  http.MethodGet,
+		URL:     "http://" + inspect.Addr + "/inspect",
+		Timeout: callTimeout,
+	})
+}
+
+// send makes a call as soon as there is a slot for it.
+func (w *Workers) send(addr string, request wire.Request) core.OrdersReply {
+	release, taken := w.slots.Take(addr, slotWait)
+	if !taken {
 		return core.OrdersReply{Out: core.NotDone}
 	}
-	r := w.call(method, addr, path, body)
-	done(r.Out == core.OK || r.Out == core.Conflict)
-	return r
+	reply := w.call(request)
+	answered := reply.Out == core.OK || reply.Out == core.Conflict
+	release(answered)
+	return reply
 }
 
-func (w *Workers) call(method, addr, path string, body []byte) core.OrdersReply {
-	ctx, cancel := context.WithTimeout(context.Background(), w.timeout)
-	defer cancel()
-	status, b, err := wire.Call(ctx, w.h, method, "http://"+addr+path, "application/json", body)
-	switch {
-	case errors.Is(err, wire.ErrNotSent):
+func (w *Workers) call(request wire.Request) core.OrdersReply {
+	response, err := w.client.Do(request)
+	if errors.Is(err, wire.ErrNotSent) {
 		return core.OrdersReply{Out: core.NotDone}
-	case err != nil:
-		return core.OrdersReply{Out: core.Unknown}
-	case status != 200 && status != 409:
-		return core.OrdersReply{Out: core.Unknown}
 	}
-	r, err := wire.DecodeReport(b)
 	if err != nil {
 		return core.OrdersReply{Out: core.Unknown}
 	}
-	out := core.OK
-	if status == 409 {
-		out = core.Conflict
+	var outcome core.Outcome
+	switch response.Status {
+	case http.StatusOK:
+		outcome = core.OK
+	case http.StatusConflict:
+		outcome = core.Conflict
+	default:
+		return core.OrdersReply{Out: core.Unknown}
 	}
-	return core.OrdersReply{Out: out, Report: r}
-}
-
-// Handler answers POST /checkin.
-func Handler(a Asker, log *slog.Logger) http.Handler {
-	seen := &once{seen: map[string]bool{}}
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, wire.MaxBody))
-		if err != nil {
-			http.Error(w, "body unreadable or too large", http.StatusBadRequest)
-			return
-		}
-		rep, err := wire.DecodeReport(body)
-		if err != nil {
-			if seen.first(r.RemoteAddr + err.Error()) {
-				log.Info("malformed report", "from", r.RemoteAddr, "error", err)
-			}
-			http.Error(w, "malformed report", http.StatusBadRequest)
-			return
-		}
-		res, ok := a.Ask(r.Context(), func(id core.ReqID) core.Event { return core.Checkin{Req: id, Report: rep} })
-		if !ok {
-			http.Error(w, "given up", http.StatusServiceUnavailable)
-			return
-		}
-		if res.Worker == nil {
-			http.Error(w, res.Error, res.Status)
-			return
-		}
-		w.Header().Set("Content-Type", "application/json")
-		w.WriteHeader(res.Status)
-		_, _ = w.Write(wire.EncodeWorkerAnswer(res.Status, *res.Worker))
-	})
-}
-
-// once remembers what has been logged, so that a sender that repeats itself
-// fills no log.
-type once struct {
-	mu   sync.Mutex
-	seen map[string]bool
-}
-
-func (o *once) first(key string) bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if o.seen[key] || len(o.seen) > 1000 {
-		return false
+	report, err := wire.DecodeReport(response.Body)
+	if err != nil {
+		return core.OrdersReply{Out: core.Unknown}
 	}
-	o.seen[key] = true
-	return true
+	return core.OrdersReply{Out: outcome, Report: report}
 }
