--- a/internal/sockets/sockets_test.go
+++ b/internal/sockets/sockets_test.go
@@ -120,7 +120,7 @@
 		}
 	}
 	// One of seven controllers with all 900 machines: they and all calls must fit.
-	if p := MakePlan(1200, 6); p.Front < 900 || 900+2*p.Calls > 1200-own-6*perPeer {
+	if p := MakePlan(1200, 6); p.Front < 900 || 900+2*p.Calls > 1200-ownSockets-6*socketsPerPeer {
 		t.Errorf("1,200 sockets: %+v, too few for 900 workers", p)
 	}
 	if p := MakePlan(0, 2); p != (Plan{}) {
@@ -136,13 +136,13 @@
 	for range 2 {
 		near, other := net.Pipe()
 		far = append(far, other)
-		f.state(near, http.StateNew)
+		f.connState(near, http.StateNew)
 		f.open[near].user = true
-		f.state(near, http.StateIdle)
+		f.connState(near, http.StateIdle)
 	}
 	for range 2 {
 		c, _ := net.Pipe()
-		f.state(c, http.StateNew)
+		f.connState(c, http.StateNew)
 	}
 	for i, c := range far {
 		_ = c.SetReadDeadline(time.Now().Add(time.Second))
