Command: the command line, the controller and exit statuses apart

main.go was one file with one long function, and marked errors of settings by an error without text. settingsError is a type; flags, the controller's start and the exit statuses have names and files of their own. Texts and statuses are unchanged.

--- /dev/null
+++ b/cmd/stairrelay/controller.go
@@ -0,0 +1,134 @@
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"time"
+
+	"stairrelay/internal/cloud"
+	"stairrelay/internal/engine"
+	"stairrelay/internal/peers"
+	"stairrelay/internal/settings"
+	"stairrelay/internal/sockets"
+	"stairrelay/internal/store"
+	"stairrelay/internal/users"
+	"stairrelay/internal/workers"
+)
+
+const (
+	// logLevelEnv names the least level that is logged: error, info or debug.
+	logLevelEnv = "LOG_LEVEL"
+	// garbagePercent is how much the heap may grow between two collections.
+	garbagePercent = 200
+	// heapShare is the share of the memory limit for what the garbage collector
+	// sees; stacks and the runtime fit beside it. Near the limit it runs all the
+	// time, so that the limit costs processor time first.
+	heapShare  = 0.75
+	bytesPerMB = 1 << 20
+	// bootIDLength is the length in bytes of what tells this process from others.
+	bootIDLength = 4
+	// A connection is closed when it says nothing for so many reports, but for
+	// not less than the least time.
+	idleReports      = 4
+	leastIdleTimeout = 15 * time.Second
+	// servers is the number of servers that may fail.
+	servers = 2
+)
+
+// runController runs a controller until one of its servers fails.
+func runController(ctx context.Context, config *settings.Settings) error {
+	limitResources(config)
+	log := newLogger()
+	bootID, err := newBootID()
+	if err != nil {
+		return err
+	}
+	config.Core.Boot = bootID
+	eng := engine.New(config.Core, config.CoreShare, log)
+	plan := sockets.MakePlan(config.Connections, len(config.Peers))
+	actors := newActors(config, plan, eng.Answer)
+	frontListener, err := listen(ctx, "listen", config.Listen)
+	if err != nil {
+		return err
+	}
+	backListener, err := listen(ctx, "back", config.Back)
+	if err != nil {
+		return err
+	}
+	front := sockets.NewFront(plan.Front)
+	frontHandler := users.Handler(eng, front.Users, workers.Handler(eng, log))
+	back := sockets.NewFront(0)
+	backHandler := peers.Handler(eng, log)
+	idleTimeout := max(idleReports*time.Duration(config.Core.ReportEvery), leastIdleTimeout)
+	failed := make(chan error, servers)
+	go func() { failed <- serve(frontListener, front.Server(frontHandler, idleTimeout), log) }()
+	go func() { failed <- serve(backListener, back.Server(backHandler, idleTimeout), log) }()
+	for _, warning := range config.Warnings {
+		log.Warn("odd setting", "what", warning)
+	}
+	log.Info("started", "version", version, "node", string(config.Core.Self), "listen", config.Listen)
+	go eng.Run(ctx, actors)
+	return <-failed
+}
+
+// limitResources keeps the process within its share of the machine: the share
+// of a processor core is small, so only one thread runs at a time.
+func limitResources(config *settings.Settings) {
+	runtime.GOMAXPROCS(1)
+	if config.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(config.MemoryMB * heapShare * bytesPerMB))
+	}
+	debug.SetGCPercent(garbagePercent)
+}
+
+func newLogger() *slog.Logger {
+	level := slog.LevelInfo
+	switch os.Getenv(logLevelEnv) {
+	case "error":
+		level = slog.LevelError
+	case "debug":
+		level = slog.LevelDebug
+	}
+	return slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
+}
+
+func newBootID() (string, error) {
+	var id [bootIDLength]byte
+	if _, err := rand.Read(id[:]); err != nil {
+		return "", fmt.Errorf("drawing a boot id: %w", err)
+	}
+	return hex.EncodeToString(id[:]), nil
+}
+
+func newActors(config *settings.Settings, plan sockets.Plan, reply engine.ReplyFunc) engine.Actors {
+	return engine.Actors{
+		Store:   store.New(config.State, reply).Do,
+		Cloud:   cloud.New(config.Cloud, reply).Do,
+		Workers: workers.New(plan.Calls, reply).Do,
+		Peers:   peers.New(config.Peers, reply).Do,
+	}
+}
+
+// listen opens a listener for the address of a setting. Silent connections are
+// closed by the server's time-outs; probing them besides would only cost.
+func listen(ctx context.Context, setting, address string) (net.Listener, error) {
+	config := net.ListenConfig{KeepAlive: -1}
+	listener, err := config.Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", setting, err)
+	}
+	return listener, nil
+}
+
+func serve(listener net.Listener, server *http.Server, log *slog.Logger) error {
+	server.ErrorLog = slog.NewLogLogger(log.Handler(), slog.LevelDebug)
+	return server.Serve(listener)
+}
