--- a/internal/standin/meetings.go
+++ b/internal/standin/meetings.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -455,7 +456,7 @@
 		if w.Now < max(l.hang, l.cut, l.deaf, l.mute, l.Sick) || l.Notice >= 0 {
 			continue
 		}
-		if s.Zone != "" && s.Zone != l.Zone || l.Spot && !s.Spot || len(s.Types) > 0 && !contains(s.Types, l.Type) {
+		if s.Zone != "" && s.Zone != l.Zone || l.Spot && !s.Spot || len(s.Types) > 0 && !slices.Contains(s.Types, l.Type) {
 			continue
 		}
 		if u := plus(l.Used(), s.Need); u.CPU <= l.Cap.CPU && u.GPU <= l.Cap.GPU && u.Mem <= l.Cap.Mem {
