Stand-ins and e2e: a file for each served part, typed forms, shared start of tests

standin/http.go held a state service, a cloud and workers as closures over bare maps; e2e_test.go mixed the cluster's set-up with the tests, and three tests wrote the same submission loop. region*.go has a file a part with a method a request and a type a form. cluster_test.go holds the set-up; one cleanup ends all processes, then shows the logs, which used to be read while processes could still write them, and processes end too when a start fails. Assertions are unchanged. The report benchmark is in steps; it measures the same.

--- /dev/null
+++ b/internal/e2e/cluster_test.go
@@ -0,0 +1,325 @@
+// Package e2e runs the real program, three processes of it, against stand-ins
+// on loopback.
+package e2e
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"stairrelay/internal/core"
+	"stairrelay/internal/standin"
+)
+
+const (
+	// nodes is the number of controllers.
+	nodes = 3
+	// reportEvery and lease are those of the settings below.
+	reportEvery = 500 * time.Millisecond
+	lease       = 6 * time.Second
+	// callTimeout bounds a user's call.
+	callTimeout = 5 * time.Second
+	// patience bounds how long a test waits for anything.
+	patience  = 25 * time.Second
+	waitPause = 50 * time.Millisecond
+)
+
+// clusterSettings is the part of the settings that all controllers share,
+// after the addresses of the cloud and the state service.
+const clusterSettings = `[external]
+cloud = %q
+state = %q
+[cluster]
+count = 3
+[[cluster.teams]]
+name = "red"
+cpus = 2.0
+cpus_max = 6.0
+[[cluster.teams]]
+name = "green"
+cpus = 2.0
+cpus_max = 6.0
+[[cluster.teams]]
+name = "blue"
+cpus = 2.0
+cpus_max = 6.0
+[cluster.workers]
+report_s = 0.5
+lease_s = 6.0
+cancel_s = 20.0
+[cluster.state]
+rps = 400.0
+write_rps = 200.0
+value_kb = 4.0
+txn_ops = 12
+[cluster.cloud]
+rps = 20.0
+list_lag_s = 1.0
+`
+
+// teams are those of the settings.
+var teams = []string{"red", "green", "blue"}
+
+// smallType is the one machine type of the region.
+var smallType = core.MachineType{
+	Name:      "small",
+	Cap:       core.Res{CPU: 4_000_000, Mem: 16_000_000},
+	CacheGB:   10,
+	FetchGBs:  1,
+	Price:     0.2,
+	SpotPrice: 0.1,
+	BootS:     1,
+	Zones:     []string{"a"},
+}
+
+// program is the path of the program under test, built once for all tests.
+var program string
+
+func TestMain(m *testing.M) {
+	os.Exit(buildAndRun(m))
+}
+
+func buildAndRun(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "stairrelay-e2e-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	program = filepath.Join(dir, "stairrelay")
+	build := exec.Command("go", "build", "-o", program, "stairrelay/cmd/stairrelay")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+		return 1
+	}
+	return m.Run()
+}
+
+// cluster is a region with the processes of its controllers.
+type cluster struct {
+	t         *testing.T
+	region    *standin.Region
+	front     []string // the controllers' addresses for users and workers
+	back      []string // and those for one another
+	settings  []string // the paths of their settings
+	processes []*exec.Cmd
+	logs      []processLog // of all processes that were started
+	client    *http.Client
+}
+
+type processLog struct {
+	node string
+	text *bytes.Buffer
+}
+
+// startCluster starts a region and its controllers; they end with the test.
+func startCluster(t *testing.T) *cluster {
+	t.Helper()
+	c := &cluster{
+		t:         t,
+		region:    newRegion(t),
+		front:     freePorts(t, nodes),
+		back:      freePorts(t, nodes),
+		processes: make([]*exec.Cmd, nodes),
+		client:    &http.Client{Timeout: callTimeout},
+	}
+	for i := range nodes {
+		c.region.Nodes[nodeName(i)] = c.front[i]
+	}
+	c.writeSettings()
+	t.Cleanup(c.stop)
+	for i := range nodes {
+		c.run(i)
+	}
+	return c
+}
+
+func newRegion(t *testing.T) *standin.Region {
+	t.Helper()
+	capacity := map[string]int{standin.Slot(smallType.Name, "a", true): 3}
+	region := standin.NewRegion([]core.MachineType{smallType}, capacity, reportEvery, lease)
+	t.Cleanup(region.Close)
+	region.Add(smallType.Name, "a", false)
+	region.Add(smallType.Name, "a", false)
+	return region
+}
+
+func nodeName(i int) string { return fmt.Sprintf("n%d", i) }
+
+// freePorts finds addresses on loopback that nothing listens on.
+func freePorts(t *testing.T, n int) []string {
+	t.Helper()
+	var addresses []string
+	for range n {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer listener.Close()
+		addresses = append(addresses, listener.Addr().String())
+	}
+	return addresses
+}
+
+// writeSettings starts the state service and the cloud, and writes the
+// settings of all controllers.
+func (c *cluster) writeSettings() {
+	c.t.Helper()
+	state, err := c.region.ServeState()
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	cloud, err := c.region.ServeCloud()
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	dir := c.t.TempDir()
+	for i := range nodes {
+		path := filepath.Join(dir, nodeName(i)+".toml")
+		text := c.nodeSettings(i) + fmt.Sprintf(clusterSettings, cloud, state)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			c.t.Fatal(err)
+		}
+		c.settings = append(c.settings, path)
+	}
+}
+
+// nodeSettings is the part of the settings that is a controller's own.
+func (c *cluster) nodeSettings(node int) string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "host_name = %q\n", nodeName(node))
+	fmt.Fprintf(&text, "domain = \"a\"\n")
+	fmt.Fprintf(&text, "listen = %q\n", c.front[node])
+	fmt.Fprintf(&text, "back = %q\n", c.back[node])
+	for peer := range nodes {
+		if peer != node {
+			fmt.Fprintf(&text, "[[peers]]\nhost_name = %q\nendpoint = %q\n", nodeName(peer), c.back[peer])
+		}
+	}
+	return text.String()
+}
+
+// run starts a controller and waits until it is healthy.
+func (c *cluster) run(node int) {
+	c.t.Helper()
+	log := &bytes.Buffer{}
+	process := exec.Command(program, "--config", c.settings[node])
+	process.Stderr = log
+	if err := process.Start(); err != nil {
+		c.t.Fatal(err)
+	}
+	c.processes[node] = process
+	c.logs = append(c.logs, processLog{node: nodeName(node), text: log})
+	c.wait(nodeName(node)+" healthy", func() bool { return c.healthy(node) })
+}
+
+func (c *cluster) healthy(node int) bool {
+	response, err := c.client.Get("http://" + c.front[node] + "/healthz")
+	if err != nil {
+		return false
+	}
+	response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// kill ends a controller's process at once, if it runs.
+func (c *cluster) kill(node int) {
+	process := c.processes[node]
+	if process == nil {
+		return
+	}
+	_ = process.Process.Kill()
+	_ = process.Wait()
+	c.processes[node] = nil
+}
+
+// stop ends all controllers and checks that no task ran twice at once. Only
+// then are the logs whole; a failed test shows them.
+func (c *cluster) stop() {
+	for node := range nodes {
+		c.kill(node)
+	}
+	c.region.Locked(func() {
+		if len(c.region.RanTwice) > 0 {
+			c.t.Errorf("ran twice: %v", c.region.RanTwice)
+		}
+	})
+	if !c.t.Failed() {
+		return
+	}
+	for _, log := range c.logs {
+		c.t.Logf("%s:\n%s", log.node, log.text.String())
+	}
+}
+
+// wait fails the test unless a condition holds in time.
+func (c *cluster) wait(what string, holds func() bool) {
+	c.t.Helper()
+	deadline := time.Now().Add(patience)
+	for time.Now().Before(deadline) {
+		if holds() {
+			return
+		}
+		time.Sleep(waitPause)
+	}
+	c.t.Fatalf("waited in vain: %s", what)
+}
+
+// submit hands a job to a controller and returns the answer's status.
+func (c *cluster) submit(node int, id, team string, tasks int, run time.Duration) int {
+	c.t.Helper()
+	info := standin.JobInfo{
+		Need:  core.Res{CPU: 1_000_000, Mem: 1_000_000},
+		Run:   core.Time(run),
+		Tasks: tasks,
+		Image: "img",
+	}
+	c.region.Locked(func() { c.region.Jobs[core.JobID(id)] = info })
+	code, _ := c.call(http.MethodPost, node, "/v2/runs", standin.Submission(id, team, tasks))
+	return code
+}
+
+// mustSubmit hands in a job that has to be accepted.
+func (c *cluster) mustSubmit(node int, id, team string, tasks int, run time.Duration) {
+	c.t.Helper()
+	if code := c.submit(node, id, team, tasks, run); code != http.StatusCreated {
+		c.t.Fatalf("%s submitted to %s: %d", id, nodeName(node), code)
+	}
+}
+
+// call makes a user's call and returns the answer's status and the job's state;
+// status 0: there was no answer.
+func (c *cluster) call(method string, node int, path, body string) (int, string) {
+	c.t.Helper()
+	request, err := http.NewRequest(method, "http://"+c.front[node]+path, strings.NewReader(body))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	response, err := c.client.Do(request)
+	if err != nil {
+		return 0, ""
+	}
+	defer response.Body.Close()
+	var view struct {
+		Status string `json:"status"`
+	}
+	_ = json.NewDecoder(response.Body).Decode(&view)
+	return response.StatusCode, view.Status
+}
+
+// status is a job's state, or the answer's status if it is not 200.
+func (c *cluster) status(node int, id string) string {
+	code, status := c.call(http.MethodGet, node, "/v2/runs/"+id, "")
+	if code != http.StatusOK {
+		return fmt.Sprint(code)
+	}
+	return status
+}
--- a/internal/e2e/report_bench_test.go
+++ b/internal/e2e/report_bench_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -19,70 +18,111 @@
 	"stairrelay/internal/workers"
 )
 
+const (
+	// benchConnections is the number of workers that report in turn.
+	benchConnections = 200
+	// benchReport is a report with three tasks, as most are.
+	benchReport = `{"coach":"m-000231","addr":"10.1.0.232:9000","fleet":"g8","yard":"a","standby":true,"shift":1,"stamp":88,"baton":41,"recallS":null,"legs":[` +
+		`{"leg":"j-000412/3","boarding":2097153,"status":"running"},{"leg":"j-000412/4","boarding":2097154,"status":"fetching"},{"leg":"j-000398/0","boarding":2097100,"status":"ended","cause":"done"}]}`
+)
+
 // BenchmarkReport measures the whole path of a worker's report on loopback:
-// HTTP, JSON, the engine and the core and back, on 200 kept connections. The
+// HTTP, JSON, the engine and the core and back, on kept connections. The
 // sender's part is in it too, made as small as possible. The core knows none
 // of the machines: what it does with those it knows is BenchmarkFleet's.
 func BenchmarkReport(b *testing.B) {
+	addr := serveReports(b)
+	var senders []*reportSender
+	for range benchConnections {
+		senders = append(senders, dialReports(b, addr))
+	}
+	time.Sleep(time.Second) // for the core to find that it can't claim its part
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		senders[i%len(senders)].send(b)
+	}
+}
+
+// serveReports starts a controller whose state service refuses everything:
+// after half a second reports get their 503 at once. It returns its address.
+func serveReports(b *testing.B) string {
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	cfg := core.Config{Self: "n0", Nodes: []core.NodeID{"n0"}, Teams: []core.Team{{Name: "t"}}, ReportEvery: core.Time(5 * time.Second), Lease: core.Time(26 * time.Second),
-		StoreRPS: 100, WriteRPS: 100, ValueBytes: 8192, TxnOps: 16, CloudRPS: 5, Boot: "b", Tuning: core.DefaultTuning()}
-	e := engine.New(cfg, 0, log)
+	config := core.Config{
+		Self:        "n0",
+		Nodes:       []core.NodeID{"n0"},
+		Teams:       []core.Team{{Name: "t"}},
+		ReportEvery: core.Time(5 * time.Second),
+		Lease:       core.Time(26 * time.Second),
+		StoreRPS:    100,
+		WriteRPS:    100,
+		ValueBytes:  8192,
+		TxnOps:      16,
+		CloudRPS:    5,
+		Boot:        "b",
+		Tuning:      core.DefaultTuning(),
+	}
+	eng := engine.New(config, 0, log)
 	nothing := func(core.Effect) {}
-	// The state service refuses everything: after half a second reports get their 503 at once.
-	refuse := func(f core.Effect) {
-		switch f := f.(type) {
+	refuse := func(effect core.Effect) {
+		switch effect := effect.(type) {
 		case core.StoreList:
-			go e.Answer(f.Call, core.ListReply{Out: core.NotDone})
+			go eng.Answer(effect.Call, core.ListReply{Out: core.NotDone})
 		case core.StoreGet:
-			go e.Answer(f.Call, core.GetReply{Out: core.NotDone})
+			go eng.Answer(effect.Call, core.GetReply{Out: core.NotDone})
 		case core.StoreTxn:
-			go e.Answer(f.Call, core.TxnReply{Out: core.NotDone})
+			go eng.Answer(effect.Call, core.TxnReply{Out: core.NotDone})
 		}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	go e.Run(ctx, engine.Actors{Store: refuse, Cloud: nothing, Workers: nothing, Peers: func(core.PeerCall) {}})
-	front := sockets.NewFront(1000)
-	srv := front.Server(users.Handler(e, front.Users, workers.Handler(e, log)), time.Minute)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	b.Cleanup(cancel)
+	go eng.Run(ctx, engine.Actors{Store: refuse, Cloud: nothing, Workers: nothing, Peers: func(core.PeerCall) {}})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	front := sockets.NewFront(5 * benchConnections)
+	server := front.Server(users.Handler(eng, front.Users, workers.Handler(eng, log)), time.Minute)
+	go func() { _ = server.Serve(listener) }()
+	b.Cleanup(func() { server.Close() })
+	return listener.Addr().String()
+}
+
+// reportSender sends the same report again and again on one connection.
+type reportSender struct {
+	conn    net.Conn
+	reader  *bufio.Reader
+	request []byte
+}
+
+func dialReports(b *testing.B, addr string) *reportSender {
+	conn, err := net.Dial("tcp", addr)
 	if err != nil {
 		b.Fatal(err)
 	}
-	go func() { _ = srv.Serve(l) }()
-	defer srv.Close()
-	type sender struct {
-		c net.Conn
-		r *bufio.Reader
+	b.Cleanup(func() { conn.Close() })
+	header := "POST /checkin HTTP/1.1\r\n" +
+		"Host: 10.0.0.1:8080\r\n" +
+		"Content-Type: application/json\r\n" +
+		"Content-Length: " + strconv.Itoa(len(benchReport)) + "\r\n\r\n"
+	return &reportSender{
+		conn:    conn,
+		reader:  bufio.NewReaderSize(conn, 1024),
+		request: []byte(header + benchReport),
 	}
-	var all []sender
-	for range 200 {
-		c, err := net.Dial("tcp", l.Addr().String())
-		if err != nil {
-			b.Fatal(err)
-		}
-		defer c.Close()
-		all = append(all, sender{c, bufio.NewReaderSize(c, 1024)})
+}
+
+func (s *reportSender) send(b *testing.B) {
+	if _, err := s.conn.Write(s.request); err != nil {
+		b.Fatal(err)
 	}
-	body := `{"coach":"m-000231","addr":"10.1.0.232:9000","fleet":"g8","yard":"a","standby":true,"shift":1,"stamp":88,"baton":41,"recallS":null,"legs":[` +
-		`{"leg":"j-000412/3","boarding":2097153,"status":"running"},{"leg":"j-000412/4","boarding":2097154,"status":"fetching"},{"leg":"j-000398/0","boarding":2097100,"status":"ended","cause":"done"}]}`
-	request := []byte("POST /checkin HTTP/1.1\r\nHost: 10.0.0.1:8080\r\nContent-Type: application/json\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body)
-	time.Sleep(time.Second)
-	b.ReportAllocs()
-	b.ResetTimer()
-	for i := range b.N {
-		s := all[i%len(all)]
-		if _, err := s.c.Write(request); err != nil {
-			b.Fatal(err)
-		}
-		resp, err := http.ReadResponse(s.r, nil)
-		if err != nil {
-			b.Fatal(err)
-		}
-		if resp.StatusCode != 421 && resp.StatusCode != 503 {
-			b.Fatal(fmt.Errorf("status %d", resp.StatusCode))
-		}
-		_, _ = io.Copy(io.Discard, resp.Body)
-		resp.Body.Close()
+	response, err := http.ReadResponse(s.reader, nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusMisdirectedRequest && response.StatusCode != http.StatusServiceUnavailable {
+		b.Fatalf("status %d", response.StatusCode)
 	}
+	_, _ = io.Copy(io.Discard, response.Body)
 }
