--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"container/heap"
 	"sort"
 	"time"
 )
@@ -20,26 +19,31 @@
 
 	lastCall CallID
 	calls    map[CallID]func(any)
-	timers   timerHeap
-	timerSeq uint64
-
-	w       writer
-	storeUp storeHealth
-
-	parts    []*part // by number
-	jobs     jobRegistry
-	machines map[MachineID]*machine
-	groups   map[string]*group // of held parts
-	owners   map[MachineID]ownerNote
-	peers    map[NodeID]*peer
-	teams    map[string]*team
-	releases releaseRegistry
-	types    map[string]MachineType
-	listed   cloudView
-	kept     []MachineType // the catalogue in the store
-	keptMark Mark
-	keptRead bool
-	keeping  bool
+	timers   timerQueue
+
+	w             writer
+	storeHealth   storeHealth
+	process       processHealth
+	heartbeat     heartbeat
+	workerContact workerContact
+
+	parts        []*part // by number
+	jobs         jobRegistry
+	machines     map[MachineID]*machine
+	groups       map[string]*group // of held parts
+	owners       machineOwners
+	peers        map[NodeID]*peer
+	teams        map[string]*team
+	releases     releaseRegistry
+	types        map[string]MachineType
+	catalogue    storedCatalogue
+	cloudListing cloudListing
+	returns      machineReturns
+	spotLosses   spotLosses
+	heldReports  heldReports
+	urgentOrders []*machine // whose commands can't wait for their reports
+	placement    placementTrigger
+	orphans      orphans
 
 	acceptances  acceptances
 	jobReads     jobReads
@@ -49,39 +53,12 @@
 	classes      map[string]*classStats
 	rentSeq      int
 	rentAsked    bool
-	beating      bool
-	beatMark     Mark
-	nextList     Time
-	strays       map[MachineID]Time // listed without a record, since when
 	cloud        cloudShare
-	lastReport   Time
-	proveStore   Time // the store is asked until then
-	checkinAt    Time // when any worker last reported here, also another's
-	workersLost  bool
-	lastAddr     string // of a worker, to find out whether workers can be reached
-	heldReports  []*machine
-	holdWake     bool
-	pokes        []*machine
 	groupSeq     int
-	strange      []Checkin // from machines whose owner is being looked for
-	finding      bool
-	foundAt      Time
-	inspecting   map[MachineID]bool // being enlisted
-	returnAsked  bool
-	returns      map[string]int // by why, not logged yet
-	returnTasks  int
-	nextPlace    Time
-	placeWake    bool
 	loadsAt      Time // when lastLoads was worked out; many ask within one interval
 	loadsEpoch   int
 	lastLoads    []PartLoad
-	spotLost     float64 // spot machines taken back or lost, and what they served in all, in seconds
-	spotTime     float64
-	claims       int      // changes of the parts held here
-	found        []Listed // in the cloud's list, without a record
-	placing      bool
-	load         Load // as last told
-	awakeAt      Time // when the process last went on after standing still
+	claims       int // changes of the parts held here
 }
 
 // Counters are for the periodic log line.
@@ -95,11 +72,6 @@
 	part Part
 }
 
-type ownerNote struct {
-	part Part
-	at   Time
-}
-
 // New makes a Core. Nothing happens before the first Step.
 func New(cfg Config) *Core {
 	c := &Core{
@@ -109,13 +81,12 @@
 		machines:     map[MachineID]*machine{},
 		groups:       map[string]*group{},
 		acceptances:  acceptances{revisions: map[JobID]Mark{}},
-		inspecting:   map[MachineID]bool{},
-		owners:       map[MachineID]ownerNote{},
+		owners:       machineOwners{},
+		orphans:      newOrphans(),
 		peers:        map[NodeID]*peer{},
 		ownerQueries: newOwnerQueries(),
 		teams:        map[string]*team{},
 		types:        map[string]MachineType{},
-		strays:       map[MachineID]Time{},
 		classes:      map[string]*classStats{},
 	}
 	c.releases = newReleaseRegistry(cfg.Self)
@@ -135,7 +106,7 @@
 	}
 	c.divideCloud()
 	c.cloud.bucket.Fill()
-	c.nextList = c.firstList()
+	c.cloudListing.nextAt = c.firstList()
 	c.after(0, c.boot)
 	return c
 }
@@ -174,8 +145,8 @@
 	}
 	c.wall = wall
 	c.out = nil
-	if stood && len(c.timers) > 0 {
-		c.awake()
+	if stood && c.timers.len() > 0 {
+		c.resume()
 	}
 	switch e := ev.(type) {
 	case Tick:
@@ -196,7 +167,7 @@
 	case PeerAsk:
 		c.onPeer(e)
 	case Load:
-		c.load = e
+		c.process.load = e
 	case Reply:
 		if fn := c.calls[e.Call]; fn != nil {
 			delete(c.calls, e.Call)
@@ -210,52 +181,18 @@
 
 // flush decides once per step on all that the step has changed.
 func (c *Core) flush() {
-	if c.placing && c.now >= c.nextPlace {
-		c.placing, c.nextPlace = false, c.now+c.pause(placePause)
+	switch c.placement.check(c.now) {
+	case placeNow:
+		c.placement.begin(c.now + c.process.pause(placePause))
 		c.place()
-	} else if c.placing && !c.placeWake {
-		c.placeWake = true
-		c.after(c.nextPlace-c.now, func() { c.placeWake = false })
+	case placeLater:
+		c.after(c.placement.schedule(c.now), func() { c.placement.wakeScheduled = false })
 	}
 	c.pushOrders()
 	c.w.pump()
 	c.releaseReports()
 }
 
-// standstill: timers are due several times a second, so a gap between events
-// as long as this means that the process stood still while its clocks ran on.
-const standstill = 3 * second
-
-// awake is called when the process has stood still. What it knows is as old as
-// that: another may hold its parts, and that no machine was heard in the gap
-// says nothing about the machines.
-func (c *Core) awake() {
-	c.awakeAt = c.now
-	c.logf("info", "stood still")
-	for _, p := range c.parts {
-		if p.held {
-			c.rereadPart(p)
-		}
-	}
-}
-
-// silentFor is how long a machine could have been heard and was not.
-func (c *Core) silentFor(m *machine) Time { return c.now - max(m.heard, c.awakeAt) }
-
-// strained tells whether the process is about to use more than its share of
-// the processor. What comes in late then are leases, acceptances and calls of
-// other controllers; placing and renting less often leaves time for those.
-func (c *Core) strained() bool { return c.load.Busy > 0.75 || c.load.Lag > 150*milli }
-
-// pause stretches the time between two decisions that can wait while the
-// process is strained.
-func (c *Core) pause(d Time) Time {
-	if !c.strained() {
-		return d
-	}
-	return min(5*d+c.load.Lag/2, second)
-}
-
 func (c *Core) emit(e Effect) { c.out = append(c.out, e) }
 
 func (c *Core) call(fn func(any)) CallID {
@@ -275,58 +212,6 @@
 	c.emit(Respond{Req: req, Status: status, RetryAfter: after, Error: why})
 }
 
-type timer struct {
-	at  Time
-	seq uint64
-	fn  func()
-}
-
-type timerHeap []timer
-
-func (h timerHeap) Len() int { return len(h) }
-func (h timerHeap) Less(i, j int) bool {
-	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
-}
-func (h timerHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *timerHeap) Push(x any)   { *h = append(*h, x.(timer)) }
-func (h *timerHeap) Pop() any {
-	o := *h
-	x := o[len(o)-1]
-	*h = o[:len(o)-1]
-	return x
-}
-
-func (c *Core) after(d Time, fn func()) {
-	c.timerSeq++
-	heap.Push(&c.timers, timer{c.now + d, c.timerSeq, fn})
-}
-
-func (c *Core) every(d func() Time, fn func()) {
-	var loop func()
-	loop = func() {
-		fn()
-		c.after(d(), loop)
-	}
-	loop()
-}
-
-func fixed(d Time) func() Time { return func() Time { return d } }
-
-// NextWake says when the next Tick is due.
-func (c *Core) NextWake() (Time, bool) {
-	if len(c.timers) == 0 {
-		return 0, false
-	}
-	return c.timers[0].at, true
-}
-
-func (c *Core) runTimers() {
-	for len(c.timers) > 0 && c.timers[0].at <= c.now {
-		t := heap.Pop(&c.timers).(timer)
-		t.fn()
-	}
-}
-
 // boot starts everything that runs on its own.
 func (c *Core) boot() {
 	t := c.cfg.Tuning
@@ -349,7 +234,7 @@
 	c.every(fixed(2*second), c.beat)
 	c.every(fixed(second/2), c.askStore)
 	c.every(fixed(second), c.proveClaims)
-	c.every(fixed(second/4), func() { c.placing = true })
+	c.every(fixed(second/4), func() { c.placement.request() })
 	c.every(fixed(30*second), c.stats)
 }
 
--- a/internal/core/guards_test.go
+++ b/internal/core/guards_test.go
@@ -121,7 +121,12 @@
 		}
 		asked, ended := false, false
 		var got map[MachineID]bool
-		c.readOwners(func(_ map[groupKind]bool, listed map[MachineID]bool) { ended, got = true, listed })
+		c.readRecorded(func(rec *recordedMachines) {
+			ended = true
+			if rec != nil {
+				got = rec.listed
+			}
+		})
 		for i := 0; i < len(c.out); i++ {
 			switch f := c.out[i].(type) {
 			case StoreList:
@@ -302,9 +307,9 @@
 		for _, m := range ms {
 			m.ordersBusy = false
 			m.assigns[TaskID{Job: "j-1", Index: slices.Index(ms, m)}].phase = aReady
-			c.poke(m)
+			c.orderSoon(m)
 		}
-		c.out, c.load = nil, l
+		c.out, c.process.load = nil, l
 		c.pushOrders()
 		for _, f := range c.out {
 			to = append(to, f.(Orders).Addr)
@@ -317,10 +322,10 @@
 	if to := called(Load{Busy: 0.9}); len(to) != 1 || to[0] != "idle" {
 		t.Errorf("strained, starts are called to %v", to)
 	}
-	if d := c.pause(placePause); d <= placePause || d > second {
+	if d := c.process.pause(placePause); d <= placePause || d > second {
 		t.Errorf("strained, placements are %v apart", time.Duration(d))
 	}
-	c.load = Load{Lag: 2 * second}
+	c.process.load = Load{Lag: 2 * second}
 	if c.overloaded(BestEffort) == 0 || c.overloaded(Normal) == 0 || c.overloaded(Production) != 0 {
 		t.Errorf("2 s behind: refused for %d, %d, %d s", c.overloaded(BestEffort), c.overloaded(Normal), c.overloaded(Production))
 	}
@@ -331,7 +336,7 @@
 // where nothing much is at stake the kind does not matter.
 func TestSuits(t *testing.T) {
 	c := sevenCores()
-	c.spotLost, c.spotTime = 10, 20_000 // two an hour
+	c.spotLosses.lost, c.spotLosses.seconds = 10, 20_000 // two an hour
 	c.types["small"] = MachineType{Name: "small", FetchGBs: 0.25}
 	p, spot, own := c.parts[0], &machine{spot: true}, &machine{}
 	like := func(run, checkpoint float64) *job {
@@ -378,7 +383,7 @@
 		g := c.newGroup(p, "g", 1)
 		m := c.addMachine(g, listedMachine{id: "m-1", kind: groupKind{"small", "a", false}}, 5)
 		for c.now < 8*second {
-			c.lastReport = c.now
+			c.workerContact.lastReport = c.now
 			if !x.silent {
 				m.heard = c.now
 			}
--- a/internal/core/quick_boot_test.go
+++ b/internal/core/quick_boot_test.go
@@ -147,7 +147,7 @@
 			b := newBench()
 			record := `{"p":1,"f":"small","y":"` + test.zone + `","n":1,"w":"b1-1"}`
 			b.store.keys["rentals/r-1"] = KV{"rentals/r-1", []byte(record), 29}
-			b.strangeReport(firstReport(quickMachine))
+			b.onUnknownReport(firstReport(quickMachine))
 			inspected := false
 			for _, effect := range effectsWithin(b, second) {
 				_, ok := effect.(Inspect)
--- a/internal/core/zone_cut_guards_test.go
+++ b/internal/core/zone_cut_guards_test.go
@@ -28,7 +28,7 @@
 func TestCutOffHolderLetsMachinesGo(t *testing.T) {
 	newHolder := func() *bench {
 		b := newBench()
-		b.storeUp.failing, b.storeUp.since = true, b.now
+		b.storeHealth.failing, b.storeHealth.failingSince = true, b.now
 		for _, peer := range b.peers {
 			answerPing(b, peer.id, 1)
 		}
