--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -7,83 +7,110 @@
 	"stairrelay/internal/core"
 )
 
+// The states of a machine in the cloud's list.
+const (
+	booting = "booting"
+	running = "running"
+)
+
 // Cloud is a model of the cloud.
 type Cloud struct {
 	Types    []core.MachineType
-	Capacity map[string]int // by type/zone/spot
-	Boot     func() core.Time
-	named    map[string][]core.MachineID
+	Capacity map[string]int              // machines that may yet be rented, by Slot
+	Boot     func() core.Time            // how long the next machine takes to boot
+	named    map[string][]core.MachineID // what each rental's name got
 	machines map[core.MachineID]*rented
-	next     int
+	next     int // the number of the last machine
 }
 
 type rented struct {
 	core.Listed
-	at core.Time
-	up core.Time
+	at core.Time // when it was rented
+	up core.Time // when it has booted
 }
 
-// NewCloud makes one.
+// NewCloud makes a cloud without machines.
 func NewCloud(types []core.MachineType, capacity map[string]int, boot func() core.Time) *Cloud {
-	return &Cloud{Types: types, Capacity: capacity, Boot: boot, named: map[string][]core.MachineID{}, machines: map[core.MachineID]*rented{}}
+	return &Cloud{
+		Types:    types,
+		Capacity: capacity,
+		Boot:     boot,
+		named:    map[string][]core.MachineID{},
+		machines: map[core.MachineID]*rented{},
+	}
 }
 
 // Slot names a kind of machine.
-func Slot(typ, zone string, spot bool) string { return fmt.Sprintf("%s/%s/%v", typ, zone, spot) }
+func Slot(machineType, zone string, spot bool) string {
+	return fmt.Sprintf("%s/%s/%v", machineType, zone, spot)
+}
 
 // Rent rents, or repeats the answer that the name got before.
-func (c *Cloud) Rent(now core.Time, e core.CloudRent) core.RentReply {
-	if ids, ok := c.named[e.Name]; ok {
+func (c *Cloud) Rent(now core.Time, request core.CloudRent) core.RentReply {
+	if ids, known := c.named[request.Name]; known {
 		return core.RentReply{Out: core.OK, IDs: ids}
 	}
-	slot := Slot(e.Type, e.Zone, e.Spot)
-	n := min(e.Count, c.Capacity[slot])
-	if n <= 0 {
+	slot := Slot(request.Type, request.Zone, request.Spot)
+	count := min(request.Count, c.Capacity[slot])
+	if count <= 0 {
 		return core.RentReply{Out: core.Missing}
 	}
-	c.Capacity[slot] -= n
+	c.Capacity[slot] -= count
 	ids := []core.MachineID{}
-	for range n {
-		c.next++
-		id := core.MachineID(fmt.Sprintf("m-%06d", c.next))
-		c.machines[id] = &rented{Listed: core.Listed{ID: id, Addr: string(id), Type: e.Type, Zone: e.Zone, Spot: e.Spot, Status: "booting"}, at: now, up: now + c.Boot()}
-		ids = append(ids, id)
+	for range count {
+		ids = append(ids, c.addMachine(now, request))
 	}
-	c.named[e.Name] = ids
+	c.named[request.Name] = ids
 	return core.RentReply{Out: core.OK, IDs: ids}
 }
 
+func (c *Cloud) addMachine(now core.Time, request core.CloudRent) core.MachineID {
+	c.next++
+	id := core.MachineID(fmt.Sprintf("m-%06d", c.next))
+	listed := core.Listed{
+		ID:     id,
+		Addr:   string(id),
+		Type:   request.Type,
+		Zone:   request.Zone,
+		Spot:   request.Spot,
+		Status: booting,
+	}
+	c.machines[id] = &rented{Listed: listed, at: now, up: now + c.Boot()}
+	return id
+}
+
 // Take removes a machine; false when there is none of that name.
 func (c *Cloud) Take(id core.MachineID) bool {
-	m := c.machines[id]
-	if m == nil {
+	machine := c.machines[id]
+	if machine == nil {
 		return false
 	}
 	delete(c.machines, id)
-	c.Capacity[Slot(m.Type, m.Zone, m.Spot)]++
+	c.Capacity[Slot(machine.Type, machine.Zone, machine.Spot)]++
 	return true
 }
 
 // Up lists the booting machines that are due, and marks them running.
 func (c *Cloud) Up(now core.Time) []core.Listed {
-	var out []core.Listed
-	for _, l := range c.List(now) {
-		if m := c.machines[l.ID]; m.Status == "booting" && m.up <= now {
-			m.Status = "running"
-			out = append(out, m.Listed)
+	var booted []core.Listed
+	for _, listed := range c.List(now) {
+		machine := c.machines[listed.ID]
+		if machine.Status == booting && machine.up <= now {
+			machine.Status = running
+			booted = append(booted, machine.Listed)
 		}
 	}
-	return out
+	return booted
 }
 
 // List is the machine list as it is now.
 func (c *Cloud) List(now core.Time) []core.Listed {
-	var out []core.Listed
-	for _, m := range c.machines {
-		l := m.Listed
-		l.AgeS = float64(now-m.at) / 1e9
-		out = append(out, l)
+	var list []core.Listed
+	for _, machine := range c.machines {
+		listed := machine.Listed
+		listed.AgeS = float64(now-machine.at) / float64(second)
+		list = append(list, listed)
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
-	return out
+	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	return list
 }
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -14,38 +14,47 @@
 type State struct {
 	Epoch core.Epoch
 	keys  map[string]core.KV
-	log   []core.KV
+	log   []core.KV // all changes in order; a dropped key has no value
 }
 
-// NewState makes an empty one.
+// NewState makes a state service without keys.
 func NewState() *State { return &State{keys: map[string]core.KV{}, Epoch: 1} }
 
 // Txn compares and changes atomically.
 func (s *State) Txn(when []core.Cond, then []core.TxnOp) core.TxnReply {
-	var failed []string
-	for _, w := range when {
-		if s.keys[w.Key].Mark != w.Mark {
-			failed = append(failed, w.Key)
-		}
-	}
-	if len(failed) > 0 {
+	if failed := s.failed(when); len(failed) > 0 {
 		return core.TxnReply{Out: core.Conflict, Epoch: s.Epoch, Failed: failed}
 	}
 	if len(then) > 0 {
 		s.Epoch++
 	}
-	for _, o := range then {
-		kv := core.KV{Key: o.Key, Value: o.Value, Mark: core.Mark(s.Epoch)}
-		if o.Value == nil {
-			delete(s.keys, o.Key)
-		} else {
-			s.keys[o.Key] = kv
-		}
-		s.log = append(s.log, kv)
+	for _, operation := range then {
+		s.apply(operation)
 	}
 	return core.TxnReply{Out: core.OK, Epoch: s.Epoch}
 }
 
+// failed lists the keys whose conditions do not hold.
+func (s *State) failed(when []core.Cond) []string {
+	var failed []string
+	for _, condition := range when {
+		if s.keys[condition.Key].Mark != condition.Mark {
+			failed = append(failed, condition.Key)
+		}
+	}
+	return failed
+}
+
+func (s *State) apply(operation core.TxnOp) {
+	kv := core.KV{Key: operation.Key, Value: operation.Value, Mark: core.Mark(s.Epoch)}
+	if operation.Value == nil {
+		delete(s.keys, operation.Key)
+	} else {
+		s.keys[operation.Key] = kv
+	}
+	s.log = append(s.log, kv)
+}
+
 // Get reads a key.
 func (s *State) Get(key string) core.GetReply {
 	kv, ok := s.keys[key]
@@ -57,23 +66,23 @@
 
 // List reads the keys with a prefix, in order.
 func (s *State) List(prefix string) core.ListReply {
-	r := core.ListReply{Out: core.OK, Epoch: s.Epoch}
-	for k, kv := range s.keys {
-		if strings.HasPrefix(k, prefix) {
-			r.Items = append(r.Items, kv)
+	reply := core.ListReply{Out: core.OK, Epoch: s.Epoch}
+	for key, kv := range s.keys {
+		if strings.HasPrefix(key, prefix) {
+			reply.Items = append(reply.Items, kv)
 		}
 	}
-	sort.Slice(r.Items, func(i, j int) bool { return r.Items[i].Key < r.Items[j].Key })
-	return r
+	sort.Slice(reply.Items, func(i, j int) bool { return reply.Items[i].Key < reply.Items[j].Key })
+	return reply
 }
 
 // Changes lists what changed after a revision.
 func (s *State) Changes(prefix string, since core.Epoch) core.WatchReply {
-	r := core.WatchReply{Out: core.OK, Epoch: s.Epoch}
+	reply := core.WatchReply{Out: core.OK, Epoch: s.Epoch}
 	for _, kv := range s.log {
 		if core.Epoch(kv.Mark) > since && strings.HasPrefix(kv.Key, prefix) {
-			r.Items = append(r.Items, kv)
+			reply.Items = append(reply.Items, kv)
 		}
 	}
-	return r
+	return reply
 }
