Tests of a part that changes hands many times

Four small tests, each of which fails with its guard out: every holder has a higher term and a higher token than all before it, so that reports under an earlier token prove no absence; a write of an earlier holder, late or repeated, is not carried out; the pauses between claims grow; nothing is claimed while the state service is lost.

--- /dev/null
+++ b/internal/core/many_holders_test.go
@@ -0,0 +1,165 @@
+package core
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+)
+
+// A part that changes hands many times within minutes.
+
+const holders = 10
+
+// succeeded lets another controller claim part 0, which the one under test
+// learns of by its watch.
+func succeeded(t *testing.T, b *bench) {
+	t.Helper()
+	part := b.parts[0]
+	b.store.epoch++
+	claim := KV{part.key(), fmt.Appendf(nil, `{"holder":"n1","term":%d,"w":"b1-%d"}`, part.term+1, b.store.epoch), Mark(b.store.epoch)}
+	b.store.keys[part.key()] = claim
+	b.learnPart(claim)
+	if part.held {
+		t.Fatal("the part is still held after another's claim")
+	}
+}
+
+// claimed lets the controller under test claim part 0 and read its records.
+func claimed(t *testing.T, b *bench) {
+	t.Helper()
+	part := b.parts[0]
+	b.claimPart(part)
+	b.play(200 * milli)
+	if !part.held || !part.ready {
+		t.Fatalf("held %v, ready %v after the claim", part.held, part.ready)
+	}
+}
+
+// loseNextWrite sends the write that is queued and lets it be held up on its way:
+// its sender gets no answer.
+func loseNextWrite(t *testing.T, b *bench) StoreTxn {
+	t.Helper()
+	b.w.pump()
+	for i, effect := range b.out {
+		if write, ok := effect.(StoreTxn); ok {
+			b.out = slices.Delete(b.out, i, i+1)
+			b.calls[write.Call](TxnReply{Out: Unknown})
+			return write
+		}
+	}
+	t.Fatal("nothing was written")
+	return StoreTxn{}
+}
+
+// TestTokenOfEachHolder: ten holders follow one another, and none changes the
+// record of a machine that lists a task of a cancelled job. Each has a higher
+// term and token than all before it, so reports under an earlier holder's token,
+// which lack the task, never prove it gone: an earlier holder's start of it may
+// still be on its way.
+func TestTokenOfEachHolder(t *testing.T) {
+	b := newBench()
+	part := b.parts[0]
+	const need = Amount(3_000_000)
+	b.store.keys["jobs/j-1"] = KV{"jobs/j-1", fmt.Appendf(nil, `{"st":"cancelled","tm":"red","n":1,"r":{"CPU":%d,"GPU":0,"Mem":1},"w":"b9-1"}`, need), 20}
+	listed := listedMachine{id: "m-1", kind: groupKind{"small", "a", false}, addr: "m-1", tasks: []listedTask{{TaskID{"j-1", 0}, 7}}}
+	b.store.keys["groups/g"] = KV{"groups/g", encodeGroup(0, []listedMachine{listed}, "b9-2"), 25}
+
+	earlierToken := Token(25)
+	for range holders {
+		succeeded(t, b)
+		earlierTerm := part.term
+		claimed(t, b)
+		m := b.machines["m-1"]
+		if m.token <= earlierToken || part.term <= earlierTerm {
+			t.Errorf("token %d and term %d after %d and %d: not higher", m.token, part.term, earlierToken, earlierTerm)
+		}
+		m.session = 1
+		report := reportUnderToken(m, 1)
+		report.Token = earlierToken
+		b.reconcile(m, report, false)
+		if use := b.teamUse(part)["red"].CPU; use != need {
+			t.Errorf("after a report under token %d, with %d in force, the team uses %d, want %d", earlierToken, m.token, use, need)
+		}
+		earlierToken = m.token
+	}
+	m := b.machines["m-1"]
+	b.reconcile(m, reportUnderToken(m, 2), false)
+	if use := b.teamUse(part)["red"].CPU; use != 0 {
+		t.Errorf("after a report under the token in force the team uses %d, want 0", use)
+	}
+}
+
+// TestLateWritesOfEarlierHolders: ten holders follow one another, and each sends
+// a write that is held up on its way and repeats it, not knowing that it has been
+// succeeded. Neither is carried out: the claim that both are conditional on is
+// not in force any more.
+func TestLateWritesOfEarlierHolders(t *testing.T) {
+	b := newBench()
+	part := b.parts[0]
+	var heldUp []StoreTxn
+	for holder := range holders {
+		id := MachineID(fmt.Sprintf("m-%d", 3*holder)) // numbers of part 0
+		b.enlist(part, []listedMachine{{id: id, kind: groupKind{"small", "a", false}, addr: string(id)}}, func() {})
+		heldUp = append(heldUp, loseNextWrite(t, b))
+		succeeded(t, b)
+		claimed(t, b)
+	}
+	for i, write := range heldUp {
+		key := write.Then[0].Key
+		if b.store.get(key).Out != Missing {
+			t.Errorf("holder %d repeated its write under a later claim: %s", i, key)
+		} else if b.store.txn(write).Out != Conflict {
+			t.Errorf("the late write of holder %d was carried out: %s", i, key)
+		}
+	}
+}
+
+// TestClaimsOfQuarrelDamped: two controllers each believe the other to be lost,
+// and take a part from one another. The pauses grow with the changes of hands,
+// so that in between a holder has time to serve the part.
+func TestClaimsOfQuarrelDamped(t *testing.T) {
+	const (
+		quarrel    = 120 * second
+		most       = 12 // 2, 4, 8, 16 and then 30 s after the change before
+		leastAtEnd = 4 * second
+	)
+	part := &part{}
+	now := 100 * second
+	part.changed(now)
+	changes, last := 0, Time(0)
+	for end := now + quarrel; now < end; now += second / 10 {
+		if part.settled(now) {
+			last = now - part.since
+			part.changed(now)
+			changes++
+		}
+	}
+	if changes == 0 || changes > most || last < leastAtEnd {
+		t.Errorf("%d changes of hands in %d s, the last after %d s; want at most %d, the last after %d s at least",
+			changes, quarrel/second, last/second, most, leastAtEnd/second)
+	}
+}
+
+// TestNoClaimInOutage: the holder of a part is lost, and so is the state service:
+// nothing is claimed. A claim that waited for the end of the outage would then
+// take the part from a holder that is back.
+func TestNoClaimInOutage(t *testing.T) {
+	for _, outage := range []bool{false, true} {
+		b := newBench()
+		part := b.parts[1]
+		part.held, part.ready, part.seen, part.holder, part.home = false, false, true, "n2", "n2"
+		for _, peer := range b.peers {
+			peer.heard, peer.answered, peer.pingAt = true, b.now, b.now
+		}
+		lost := b.peers["n2"]
+		lost.failed, lost.failedAt, lost.pingAt = true, b.now-second, b.now-10*second
+		b.storeUp.lastOK, b.storeUp.okSince = b.now, second
+		if outage {
+			b.storeUp.failing, b.storeUp.since = true, b.now-2*second
+		}
+		b.considerClaim(part)
+		if part.claiming == outage {
+			t.Errorf("outage %v: claims %v", outage, part.claiming)
+		}
+	}
+}
