--- a/internal/core/limits_test.go
+++ b/internal/core/limits_test.go
@@ -112,7 +112,7 @@
 		m.acked, m.session, m.stamp, m.heard = true, 1, 1, b.now
 		for k := range tasks {
 			n := from + (k*machines+i)*2
-			a := &assign{task: TaskID{j.spec.ID, n}, j: j, need: j.spec.Need, mach: id, attempt: Attempt(n + 1), phase: aSeen, state: Running}
+			a := &assign{task: TaskID{Job: j.spec.ID, Index: n}, j: j, need: j.spec.Need, mach: id, attempt: Attempt(n + 1), phase: aSeen, state: Running}
 			m.addAssign(a)
 			j.setPlaced(n, a)
 		}
@@ -258,7 +258,7 @@
 	b := newBench()
 	b.Core = c
 	c.types["small"] = MachineType{Name: "small", Cap: Res{CPU: 4_000_000, Mem: 16_000_000}, Zones: []string{"a"}}
-	c.now, c.acceptsRead = 100*second, true
+	c.now, c.acceptances.loaded = 100*second, true
 	c.timers = nil
 	for _, p := range c.parts {
 		p.held, p.ready, p.holder, p.claim, p.mark, p.term, p.provenAt = true, true, "n0", 30, 30, 1, c.now
--- a/internal/core/many_holders_test.go
+++ b/internal/core/many_holders_test.go
@@ -61,7 +61,7 @@
 	part := b.parts[0]
 	const need = Amount(3_000_000)
 	b.store.keys["jobs/j-1"] = KV{"jobs/j-1", fmt.Appendf(nil, `{"st":"cancelled","tm":"red","n":1,"r":{"CPU":%d,"GPU":0,"Mem":1},"w":"b9-1"}`, need), 20}
-	listed := listedMachine{id: "m-1", kind: groupKind{"small", "a", false}, addr: "m-1", tasks: []listedTask{{TaskID{"j-1", 0}, 7}}}
+	listed := listedMachine{id: "m-1", kind: groupKind{"small", "a", false}, addr: "m-1", tasks: []listedTask{{TaskID{Job: "j-1", Index: 0}, 7}}}
 	b.store.keys["groups/g"] = KV{"groups/g", encodeGroup(0, []listedMachine{listed}, "b9-2"), 25}
 
 	earlierToken := Token(25)
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -128,8 +128,8 @@
 			consider(at + o.WithinS*1000)
 		}
 	}
-	if k := c.known[j.spec.ID]; k != nil && k.by > 0 && k.by != due(&j.spec) { // of a job that needs it
-		consider(k.by - run)
+	if k := c.jobs.known[j.spec.ID]; k != nil && k.dueBy > 0 && k.dueBy != due(&j.spec) { // of a job that needs it
+		consider(k.dueBy - run)
 	}
 	if !known {
 		consider(at + max(j.spec.DeadlineS, 600)*1000 - run)
@@ -529,7 +529,7 @@
 			if j.spec.SamePlace && !onlyZone(zones, m.zone) || j.spec.Scatter && zones[m.zone] >= (j.spec.Tasks+1)/2 {
 				break
 			}
-			task := TaskID{j.spec.ID, i}
+			task := TaskID{Job: j.spec.ID, Index: i}
 			if m.assigns[task] != nil {
 				break // an earlier attempt is still being cleared away there
 			}
--- a/internal/core/production_test.go
+++ b/internal/core/production_test.go
@@ -51,21 +51,21 @@
 	}
 	b.play(second)
 	for id, done := range map[JobID]int{"j-000412": 4, "j-000413": 0, "j-000414": 5462 + 100, "j-000417": 0, "j-000418": 0} {
-		if j := b.jobs[id]; j == nil || j.done != done || len(j.spec.Awaits) > 0 || j.waiting || !j.active() || j.loading > 0 {
+		if j := b.jobs.held[id]; j == nil || j.done != done || len(j.spec.Awaits) > 0 || j.waiting || !j.active() || j.loading > 0 {
 			t.Errorf("%s: %+v, want %d done", id, j, done)
 		}
 	}
 	want := JobSpec{ID: "j-000412", Class: "train", Team: "red", Priority: Urgent, Tasks: 16, Need: Res{CPU: 8_000_000, GPU: 1_000_000, Mem: 64_000_000}, Types: []string{"g8"}, Zone: "a",
 		SamePlace: true, Scatter: true, Spot: true, Image: "img-07", ImageGB: 6.2, RuntimeS: 240, CheckpntS: 30, SaveS: 4, DeadlineS: 900, Submitted: 1_700_000_000_000}
-	if j := b.jobs["j-000412"]; !reflect.DeepEqual(j.spec, want) {
+	if j := b.jobs.held["j-000412"]; !reflect.DeepEqual(j.spec, want) {
 		t.Errorf("read %+v", j.spec)
 	}
 	for id, end := range map[JobID]Status{"j-000415": StDone, "j-000416": StCancelled} {
-		if k := b.known[id]; k == nil || k.final != end || k.tasks != 4 || !k.stored {
+		if k := b.jobs.known[id]; k == nil || k.final != end || k.tasks != 4 || !k.stored {
 			t.Errorf("%s: %+v, want %s", id, k, end)
 		}
 	}
-	if b.known["j-000416"].need.CPU != 2_000_000 {
+	if b.jobs.known["j-000416"].need.CPU != 2_000_000 {
 		t.Error("a cancelled job's need is lost")
 	}
 	for _, k := range []string{"groups/b1-30-1", "groups/b1-30-2"} {
@@ -74,7 +74,7 @@
 	m1, m2, m3 := b.machines["m-000001"], b.machines["m-000002"], b.machines["m-000003"]
 	if m1 == nil || m2 == nil || m3 == nil || len(m1.assigns) != 3 || m1.addr != "10.1.0.232:9000" || !m1.spot || m1.zone != "a" || !m2.booting || !m3.returned || len(m3.assigns) != 1 {
 		t.Errorf("machines %+v, %+v, %+v", m1, m2, m3)
-	} else if a := m1.assigns[TaskID{"j-000412", 4}]; a == nil || a.attempt != 30<<attemptBits|2 {
+	} else if a := m1.assigns[TaskID{Job: "j-000412", Index: 4}]; a == nil || a.attempt != 30<<attemptBits|2 {
 		t.Errorf("task 4 is listed as %+v", a)
 	}
 	var r rentalRecord
@@ -82,7 +82,7 @@
 		t.Errorf("rental %+v", r)
 	}
 	var p partRecord
-	if json.Unmarshal(recs["parts/0"], &p) != nil || p != (partRecord{"n0", 7, "b1-13"}) {
+	if json.Unmarshal(recs["parts/0"], &p) != nil || !reflect.DeepEqual(p, partRecord{Holder: "n0", Term: 7, W: "b1-13"}) {
 		t.Errorf("part %+v", p)
 	}
 	var c typesRecord
--- a/internal/core/zone_cut_guards_test.go
+++ b/internal/core/zone_cut_guards_test.go
@@ -72,7 +72,7 @@
 	b := newBench()
 	part := b.parts[0]
 	job := b.job("j-1", 1)
-	task := TaskID{"j-1", 0}
+	task := TaskID{Job: "j-1", Index: 0}
 	cut := listedMachine{id: "m-1", kind: groupKind{"small", "a", false}, addr: "m-1", tasks: []listedTask{{task, 7}}}
 	record := KV{"groups/cut", encodeGroup(0, []listedMachine{cut}, "b9-1"), 25}
 	b.store.keys[record.Key] = record
