--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -34,6 +34,7 @@
 	owners       machineOwners
 	peers        map[NodeID]*peer
 	teams        map[string]*team
+	releases     releaseRegistry
 	types        map[string]MachineType
 	catalogue    storedCatalogue
 	cloudListing cloudListing
@@ -77,6 +78,7 @@
 		types:        map[string]MachineType{},
 		classes:      map[string]*classStats{},
 	}
+	c.releases = newReleaseRegistry(cfg.Self)
 	c.w.init(c)
 	for i := range cfg.Nodes {
 		c.parts = append(c.parts, &part{id: Part(i), home: cfg.Nodes[i], refusals: map[rentOption]int{}})
@@ -89,7 +91,7 @@
 		c.teams[t.Name] = &team{Team: t, part: partOf[t.Name]}
 	}
 	c.divideCloud()
-	c.cloud.have = c.cloud.cap
+	c.cloud.bucket.Fill()
 	c.cloudListing.nextAt = c.firstList()
 	c.after(0, c.boot)
 	return c
@@ -170,29 +172,6 @@
 	c.emit(Respond{Req: req, Status: status, RetryAfter: after, Error: why})
 }
 
-// bucket is a token bucket.
-type bucket struct {
-	rate, cap, have float64
-	at              Time
-}
-
-func (b *bucket) refill(now Time) {
-	b.have += b.rate * float64(now-b.at) / float64(second)
-	if b.have > b.cap {
-		b.have = b.cap
-	}
-	b.at = now
-}
-
-func (b *bucket) take(now Time, n float64) bool {
-	b.refill(now)
-	if b.have < n {
-		return false
-	}
-	b.have -= n
-	return true
-}
-
 // boot starts everything that runs on its own.
 func (c *Core) boot() {
 	t := c.cfg.Tuning
--- a/internal/core/spotlosses.go
+++ b/internal/core/spotlosses.go
@@ -7,7 +7,7 @@
 }
 
 // served notes that a spot machine has served for a time.
-func (s *spotLosses) served(d Time) { s.seconds += d.seconds() }
+func (s *spotLosses) served(d Time) { s.seconds += d.Seconds() }
 
 // rate is how often a spot machine goes in a second, as far as seen here;
 // before anything was seen, once in an hour.
--- a/internal/core/stats.go
+++ b/internal/core/stats.go
@@ -103,7 +103,7 @@
 		"booting", cpus(use.booting),
 		"groups", len(c.groups),
 		"group_bytes", groupBytes/max(len(c.groups), 1),
-		"puts_share", int(c.w.puts.rate*10)/10)
+		"puts_share", int(c.w.puts.Rate()*10)/10)
 	c.logf("info", "stats",
 		"reports", counts.Reports,
 		"submits", counts.Submits,
