--- a/internal/core/acceptance.go
+++ b/internal/core/acceptance.go
@@ -220,7 +220,7 @@
 		ok:       w.stored,
 		conflict: w.refused,
 	}
-	c.w.add(prioAccept, w.write)
+	c.writer.add(prioAccept, w.write)
 }
 
 // build makes the record. It is called again where another write of its
--- a/internal/core/amend.go
+++ b/internal/core/amend.go
@@ -97,7 +97,7 @@
 func (c *Core) dropAside(p *part, claim Epoch) {
 	keys := sortedKeys(p.aside)
 	keys = keys[:min(len(keys), c.cfg.TxnOps)]
-	c.w.add(prioRent, &write{
+	c.writer.add(prioRent, &write{
 		part: p.id, keys: keys,
 		build: func(string) ([]TxnOp, []Mark) {
 			var ops []TxnOp
--- a/internal/core/catalogue.go
+++ b/internal/core/catalogue.go
@@ -119,7 +119,7 @@
 		return
 	}
 	s.writing = true
-	c.w.add(prioLazy, &write{
+	c.writer.add(prioLazy, &write{
 		part: NoPart,
 		keys: []string{typesKey},
 		build: func(nonce string) ([]TxnOp, []Mark) {
--- a/internal/core/cloudrate.go
+++ b/internal/core/cloudrate.go
@@ -29,7 +29,7 @@
 			others = append(others, ratelimit.Demand{Rate: told(&p.ping), Known: known})
 		}
 	}
-	return ratelimit.Divide(limit, demand, c.w.live, others)
+	return ratelimit.Divide(limit, demand, c.writer.live, others)
 }
 
 // measureCloud works out once a second what this controller could use. A need
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -21,7 +21,7 @@
 	calls    map[CallID]func(any)
 	timers   timerQueue
 
-	w             writer
+	writer        writer
 	storeHealth   storeHealth
 	process       processHealth
 	heartbeat     heartbeat
@@ -79,7 +79,7 @@
 		classes:      map[string]*classStats{},
 	}
 	c.releases = newReleaseRegistry(cfg.Self)
-	c.w.init(c)
+	c.writer.init(c)
 	for i := range cfg.Nodes {
 		c.parts = append(c.parts, &part{id: Part(i), home: cfg.Nodes[i], refusals: map[rentOption]int{}})
 		if n := cfg.Nodes[i]; n != cfg.Self {
@@ -149,7 +149,7 @@
 		c.after(c.placement.schedule(c.now), func() { c.placement.wakeScheduled = false })
 	}
 	c.pushOrders()
-	c.w.pump()
+	c.writer.pump()
 	c.releaseReports()
 }
 
@@ -186,7 +186,7 @@
 	c.fetchTypes()
 	c.readTypes()
 	c.every(fixed(t.Checkpoint), c.checkpoint)
-	c.every(fixed(second), c.w.measure)
+	c.every(fixed(second), c.writer.measure)
 	c.every(fixed(second), c.measureCloud)
 	c.every(fixed(sweepEvery), c.machineSweep)
 	c.every(fixed(second), c.rentSweep)
--- a/internal/core/groups.go
+++ b/internal/core/groups.go
@@ -21,7 +21,7 @@
 	mark Mark
 	ms   map[MachineID]*machine
 
-	w        bool   // a write is queued or on its way
+	writing  bool   // a write is queued or on its way
 	sent     bool   // it is on its way: what it lists is settled until it is answered
 	wait     *write // it is queued
 	again    int    // the priority of the next write that is wanted, or prios
@@ -108,12 +108,12 @@
 func (c *Core) writeMachine(m *machine, prio int) { c.writeGroup(m.g, prio) }
 
 func (c *Core) writeGroup(g *group, prio int) {
-	if g.w {
+	if g.writing {
 		g.again = min(g.again, prio)
-		c.w.promote(g.key(), prio)
+		c.writer.promote(g.key(), prio)
 		return
 	}
-	g.w, g.again = true, prios
+	g.writing, g.again = true, prios
 	p := c.parts[g.part]
 	claim := p.claim
 	var s *snapshot
@@ -122,7 +122,7 @@
 		build: func(nonce string) ([]TxnOp, []Mark) {
 			g.wait = nil
 			if c.groups[g.id] != g {
-				g.w = false
+				g.writing = false
 				return nil, nil
 			}
 			g.sent, g.again, g.added = true, prios, 0
@@ -132,7 +132,7 @@
 			return []TxnOp{{g.key(), v}}, []Mark{g.mark}
 		},
 		ok: func(e Epoch) {
-			g.w, g.sent = false, false
+			g.writing, g.sent = false, false
 			if c.groups[g.id] != g || p.claim != claim || !p.held {
 				return
 			}
@@ -141,13 +141,13 @@
 			c.writeAgain(g)
 		},
 		conflict: func() {
-			g.w, g.sent = false, false
+			g.writing, g.sent = false, false
 			if c.groups[g.id] == g {
 				c.checkGroup(g)
 			}
 		},
 		tooLarge: func() {
-			g.w, g.sent = false, false
+			g.writing, g.sent = false, false
 			if c.groups[g.id] != g || p.claim != claim || !p.held {
 				return
 			}
@@ -159,9 +159,9 @@
 			}
 			c.after(second, func() { c.writeAgain(g) })
 		},
-		lost: func() { g.w, g.sent = false, false },
+		lost: func() { g.writing, g.sent = false, false },
 	}
-	c.w.add(prio, g.wait)
+	c.writer.add(prio, g.wait)
 }
 
 func (c *Core) writeAgain(g *group) {
@@ -250,10 +250,10 @@
 	for _, g := range all {
 		// A write that still waits its turn says nothing that this one won't.
 		if g.wait != nil {
-			c.w.cancel(g.wait)
+			c.writer.cancel(g.wait)
 			g.wait = nil
 		}
-		g.w, g.sent, g.again = true, true, prios
+		g.writing, g.sent, g.again = true, true, prios
 		keys = append(keys, g.key())
 	}
 	if to == nil {
@@ -261,12 +261,12 @@
 	}
 	free := func() {
 		for _, g := range all {
-			g.w, g.sent = false, false
+			g.writing, g.sent = false, false
 		}
 	}
 	var moving []*machine
 	var snaps []*snapshot
-	c.w.add(prio, &write{
+	c.writer.add(prio, &write{
 		part: p.id, keys: keys,
 		build: func(nonce string) ([]TxnOp, []Mark) {
 			moving, snaps = nil, nil
@@ -355,10 +355,10 @@
 	}
 	n := min(max((g.size+g.added)/(c.cfg.ValueBytes/2), 2, g.bins), c.cfg.TxnOps, len(g.ms))
 	if g.wait != nil {
-		c.w.cancel(g.wait)
+		c.writer.cancel(g.wait)
 		g.wait = nil
 	}
-	g.w, g.sent, g.again = true, true, prios
+	g.writing, g.sent, g.again = true, true, prios
 	keys := []string{g.key()}
 	var ids []string
 	for range n - 1 {
@@ -366,10 +366,10 @@
 		ids, keys = append(ids, id), append(keys, "groups/"+id)
 	}
 	claim := p.claim
-	free := func() { g.w, g.sent = false, false }
+	free := func() { g.writing, g.sent = false, false }
 	var snaps []*snapshot
 	var bins [][]*machine
-	c.w.add(prioStart, &write{
+	c.writer.add(prioStart, &write{
 		part: p.id, keys: keys,
 		build: func(nonce string) ([]TxnOp, []Mark) {
 			if c.groups[g.id] != g {
@@ -511,7 +511,7 @@
 				return
 			}
 			if part == g.part {
-				if r.KV.Mark > g.mark && !g.w {
+				if r.KV.Mark > g.mark && !g.writing {
 					c.suspect(c.parts[g.part], g.key(), "changed by another writer")
 					return
 				}
@@ -643,7 +643,7 @@
 		}
 		return []TxnOp{{kv.Key, nil}}, []Mark{kv.Mark}
 	}
-	c.w.add(prioLazy, x)
+	c.writer.add(prioLazy, x)
 }
 
 // claimOf reads from a group's key the claim under which it was made.
@@ -658,7 +658,7 @@
 
 // dropKey removes a part's key when there is time.
 func (c *Core) dropKey(p *part, key string, mark Mark) {
-	c.w.add(prioLazy, &write{
+	c.writer.add(prioLazy, &write{
 		part: p.id, keys: []string{key},
 		build:    func(string) ([]TxnOp, []Mark) { return []TxnOp{{key, nil}}, []Mark{mark} },
 		ok:       func(Epoch) {},
--- a/internal/core/guards_test.go
+++ b/internal/core/guards_test.go
@@ -45,12 +45,12 @@
 		built++
 		return []TxnOp{{"b", []byte(`{}`)}}, []Mark{0}
 	}}
-	c.w.add(prioStart, &write{part: NoPart, keys: []string{"a"}, build: func(string) ([]TxnOp, []Mark) {
-		c.w.add(prioStart, second)
+	c.writer.add(prioStart, &write{part: NoPart, keys: []string{"a"}, build: func(string) ([]TxnOp, []Mark) {
+		c.writer.add(prioStart, second)
 		return nil, nil // no longer wanted
 	}})
-	c.w.pump()
-	c.w.pump()
+	c.writer.pump()
+	c.writer.pump()
 	if built != 1 {
 		t.Errorf("the write queued meanwhile was built %d times", built)
 	}
@@ -89,7 +89,7 @@
 	}
 	p.held, p.claim, p.mark = true, 30, 30
 	c.learnGroup(KV{Key: "groups/b1-12-1", Value: v, Mark: 20}, p)
-	q := c.w.queues[prioLazy]
+	q := c.writer.queues[prioLazy]
 	if len(q) != 1 || q[0].keys[0] != "groups/b1-12-1" || len(c.groups) != 0 {
 		t.Fatalf("the next claim queues %d writes and knows %d groups", len(q), len(c.groups))
 	}
@@ -99,7 +99,7 @@
 	// The claim that made it is in force, or the key doesn't say which that was.
 	c.learnGroup(KV{Key: "groups/b1-30-1", Value: v, Mark: 20}, p)
 	c.learnGroup(KV{Key: "groups/g", Value: v, Mark: 20}, p)
-	for _, x := range c.w.queues[prioLazy][1:] {
+	for _, x := range c.writer.queues[prioLazy][1:] {
 		if ops, _ := x.build("n-3"); ops != nil {
 			t.Errorf("%v is dropped though a copy of its creation may come", ops)
 		}
@@ -227,7 +227,7 @@
 	rented := false
 	c.startRental(p, rentOption{"small", "a", true}, 2)
 	for range 3 {
-		c.w.pump()
+		c.writer.pump()
 		out := c.out
 		c.out = nil
 		for _, f := range out {
--- a/internal/core/heartbeat.go
+++ b/internal/core/heartbeat.go
@@ -48,7 +48,7 @@
 	h := &c.heartbeat
 	key := nodeKey(c.cfg.Self)
 	h.writing = true
-	c.w.add(prioDone, &write{
+	c.writer.add(prioDone, &write{
 		part: NoPart,
 		keys: []string{key},
 		build: func(nonce string) ([]TxnOp, []Mark) {
--- a/internal/core/holes_test.go
+++ b/internal/core/holes_test.go
@@ -58,7 +58,7 @@
 		t.Errorf("answered %+v, want 201", b.told)
 	}
 	b.play(5 * second)
-	if n := len(b.w.queues[prioAccept]); n != 0 || b.acceptances.names > 3 {
+	if n := len(b.writer.queues[prioAccept]); n != 0 || b.acceptances.names > 3 {
 		t.Errorf("nothing waits to be accepted, but %d writes are queued, after %d", n, b.acceptances.names)
 	}
 }
@@ -111,12 +111,12 @@
 func TestConditionsOfBurst(t *testing.T) {
 	b := newBench()
 	b.play(second)
-	inflight := b.w.inflight
-	b.w.inflight = maxInflight // the store is slow
+	inflight := b.writer.inflight
+	b.writer.inflight = maxInflight // the store is slow
 	for i := range ReqID(60) {
 		b.onSubmit(Submit{Req: 1 + i, Job: JobSpec{ID: JobID(fmt.Sprintf("j-%03d", i)), Team: "red", Tasks: 1, Need: Res{CPU: 1_000_000, Mem: 1_000_000}}})
 	}
-	b.w.inflight = inflight
+	b.writer.inflight = inflight
 	b.play(second)
 	for _, f := range b.txns {
 		if len(f.When) > 4*b.cfg.TxnOps {
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -404,7 +404,7 @@
 // machine records that list more than they need to.
 func (c *Core) checkpoint() {
 	for _, j := range c.heldJobs() {
-		if j.writing || j.final != "" || j.tooLong || c.now < j.outcomeAt && len(c.w.queues[prioStart]) > 0 {
+		if j.writing || j.final != "" || j.tooLong || c.now < j.outcomeAt && len(c.writer.queues[prioStart]) > 0 {
 			continue
 		}
 		for _, d := range j.dirty {
--- a/internal/core/jobwrite.go
+++ b/internal/core/jobwrite.go
@@ -28,14 +28,14 @@
 	if j.writing {
 		j.again = true
 		if prio < prioLazy {
-			c.w.promote(j.key(0), prio)
+			c.writer.promote(j.key(0), prio)
 		}
 		return
 	}
 	j.writing, j.again = true, false
 	keys, chunks := j.writeKeys(c.cfg.TxnOps)
 	w := &jobWrite{core: c, job: j, prio: prio, chunks: chunks}
-	c.w.add(prio, &write{
+	c.writer.add(prio, &write{
 		part:     j.part,
 		keys:     keys,
 		build:    w.build,
--- a/internal/core/late_claim_answer_test.go
+++ b/internal/core/late_claim_answer_test.go
@@ -17,7 +17,7 @@
 	part := b.parts[0]
 	part.held, part.ready, part.provenAt = false, false, 0
 	b.claimPart(part)
-	b.w.pump()
+	b.writer.pump()
 	for _, effect := range b.out {
 		if claim, ok := effect.(StoreTxn); ok {
 			return claim
--- a/internal/core/maintenance.go
+++ b/internal/core/maintenance.go
@@ -169,7 +169,7 @@
 func (c *Core) checkpointGroups() {
 	for _, id := range sortedKeys(c.groups) {
 		g := c.groups[id]
-		if g.w {
+		if g.writing {
 			continue
 		}
 	machines:
--- a/internal/core/many_holders_test.go
+++ b/internal/core/many_holders_test.go
@@ -39,7 +39,7 @@
 // its sender gets no answer.
 func loseNextWrite(t *testing.T, b *bench) StoreTxn {
 	t.Helper()
-	b.w.pump()
+	b.writer.pump()
 	for i, effect := range b.out {
 		if write, ok := effect.(StoreTxn); ok {
 			b.out = slices.Delete(b.out, i, i+1)
--- a/internal/core/meeting_guards_test.go
+++ b/internal/core/meeting_guards_test.go
@@ -76,7 +76,7 @@
 func (b *bench) play(d Time) {
 	for end := b.now + d; b.now <= end; b.now += 20 * milli {
 		b.runTimers()
-		b.w.pump()
+		b.writer.pump()
 		out := b.out
 		b.out = nil
 		for _, f := range out {
@@ -237,7 +237,7 @@
 	var rent *CloudRent
 	for range 100 {
 		b.runTimers()
-		b.w.pump()
+		b.writer.pump()
 		if i := slices.IndexFunc(b.out, func(f Effect) bool { _, ok := f.(CloudRent); return ok }); i >= 0 {
 			f := b.out[i].(CloudRent)
 			rent = &f
--- a/internal/core/moves.go
+++ b/internal/core/moves.go
@@ -27,7 +27,7 @@
 	var out []GroupOffer
 	for _, id := range sortedKeys(c.groups) {
 		g := c.groups[id]
-		if g.offer == nil || g.w {
+		if g.offer == nil || g.writing {
 			continue
 		}
 		n := map[groupKind]int{}
@@ -186,7 +186,7 @@
 			}
 		}
 		if g := c.groups[id]; g != nil { // held here too
-			if g.w || g.mark != mark || g.offer == nil {
+			if g.writing || g.mark != mark || g.offer == nil {
 				return
 			}
 			for _, m := range g.ms {
@@ -197,7 +197,7 @@
 			c.groupMoved(g, p.id)
 		}
 		size := 0
-		c.w.add(prioRent, &write{
+		c.writer.add(prioRent, &write{
 			part: p.id, keys: []string{key},
 			build: func(nonce string) ([]TxnOp, []Mark) {
 				v := encodeGroup(p.id, ms, nonce)
--- a/internal/core/orphans.go
+++ b/internal/core/orphans.go
@@ -268,7 +268,7 @@
 	claim := p.claim
 	id := c.groupName(p)
 	size := 0
-	c.w.add(prioRent, &write{
+	c.writer.add(prioRent, &write{
 		part: p.id, keys: []string{"groups/" + id},
 		build: func(nonce string) ([]TxnOp, []Mark) {
 			ms = slices.DeleteFunc(ms, func(l listedMachine) bool { return c.machines[l.id] != nil })
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -232,7 +232,7 @@
 func (c *Core) claimPart(p *part) {
 	p.claiming = true
 	prev, term := p.holder, p.term+1
-	c.w.add(prioClaim, &write{
+	c.writer.add(prioClaim, &write{
 		part: p.id, keys: []string{p.key()},
 		build: func(nonce string) ([]TxnOp, []Mark) {
 			v, _ := json.Marshal(partRecord{Holder: c.cfg.Self, Term: term, W: nonce, Upgraded: c.releases.list()})
@@ -285,7 +285,7 @@
 		fn(false)
 	}
 	p.confirmQ = nil
-	c.w.dropPart(id)
+	c.writer.dropPart(id)
 	c.rereadPart(p)
 }
 
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -92,7 +92,7 @@
 			n++
 		}
 	}
-	c.w.setShare(n)
+	c.writer.setShare(n)
 	c.divideCloud()
 }
 
@@ -114,7 +114,7 @@
 		}
 	}
 	g.Groups = c.offers()
-	g.Puts, g.Cloud = c.w.demand, c.cloud.demand
+	g.Puts, g.Cloud = c.writer.demand, c.cloud.demand
 	g.Loads = c.loads()
 	g.Terms, g.Level = c.terms(), pipelineLevel
 	return g
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -336,7 +336,7 @@
 		r.mark, r.late = Mark(e), x.unsure
 		c.callRent(p, r)
 	}
-	c.w.add(prioRent, x)
+	c.writer.add(prioRent, x)
 }
 
 func (c *Core) rentalCurrent(p *part, r *rental) bool { return p.held && p.rentals[r.name] == r }
@@ -404,7 +404,7 @@
 	if len(ids) > 0 {
 		prio = prioRent
 	}
-	c.w.add(prio, &write{
+	c.writer.add(prio, &write{
 		part: p.id, keys: keys,
 		build: func(nonce string) ([]TxnOp, []Mark) {
 			ops, marks := []TxnOp{{rentalKey(r.name), nil}}, []Mark{r.mark}
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -89,7 +89,7 @@
 }
 
 func (c *Core) lookInStore(id JobID, fn func(int, JobView)) {
-	if c.storeLost(second) || c.w.reqs.Level() < -c.w.reqs.Capacity() {
+	if c.storeLost(second) || c.writer.reqs.Level() < -c.writer.reqs.Capacity() {
 		fn(503, JobView{})
 		return
 	}
--- a/internal/core/seven_test.go
+++ b/internal/core/seven_test.go
@@ -57,14 +57,14 @@
 func TestNoDebtAfterCut(t *testing.T) {
 	c := sevenCores()
 	x := &txn{then: make([]TxnOp, 20), part: NoPart}
-	before := c.w.puts.Level()
-	c.w.send(x)
+	before := c.writer.puts.Level()
+	c.writer.send(x)
 	for i, out := range []Outcome{Unknown, NotDone, Unknown, Throttled, Unknown} {
-		c.w.answered(x, TxnReply{Out: out})
-		c.w.inflight--
-		c.w.send(x)
-		if c.w.puts.Level() < before-21 {
-			t.Fatalf("after %d tries %.0f puts in debt", i+2, -c.w.puts.Level())
+		c.writer.answered(x, TxnReply{Out: out})
+		c.writer.inflight--
+		c.writer.send(x)
+		if c.writer.puts.Level() < before-21 {
+			t.Fatalf("after %d tries %.0f puts in debt", i+2, -c.writer.puts.Level())
 		}
 	}
 }
--- a/internal/core/stats.go
+++ b/internal/core/stats.go
@@ -103,7 +103,7 @@
 		"booting", cpus(use.booting),
 		"groups", len(c.groups),
 		"group_bytes", groupBytes/max(len(c.groups), 1),
-		"puts_share", int(c.w.puts.Rate()*10)/10)
+		"puts_share", int(c.writer.puts.Rate()*10)/10)
 	c.logf("info", "stats",
 		"reports", counts.Reports,
 		"submits", counts.Submits,
@@ -125,8 +125,8 @@
 		"parts", c.heldParts(),
 		"jobs", len(c.jobs.held),
 		"machines", len(c.machines),
-		"queue", c.w.depth(),
-		"inflight", c.w.inflight)
+		"queue", c.writer.depth(),
+		"inflight", c.writer.inflight)
 }
 
 // heldParts counts the parts held here.
--- a/internal/core/storehealth.go
+++ b/internal/core/storehealth.go
@@ -79,7 +79,7 @@
 func (c *Core) storeResult(o Outcome) {
 	c.storeHealth.answered(c.now, o)
 	if o == Throttled {
-		c.w.reqs.Lower(-1)
+		c.writer.reqs.Lower(-1)
 	}
 }
 
@@ -88,8 +88,8 @@
 
 // get reads a key through the request budget's books.
 func (c *Core) get(key string, fn func(GetReply)) {
-	c.w.reqs.Refill(c.now)
-	c.w.reqs.Spend(1)
+	c.writer.reqs.Refill(c.now)
+	c.writer.reqs.Spend(1)
 	c.counters.Gets++
 	c.storeHealth.sent(c.now)
 	c.emit(StoreGet{Call: c.call(func(b any) {
@@ -101,7 +101,7 @@
 
 // list reads all keys with a prefix.
 func (c *Core) list(prefix string, fn func(ListReply)) {
-	c.w.reqs.Spend(1)
+	c.writer.reqs.Spend(1)
 	c.counters.Gets++
 	c.storeHealth.sent(c.now)
 	c.emit(StoreList{Call: c.call(func(b any) {
@@ -113,7 +113,7 @@
 
 // readSince reads at once what changed under a prefix after a revision.
 func (c *Core) readSince(prefix string, since Epoch, fn func(WatchReply)) {
-	c.w.reqs.Spend(1)
+	c.writer.reqs.Spend(1)
 	c.counters.Gets++
 	c.emit(StoreWatch{Call: c.call(func(b any) { fn(b.(WatchReply)) }), Prefix: prefix, Since: since})
 }
--- a/internal/core/submissions.go
+++ b/internal/core/submissions.go
@@ -173,7 +173,7 @@
 // priorities are refused, least important first. It returns when to come back.
 func (c *Core) overloaded(prio Priority) int {
 	// A put takes several when many wait.
-	wait := (float64(len(c.w.queues[prioAccept])) + c.acceptances.transactions(c.cfg.TxnOps)) / max(c.w.puts.Rate(), 1)
+	wait := (float64(len(c.writer.queues[prioAccept])) + c.acceptances.transactions(c.cfg.TxnOps)) / max(c.writer.puts.Rate(), 1)
 	wait = max(wait, float64(c.process.load.Lag)/float64(second)) // a process that falls behind takes on no more
 	limit := [...]float64{BestEffort: 1, Normal: 1.5, Urgent: 2.5, Production: 3}[prio]
 	if wait <= limit {
--- a/internal/core/writer.go
+++ b/internal/core/writer.go
@@ -62,7 +62,7 @@
 // unknown is sent again unchanged: its conditions on the marks of the keys it
 // sets make a late copy harmless, and its nonce shows whether it was applied.
 type writer struct {
-	c        *Core
+	core     *Core
 	queues   [prios][]*write
 	busy     map[string]bool
 	inflight int
@@ -82,7 +82,7 @@
 const lazyShare = 0.25
 
 func (w *writer) init(c *Core) {
-	w.c = c
+	w.core = c
 	w.busy = map[string]bool{}
 	w.setShare(len(c.cfg.Nodes))
 	w.puts.Fill()
@@ -92,7 +92,7 @@
 // setShare divides the store's limits among the controllers that are alive.
 func (w *writer) setShare(live int) {
 	w.live = max(live, 1)
-	requests := w.c.cfg.StoreRPS * (w.c.cfg.Tuning.BudgetShare / float64(w.live))
+	requests := w.core.cfg.StoreRPS * (w.core.cfg.Tuning.BudgetShare / float64(w.live))
 	w.reqs.SetRate(requests, requests)
 	w.divide()
 }
@@ -110,7 +110,7 @@
 // most of the rate lie idle while one part's starts wait. All know each other's
 // demand from their calls; where they differ for a moment the store refuses.
 func (w *writer) divide() {
-	c := w.c
+	c := w.core
 	rate := c.shareByNeed(c.cfg.WriteRPS*c.cfg.Tuning.BudgetShare, w.demand, func(g *Ping) float64 { return g.Puts })
 	w.puts.SetRate(rate, max(rate, float64(c.cfg.TxnOps)))
 }
@@ -168,7 +168,7 @@
 }
 
 func (w *writer) gather() *txn {
-	c := w.c
+	c := w.core
 	w.puts.Refill(c.now)
 	w.reqs.Refill(c.now)
 	if w.depth() == 0 {
@@ -272,11 +272,11 @@
 		return
 	}
 	w.wake = true
-	w.c.after(d, func() { w.wake = false })
+	w.core.after(d, func() { w.wake = false })
 }
 
 func (w *writer) send(t *txn) {
-	c := w.c
+	c := w.core
 	w.inflight++
 	w.puts.Spend(float64(len(t.then)))
 	w.sent += len(t.then)
@@ -308,14 +308,14 @@
 
 func (w *writer) retry(t *txn) {
 	d := 100 * milli << min(t.tries, 4)
-	w.c.after(d, func() {
+	w.core.after(d, func() {
 		w.inflight--
 		w.send(t)
 	})
 }
 
 func (w *writer) answered(t *txn, r TxnReply) {
-	c := w.c
+	c := w.core
 	c.storeResult(r.Out)
 	switch r.Out {
 	case OK:
@@ -361,11 +361,11 @@
 		x.ok(e)
 	}
 	if t.part != NoPart { // a claim, or a write on condition of one
-		p := w.c.parts[t.part]
+		p := w.core.parts[t.part]
 		if t.prio == prioClaim {
-			w.c.proven(p, Mark(e), t.sentAt)
+			w.core.proven(p, Mark(e), t.sentAt)
 		} else {
-			w.c.proven(p, t.pmark, t.sentAt)
+			w.core.proven(p, t.pmark, t.sentAt)
 		}
 	}
 }
@@ -373,7 +373,7 @@
 // failed sorts the writes of a refused transaction into those whose own keys
 // were changed by another, those whose part is lost, and the innocent.
 func (w *writer) failed(t *txn, keys []string) {
-	c := w.c
+	c := w.core
 	bad := map[string]bool{}
 	for _, k := range keys {
 		bad[k] = true
@@ -410,7 +410,7 @@
 // nonce tells; one alone may have been changed since, as a new job's record is
 // by the job's owner.
 func (w *writer) readBack(t *txn, failed []string) {
-	c := w.c
+	c := w.core
 	var keys []string
 	for _, o := range t.then {
 		if o.Value != nil {
