--- a/internal/core/acceptance.go
+++ b/internal/core/acceptance.go
@@ -121,7 +121,7 @@
 	})
 	c.after(storeSlow+50*milli, func() {
 		if !a.answered && c.storeHealth.silent(c.now) {
-			c.handOn(a.spec, a.answer)
+			c.forward(a.spec, a.answer)
 		}
 	})
 	if c.acceptances.add(a) {
--- a/internal/core/awaits.go
+++ b/internal/core/awaits.go
@@ -28,7 +28,7 @@
 	k.spec = spec
 	k.inherit(spec.Priority, due(spec))
 	for _, d := range c.jobs.dependents[id] { // learned before it
-		c.passBack(d)
+		c.propagateUrgency(d)
 	}
 	if len(spec.Awaits) == 0 {
 		return
@@ -41,7 +41,7 @@
 			c.tell(k.part, finalRecord(a, o))
 		}
 	}
-	c.passBack(id)
+	c.propagateUrgency(id)
 	for _, a := range k.awaits {
 		if o := c.jobs.known[a]; o != nil && o.final == StCancelled {
 			c.settle(id, k, StCancelled)
@@ -62,9 +62,9 @@
 // that awaits it, roughly, in milliseconds.
 const betweenStages = 2000
 
-// passBack gives a job's priority and deadline, less its estimated run time, to
+// propagateUrgency gives a job's priority and deadline, less its estimated run time, to
 // those that it awaits, and on to those that they await.
-func (c *Core) passBack(id JobID) {
+func (c *Core) propagateUrgency(id JobID) {
 	k := c.jobs.known[id]
 	if k == nil || k.spec == nil {
 		return
@@ -82,7 +82,7 @@
 			j.prio = max(j.prio, o.prio)
 			c.parts[j.part].order = nil
 		}
-		c.passBack(a)
+		c.propagateUrgency(a)
 	}
 }
 
--- a/internal/core/guards_test.go
+++ b/internal/core/guards_test.go
@@ -333,7 +333,7 @@
 
 // TestSuits: of two machines that are equal otherwise, work that would lose much
 // on a spot machine gets the ordinary one and work that saves leaves it that;
-// where nothing much is at stake the kind does not matter.
+// where no great loss is to be expected the kind does not matter.
 func TestSuits(t *testing.T) {
 	c := sevenCores()
 	c.spotLosses.lost, c.spotLosses.seconds = 10, 20_000 // two an hour
@@ -347,7 +347,7 @@
 		t.Error("60 s that can't be saved are sent to a spot machine")
 	}
 	if c.suits(p, short, own) != c.suits(p, short, spot) || c.suits(p, saves, own) != c.suits(p, saves, spot) {
-		t.Error("the kind of machine matters where nothing is at stake")
+		t.Error("the kind of machine matters where no loss is to be expected")
 	}
 	c.cfg.Objectives = []Objective{{Kind: "deadline", Class: "tight", Times: 1}, {Kind: "finished", Class: "c", WithinS: 80}}
 	due := like(15, 0)
@@ -360,11 +360,11 @@
 	if due.spec.Class, due.spec.DeadlineS = "tight", 40; c.suits(p, due, spot) || !c.suits(p, short, spot) {
 		t.Error("a job that could not make its deadline with a task begun anew goes to spot machines, or one with time to spare does not")
 	}
-	if p.atStake = true; c.suits(p, saves, own) || !c.suits(p, saves, spot) {
+	if p.avoidSpot = true; c.suits(p, saves, own) || !c.suits(p, saves, spot) {
 		t.Error("work that saves does not leave the ordinary machine to others")
 	}
-	if c.risky(long) || !c.risky(like(150, 0)) {
-		t.Error("a new fetch of 6 s is not weighed against what is at stake")
+	if c.ordinaryWorthFetch(long) || !c.ordinaryWorthFetch(like(150, 0)) {
+		t.Error("a new fetch of 6 s is not weighed against the expected loss")
 	}
 }
 
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -39,7 +39,7 @@
 	preemptAt  Time
 	unanswered int  // machines taken over that have not acknowledged this claim's token
 	ackedAt    Time // when the last one did
-	atStake    bool // a job of it would lose much on spot machines
+	avoidSpot  bool // a job of it would lose much on spot machines
 	refused    map[rentOption]Time
 	refusals   map[rentOption]int // in a row
 	rentedAt   Time
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -222,7 +222,7 @@
 		room += c.types[m.typ].Cap.CPU
 	}
 	p.owed = c.withinGuarantee(p)
-	p.atStake = slices.ContainsFunc(p.js, func(j *job) bool { return j.active() && !j.waiting && c.spares(j) })
+	p.avoidSpot = slices.ContainsFunc(p.js, func(j *job) bool { return j.active() && !j.waiting && c.prefersOrdinary(j) })
 	q := make([]ranked, 0, len(p.js))
 	for _, j := range p.js {
 		// What is held back for a moment may be let go before the next ranking.
@@ -501,9 +501,9 @@
 			fit = append(fit, choice{s, r})
 		}
 	}
-	risky := c.risky(j)
+	ordinaryFirst := c.ordinaryWorthFetch(j)
 	slices.SortStableFunc(fit, func(a, b choice) int {
-		if risky && a.s.m.spot != b.s.m.spot {
+		if ordinaryFirst && a.s.m.spot != b.s.m.spot {
 			return before(!a.s.m.spot)
 		}
 		if a.rank != b.rank {
@@ -568,10 +568,10 @@
 	return n + len(t.Job) + 3
 }
 
-// stake is what a job's tasks must expect to lose on spot machines, in seconds:
+// expectedSpotLoss is what a job's tasks must expect to lose on spot machines, in seconds:
 // those that can't save lose half a run in the mean when theirs is taken. That
 // counts four times, as a job of many tasks waits for its unluckiest.
-func (c *Core) stake(j *job) float64 {
+func (c *Core) expectedSpotLoss(j *job) float64 {
 	if !j.spec.Spot || j.spec.CheckpntS > 0 {
 		return 0
 	}
@@ -579,24 +579,25 @@
 	return 4 * c.spotLosses.rate() * run * run / 2
 }
 
-// worthSparing is the stake, in seconds, from which a job should rather have
+// spotLossLimit is the expected loss, in seconds, from which a job should rather have
 // ordinary machines, however much time its aims give it.
-const worthSparing = 2
+const spotLossLimit = 2
 
-// likelyLoss is how many of its tasks a job must expect to lose on spot
+// likelyTasksLost is how many of its tasks a job must expect to lose on spot
 // machines for its deadline to be at risk: a few small tasks are hardly ever hit.
-const likelyLoss = 0.1
-
-// spares tells whether a job should rather have ordinary machines: much is at
-// stake, or it is likely to lose a task and its first aim gives it so little time
-// that a task begun anew would miss it. For others the choice would only scatter their tasks over machines
-// with little room, each of which has to fetch the image.
-func (c *Core) spares(j *job) bool {
-	stake := c.stake(j)
-	if stake == 0 || stake > worthSparing {
-		return stake > 0
-	}
-	if c.spotLosses.rate()*c.expectedRun(j)*float64(j.spec.Tasks) < likelyLoss {
+const likelyTasksLost = 0.1
+
+// prefersOrdinary tells whether a job should rather have ordinary machines: much loss
+// is to be expected, or it is likely to lose a task and its first aim gives it so
+// little time that a task begun anew would miss it. For others the choice would
+// only scatter their tasks over machines with little room, each of which has to
+// fetch the image.
+func (c *Core) prefersOrdinary(j *job) bool {
+	loss := c.expectedSpotLoss(j)
+	if loss == 0 || loss > spotLossLimit {
+		return loss > 0
+	}
+	if c.spotLosses.rate()*c.expectedRun(j)*float64(j.spec.Tasks) < likelyTasksLost {
 		return false
 	}
 	aim := 0.0
@@ -612,30 +613,32 @@
 	return aim > 0 && aim < 3*c.expectedRun(j)
 }
 
-// risky tells whether so much is at stake that an ordinary machine is worth
-// fetching the image anew.
-func (c *Core) risky(j *job) bool {
+// ordinaryWorthFetch tells whether so much loss is to be expected that an ordinary
+// machine is worth fetching the image anew.
+func (c *Core) ordinaryWorthFetch(j *job) bool {
 	fetch := 0.0
 	for _, t := range c.types {
 		if t.FetchGBs > 0 {
 			fetch = max(fetch, j.spec.ImageGB/t.FetchGBs)
 		}
 	}
-	return c.stake(j) > max(fetch, worthSparing)
+	return c.expectedSpotLoss(j) > max(fetch, spotLossLimit)
 }
 
 // mayUse tells whether a job may go to a machine that is to run empty because
 // it is dear: only one to which the cheaper ones are a risk.
-func (c *Core) mayUse(j *job, m *machine) bool { return !m.retire || !m.spot && c.risky(j) }
+func (c *Core) mayUse(j *job, m *machine) bool {
+	return !m.retire || !m.spot && c.ordinaryWorthFetch(j)
+}
 
 // suits tells which of two machines that are equal otherwise a job should have:
 // one that spares its time an ordinary one; where others have, what saves makes room
 // for them and goes to spot machines. Else neither matters.
 func (c *Core) suits(p *part, j *job, m *machine) bool {
 	if j.spec.CheckpntS > 0 {
-		return m.spot || !p.atStake
+		return m.spot || !p.avoidSpot
 	}
-	return !m.spot || !c.spares(j)
+	return !m.spot || !c.prefersOrdinary(j)
 }
 
 // keepMachine picks the machine that is kept free for a starving job: the one
--- a/internal/core/submissions.go
+++ b/internal/core/submissions.go
@@ -15,18 +15,18 @@
 		r.Req = e.Req
 		c.emit(r)
 	}
-	if c.jobs.known[e.Job.ID] == nil && e.Bad == 0 && (c.storeHealth.silent(c.now) || len(c.types) == 0) && c.handOn(e.Job, answer) {
+	if c.jobs.known[e.Job.ID] == nil && e.Bad == 0 && (c.storeHealth.silent(c.now) || len(c.types) == 0) && c.forward(e.Job, answer) {
 		return
 	}
 	c.submit(e.Job, e.Bad, e.Why, answer)
 }
 
-// handOn passes a submission to another controller, where this one has lost
+// forward passes a submission to another controller, where this one has lost
 // the store or does not know the machine types yet: any of them may store it,
 // and its user would else come back to this one until the load balancer has
 // noticed. It is answered as that controller says; a doubled one finds the job
 // known. False: nobody can.
-func (c *Core) handOn(spec JobSpec, answer func(Respond)) bool {
+func (c *Core) forward(spec JobSpec, answer func(Respond)) bool {
 	n := len(c.cfg.Nodes)
 	self := slices.Index(c.cfg.Nodes, c.cfg.Self)
 	for i := 1; i < n; i++ {
--- a/internal/core/passback_test.go
+++ b/internal/core/urgency_test.go
@@ -5,10 +5,10 @@
 	"testing"
 )
 
-// TestPassBack: a job takes the highest priority and the tightest deadline of
+// TestUrgencyPropagated: a job takes the highest priority and the tightest deadline of
 // all that need it, over teams and parts, in whichever order their records are
 // seen; what is over takes nothing more.
-func TestPassBack(t *testing.T) {
+func TestUrgencyPropagated(t *testing.T) {
 	// a (red) <- b (green) <- d (blue, production, due); a <- c (green, urgent); e (red) <- d
 	spec := func(id JobID, team string, prio Priority, due float64, awaits ...JobID) JobSpec {
 		return JobSpec{ID: id, Team: team, Class: "c-" + string(id), Priority: prio, Tasks: 1, Need: Res{CPU: 1_000_000}, RuntimeS: 20, DeadlineS: due, Submitted: 1_000_000, Awaits: awaits}
