Test the division of a rate where a little is missing

A change of the bound at which shares get proportional was not seen by the tests: at a demand of twice the limit both formulas agree in the cases there were. One more case sees it. Run: go test ./internal/ratelimit: ok; with `sum > 2*rest` it fails.

--- a/internal/ratelimit/divide_test.go
+++ b/internal/ratelimit/divide_test.go
@@ -19,6 +19,7 @@
 		{"idle beside need that fits", 0, 2, []Demand{{4, true}}, 1 + 1.5},
 		{"idle beside need of all", 0, 2, []Demand{{100, true}}, 1},
 		{"in proportion", 6, 2, []Demand{{18, true}}, 1 + 2},
+		{"in proportion where a little is missing", 6, 2, []Demand{{2, true}}, 1 + 7.5*8/10},
 		{"one not heard of counts with an even part", 100, 2, []Demand{unknown}, 1 + 125*8/129.0},
 		{"what a silent one told before doesn't count", 0, 2, []Demand{{Rate: 100}}, 1 + 4.0/2},
 		{"live ones beyond the others dilute the even part", 0, 4, []Demand{idle}, 0.5 + 2},
