Move the machine groups' record into package grouprecord

Encoding, decoding, sizing and splitting of a group's record are calculation only, yet stood between the writes and conflicts of groups. grouprecord has a typed Record, Encode and Decode with typed errors (their texts are as before, since they are logged), Split, and ValueLimit with the sizes at which records are joined, split and full. Attempts are made and taken apart in model.

The production test compares with the literal 30<<20|2, so that a change of the bits shows.

--- a/internal/core/amend.go
+++ b/internal/core/amend.go
@@ -1,8 +1,9 @@
 package core
 
 import (
-	"encoding/json"
 	"slices"
+
+	"stairrelay/internal/grouprecord"
 )
 
 // What a record that makes no sense lists is unknown, and guessing could run a
@@ -58,9 +59,9 @@
 				if _, bad := p.aside[kv.Key]; bad {
 					continue
 				}
-				if _, ms, err := decodeGroup(kv.Value); err == nil {
-					for i := range ms {
-						listed[ms[i].id] = true
+				if rec, err := grouprecord.Decode(kv.Value); err == nil {
+					for i := range rec.Machines {
+						listed[rec.Machines[i].ID] = true
 					}
 				}
 			}
@@ -141,11 +142,9 @@
 
 // groupPart reads at least whose a record is that makes no sense otherwise.
 func groupPart(v []byte, parts int) (Part, bool) {
-	var rec struct {
-		Part *Part `json:"p"`
-	}
-	if json.Unmarshal(v, &rec) != nil || rec.Part == nil || *rec.Part < 0 || int(*rec.Part) >= parts {
+	part, ok := grouprecord.PartOf(v)
+	if !ok || part < 0 || int(part) >= parts {
 		return 0, false
 	}
-	return *rec.Part, true
+	return part, true
 }
--- a/internal/core/cloudlist.go
+++ b/internal/core/cloudlist.go
@@ -1,6 +1,10 @@
 package core
 
-import "slices"
+import (
+	"slices"
+
+	"stairrelay/internal/grouprecord"
+)
 
 // The cloud's machine list: it shows machines that died and strays that no
 // record lists.
@@ -106,11 +110,11 @@
 func (c *Core) enlistFound() {
 	found := c.found
 	c.found = nil
-	c.readOwners(func(open map[groupKind]bool, listed map[MachineID]bool) {
+	c.readOwners(func(open map[grouprecord.Kind]bool, listed map[MachineID]bool) {
 		for _, l := range found {
 			delete(c.inspecting, l.ID)
 			p := c.partFor(l.ID)
-			kind := groupKind{l.Type, l.Zone, l.Spot}
+			kind := grouprecord.Kind{Type: l.Type, Zone: l.Zone, Spot: l.Spot}
 			if listed == nil || listed[l.ID] || open[kind] || c.machines[l.ID] != nil || !p.held || !p.ready {
 				delete(c.strays, l.ID)
 				continue
@@ -122,7 +126,7 @@
 				continue
 			}
 			c.logf("info", "adopted stray machine", "machine", string(l.ID))
-			c.enlistSoon(p, listedMachine{id: l.ID, kind: kind, addr: l.Addr})
+			c.enlistSoon(p, grouprecord.Machine{ID: l.ID, Kind: kind, Address: l.Addr})
 		}
 	})
 }
--- a/internal/core/groups.go
+++ b/internal/core/groups.go
@@ -6,6 +6,8 @@
 	"sort"
 	"strconv"
 	"strings"
+
+	"stairrelay/internal/grouprecord"
 )
 
 // A record of its own per machine would cost a put per wave of starts on each;
@@ -50,13 +52,18 @@
 	return l
 }
 
-// groupMachines is how many machines a record is made for: with a handful of
-// tasks each they take about half of the value limit.
-func (c *Core) groupMachines() int { return max(c.cfg.ValueBytes/80, 4) }
+// valueLimit decides how large the groups' records get.
+func (c *Core) valueLimit() grouprecord.ValueLimit { return grouprecord.ValueLimit(c.cfg.ValueBytes) }
+
+// groupMachines is how many machines a record is made for.
+func (c *Core) groupMachines() int { return c.valueLimit().Machines() }
+
+// length is how long the group's record may be by now.
+func (g *group) length() int { return g.size + g.added }
 
 // room tells whether the record can list one more task of a job.
 func (c *Core) room(g *group, j *job) bool {
-	return g.size+g.added+len(j.spec.ID)+28 <= c.cfg.ValueBytes*17/20
+	return c.valueLimit().HasRoom(g.length(), j.spec.ID)
 }
 
 // snapshot remembers what a built record says, for when it is stored.
@@ -76,21 +83,21 @@
 // there is nothing left to list.
 func (c *Core) snap(part Part, ms []*machine, nonce string) ([]byte, *snapshot) {
 	s := &snapshot{ms: make([]machineSnap, 0, len(ms))}
-	lines := make([]listedMachine, 0, len(ms))
+	lines := make([]grouprecord.Machine, 0, len(ms))
 	for _, m := range ms {
 		if m.dead {
 			s.left = append(s.left, m)
 			continue
 		}
 		x := machineSnap{m: m, bump: m.bumping, ret: m.returning}
-		line := listedMachine{id: m.id, kind: groupKind{m.typ, m.zone, m.spot}, addr: m.addr, returned: m.returning, booting: m.booting}
+		line := grouprecord.Machine{ID: m.id, Kind: m.kind(), Address: m.addr, Returned: m.returning, Booting: m.booting}
 		for _, a := range m.sorted() {
 			if a.gone {
 				x.out = append(x.out, a)
 				continue
 			}
 			x.in = append(x.in, a)
-			line.tasks = append(line.tasks, listedTask{a.task, a.attempt})
+			line.Tasks = append(line.Tasks, grouprecord.Task{ID: a.task, Attempt: a.attempt})
 		}
 		s.ms = append(s.ms, x)
 		lines = append(lines, line)
@@ -98,7 +105,7 @@
 	// An emptied group's key is kept, with nothing listed: once it were absent,
 	// a late copy of the transaction that created it would be carried out again.
 	// The next claim, which fences such copies, drops it.
-	v := encodeGroup(part, lines, nonce)
+	v := grouprecord.Encode(grouprecord.Record{Part: part, Machines: lines, Nonce: nonce})
 	s.size = len(v)
 	return v, s
 }
@@ -292,7 +299,7 @@
 			sort.Slice(into, func(i, k int) bool { return into[i].id < into[k].id })
 			v, s := c.snap(p.id, into, nonce)
 			snaps = append(snaps, s)
-			if len(v) > c.cfg.ValueBytes*17/20 || len(moving) == 0 {
+			if !c.valueLimit().Within(len(v)) || len(moving) == 0 {
 				free()
 				for _, g := range all {
 					c.writeGroup(g, prioStart)
@@ -353,7 +360,7 @@
 	if g.sent || len(g.ms) < 2 {
 		return
 	}
-	n := min(max((g.size+g.added)/(c.cfg.ValueBytes/2), 2, g.bins), c.cfg.TxnOps, len(g.ms))
+	n := min(max(c.valueLimit().Pieces(g.length()), g.bins), c.cfg.TxnOps, len(g.ms))
 	if g.wait != nil {
 		c.w.cancel(g.wait)
 		g.wait = nil
@@ -377,7 +384,7 @@
 				return nil, nil
 			}
 			g.again, g.added = prios, 0
-			bins, snaps = c.bins(g.list(), n), nil
+			bins, snaps = grouprecord.Split(g.list(), n, (*machine).tasks), nil
 			var ops []TxnOp
 			var marks []Mark
 			for i, ms := range bins {
@@ -433,60 +440,39 @@
 	})
 }
 
-// bins divides machines so that their records are about equally long.
-func (c *Core) bins(ms []*machine, n int) [][]*machine {
-	length := func(m *machine) int { return 40 + 16*len(m.assigns) }
-	rest := 0
-	for _, m := range ms {
-		rest += length(m)
-	}
-	out := make([][]*machine, n)
-	i, sum := 0, 0
-	for k, m := range ms {
-		if i < n-1 && len(out[i]) > 0 && (sum+length(m)/2 > rest/(n-i) || len(ms)-k <= n-1-i) {
-			rest -= sum
-			i, sum = i+1, 0
-		}
-		out[i] = append(out[i], m)
-		sum += length(m)
-	}
-	return out[:i+1]
-}
-
 // tidyGroups keeps records well under the value limit, and few: every group
 // with a change costs a put.
 func (c *Core) tidyGroups(p *part) {
+	limit := c.valueLimit()
 	var small []*group
 	for _, id := range sortedKeys(c.groups) {
 		g := c.groups[id]
 		if g.part != p.id || g.sent || g.offer != nil || len(g.ms) == 0 {
 			continue
 		}
-		if size := g.size + g.added; size > c.cfg.ValueBytes*4/5 && len(g.ms) > 1 {
+		if size := g.length(); limit.TooLong(size) && len(g.ms) > 1 {
 			c.splitGroup(p, g)
-		} else if size < c.cfg.ValueBytes*3/5 {
+		} else if limit.Short(size) {
 			small = append(small, g)
 		}
 	}
-	sort.SliceStable(small, func(i, k int) bool { return small[i].size+small[i].added < small[k].size+small[k].added })
-	size, n := 0, 0
-	var move []*machine
-	var into *group
+	sort.SliceStable(small, func(i, k int) bool { return small[i].length() < small[k].length() })
+	sizes := make([]grouprecord.Size, len(small))
 	for i, g := range small {
-		size, n = size+g.size+g.added, n+len(g.ms)
-		if size > c.cfg.ValueBytes*7/10 || n > 2*c.groupMachines() || i == c.cfg.TxnOps-1 {
-			break
-		}
-		if into != nil {
-			move = append(move, into.list()...)
-		}
-		into = g // the largest of them stays
+		sizes[i] = grouprecord.Size{Bytes: g.length(), Machines: len(g.ms)}
 	}
-	if len(move) > 0 {
-		// With the starts: most of these groups have a write waiting, which this
-		// one makes needless, and each less saves a put per wave from now on.
-		c.regroup(p, move, into, prioStart, func(*group) {})
+	n := limit.Joinable(sizes, c.cfg.TxnOps)
+	if n < 2 {
+		return
+	}
+	into := small[n-1] // the largest of them stays
+	var move []*machine
+	for _, g := range small[:n-1] {
+		move = append(move, g.list()...)
 	}
+	// With the starts: most of these groups have a write waiting, which this
+	// one makes needless, and each less saves a put per wave from now on.
+	c.regroup(p, move, into, prioStart, func(*group) {})
 }
 
 // checkGroup follows a conflict on a group's record, or a worker that has seen
@@ -505,12 +491,12 @@
 		switch r.Out {
 		case Missing:
 		case OK:
-			part, _, err := decodeGroup(r.KV.Value)
+			rec, err := grouprecord.Decode(r.KV.Value)
 			if err != nil {
 				c.broken(c.parts[g.part], g.key(), err.Error())
 				return
 			}
-			if part == g.part {
+			if rec.Part == g.part {
 				if r.KV.Mark > g.mark && !g.w {
 					c.suspect(c.parts[g.part], g.key(), "changed by another writer")
 					return
@@ -527,7 +513,7 @@
 				c.writeGroup(g, prioStart)
 				return
 			}
-			to = part
+			to = rec.Part
 		default:
 			c.after(second, func() {
 				if c.groups[g.id] == g {
@@ -567,7 +553,8 @@
 // learnGroup takes a group's record over from an earlier holder.
 func (c *Core) learnGroup(kv KV, p *part) {
 	id := strings.TrimPrefix(kv.Key, "groups/")
-	part, ms, err := decodeGroup(kv.Value)
+	rec, err := grouprecord.Decode(kv.Value)
+	part, ms := rec.Part, rec.Machines
 	if err != nil || part < 0 || int(part) >= len(c.parts) {
 		// Whose it is may be unreadable too; then each part that is taken over
 		// clears it, and the first to do so is enough.
@@ -595,7 +582,7 @@
 	for i := range ms {
 		// The same by machine: another part held here may have taken the group
 		// and joined it with others since it was read. The later write counts.
-		if x := c.machines[ms[i].id]; x != nil && x.part != p.id {
+		if x := c.machines[ms[i].ID]; x != nil && x.part != p.id {
 			if uint64(x.token) > uint64(kv.Mark) {
 				return
 			}
@@ -606,12 +593,12 @@
 	g.size = len(kv.Value)
 	for _, l := range ms {
 		// The claim is later than every move of a machine of the part.
-		m := c.machines[l.id]
+		m := c.machines[l.ID]
 		if m == nil { // else listed twice: whatever either lists counts
 			m = c.addMachine(g, l, Token(p.claim))
 		}
-		m.returning, m.returned = m.returning || l.returned, m.returned || l.returned
-		for _, t := range l.tasks {
+		m.returning, m.returned = m.returning || l.Returned, m.returned || l.Returned
+		for _, t := range l.Tasks {
 			if why := c.learnTask(m, t, p); why != "" {
 				c.setAside(p, kv, why)
 				return
@@ -668,9 +655,9 @@
 
 // learnTask takes in a task that an earlier holder's record lists. It returns
 // what makes no sense about it.
-func (c *Core) learnTask(m *machine, t listedTask, p *part) string {
+func (c *Core) learnTask(m *machine, t grouprecord.Task, p *part) string {
 	m.stored++
-	jid := t.task.Job
+	jid := t.ID.Job
 	j := c.jobs[jid]
 	if j == nil {
 		k := c.known[jid]
@@ -685,22 +672,22 @@
 			return "" // done: what the worker still shows is reaped
 		}
 	}
-	if t.task.Index >= len(j.state) {
+	if t.ID.Index >= len(j.state) {
 		return "lists a task beyond its job"
 	}
-	if j.state[t.task.Index] >= tDone {
+	if j.state[t.ID.Index] >= tDone {
 		return ""
 	}
-	a := &assign{task: t.task, mach: m.id, j: j, attempt: t.attempt, phase: aDoubt, need: j.spec.Need, stop: j.final != ""}
+	a := &assign{task: t.ID, mach: m.id, j: j, attempt: t.Attempt, phase: aDoubt, need: j.spec.Need, stop: j.final != ""}
 	m.addAssign(a)
-	if j.state[t.task.Index] == tPending {
-		j.setPlaced(t.task.Index, a)
+	if j.state[t.ID.Index] == tPending {
+		j.setPlaced(t.ID.Index, a)
 	}
 	return ""
 }
 
-func (c *Core) noteOwners(part Part, ms []listedMachine) {
+func (c *Core) noteOwners(part Part, ms []grouprecord.Machine) {
 	for i := range ms {
-		c.owners[ms[i].id] = ownerNote{part, c.now}
+		c.owners[ms[i].ID] = ownerNote{part, c.now}
 	}
 }
--- a/internal/core/guards_test.go
+++ b/internal/core/guards_test.go
@@ -4,6 +4,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"stairrelay/internal/grouprecord"
 )
 
 // TestPauses: however often a part has changed hands or its records made no
@@ -65,9 +67,9 @@
 		for _, p := range c.parts {
 			p.held, p.claim = true, 30
 		}
-		l := listedMachine{id: "m-1", kind: groupKind{Type: "s", Zone: "a"}}
+		l := grouprecord.Machine{ID: "m-1", Kind: grouprecord.Kind{Type: "s", Zone: "a"}}
 		c.addMachine(c.newGroup(c.parts[0], "joined", 50), l, 50) // taken at revision 50
-		c.learnGroup(KV{Key: "groups/old", Value: encodeGroup(1, []listedMachine{l}, "n"), Mark: mark}, c.parts[1])
+		c.learnGroup(KV{Key: "groups/old", Value: grouprecord.Encode(grouprecord.Record{Part: 1, Machines: []grouprecord.Machine{l}, Nonce: "n"}), Mark: mark}, c.parts[1])
 		m := c.machines["m-1"]
 		if m == nil || m.part != want || len(c.parts[0].ms)+len(c.parts[1].ms) != 1 {
 			t.Errorf("read at %d: the parts hold %d and %d machines, want one in part %d", mark, len(c.parts[0].ms), len(c.parts[1].ms), want)
@@ -83,7 +85,8 @@
 	c := New(Config{Self: "n0", Nodes: []NodeID{"n0"}, ValueBytes: 4096, TxnOps: 12, Tuning: DefaultTuning()})
 	p := c.parts[0]
 	v, s := c.snap(0, nil, "n-1")
-	part, ms, err := decodeGroup(v)
+	rec, err := grouprecord.Decode(v)
+	part, ms := rec.Part, rec.Machines
 	if v == nil || err != nil || part != 0 || len(ms) != 0 || nonceOf(v) != "n-1" || len(s.ms) != 0 {
 		t.Fatalf("an emptied group is written as %q: %v", v, err)
 	}
@@ -113,15 +116,15 @@
 	for _, watched := range []Outcome{OK, NotDone} {
 		c := New(Config{Self: "n0", Nodes: []NodeID{"n0"}, StoreRPS: 100, WriteRPS: 100, ValueBytes: 4096, TxnOps: 12, Tuning: DefaultTuning()})
 		record := func(key string, ids ...MachineID) KV {
-			var ms []listedMachine
+			var ms []grouprecord.Machine
 			for _, id := range ids {
-				ms = append(ms, listedMachine{id: id, kind: groupKind{"small", "a", false}})
+				ms = append(ms, grouprecord.Machine{ID: id, Kind: grouprecord.Kind{Type: "small", Zone: "a", Spot: false}})
 			}
-			return KV{Key: "groups/" + key, Value: encodeGroup(0, ms, "w"), Mark: 7}
+			return KV{Key: "groups/" + key, Value: grouprecord.Encode(grouprecord.Record{Part: 0, Machines: ms, Nonce: "w"}), Mark: 7}
 		}
 		asked, ended := false, false
 		var got map[MachineID]bool
-		c.readOwners(func(_ map[groupKind]bool, listed map[MachineID]bool) { ended, got = true, listed })
+		c.readOwners(func(_ map[grouprecord.Kind]bool, listed map[MachineID]bool) { ended, got = true, listed })
 		for i := 0; i < len(c.out); i++ {
 			switch f := c.out[i].(type) {
 			case StoreList:
@@ -161,7 +164,7 @@
 	g := c.newGroup(p, "g", 1)
 	var ms []*machine
 	for _, id := range []MachineID{"m-1", "m-2", "m-3"} {
-		m := c.addMachine(g, listedMachine{id: id, kind: groupKind{"small", "a", false}, addr: "x"}, 5)
+		m := c.addMachine(g, grouprecord.Machine{ID: id, Kind: grouprecord.Kind{Type: "small", Zone: "a", Spot: false}, Address: "x"}, 5)
 		m.idleSince = 1000 * second // not what this is about
 		ms = append(ms, m)
 	}
@@ -254,7 +257,7 @@
 			Teams: []Team{{Name: "red", Limit: Res{CPU: 100_000_000}}}, Tuning: DefaultTuning()})
 		c.types["small"] = MachineType{Name: "small", Cap: Res{CPU: 4_000_000, Mem: 16_000_000}, Zones: []string{"a"}}
 		p := c.parts[0]
-		m := c.addMachine(c.newGroup(p, "g", 1), listedMachine{id: "m-1", kind: groupKind{"small", "a", false}}, 5)
+		m := c.addMachine(c.newGroup(p, "g", 1), grouprecord.Machine{ID: "m-1", Kind: grouprecord.Kind{Type: "small", Zone: "a", Spot: false}}, 5)
 		m.acked = true
 		c.wall = 1_000_000
 		at := c.wall - 1000
@@ -292,7 +295,7 @@
 	}
 	var ms []*machine
 	for i, id := range []MachineID{"busy", "idle"} {
-		m := c.addMachine(g, listedMachine{id: id, kind: groupKind{"small", "a", false}, addr: string(id)}, 5)
+		m := c.addMachine(g, grouprecord.Machine{ID: id, Kind: grouprecord.Kind{Type: "small", Zone: "a", Spot: false}, Address: string(id)}, 5)
 		m.acked = true
 		put(m, i, aReady)
 		ms = append(ms, m)
@@ -376,7 +379,7 @@
 		p := c.parts[0]
 		p.held, p.ready = true, true
 		g := c.newGroup(p, "g", 1)
-		m := c.addMachine(g, listedMachine{id: "m-1", kind: groupKind{"small", "a", false}}, 5)
+		m := c.addMachine(g, grouprecord.Machine{ID: "m-1", Kind: grouprecord.Kind{Type: "small", Zone: "a", Spot: false}}, 5)
 		for c.now < 8*second {
 			c.lastReport = c.now
 			if !x.silent {
--- a/internal/core/holes_test.go
+++ b/internal/core/holes_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"testing"
+
+	"stairrelay/internal/grouprecord"
 )
 
 // TestLateCopyAfterDrop: a group that one part made and another took and
@@ -11,7 +13,7 @@
 func TestLateCopyAfterDrop(t *testing.T) {
 	b := newBench()
 	p, q := b.parts[0], b.parts[1]
-	b.enlist(p, []listedMachine{{id: "m-1", kind: groupKind{"small", "a", false}, addr: "m-1"}}, func() {})
+	b.enlist(p, []grouprecord.Machine{{ID: "m-1", Kind: grouprecord.Kind{Type: "small", Zone: "a", Spot: false}, Address: "m-1"}}, func() {})
 	b.play(100 * milli)
 	if len(b.txns) == 0 || len(b.groups) != 1 {
 		t.Fatalf("%d transactions, %d groups", len(b.txns), len(b.groups))
--- a/internal/core/limits_test.go
+++ b/internal/core/limits_test.go
@@ -7,6 +7,8 @@
 	"slices"
 	"strconv"
 	"testing"
+
+	"stairrelay/internal/grouprecord"
 )
 
 // Limits of the store that are lower than those under which a record grew.
@@ -108,7 +110,7 @@
 	g := b.newGroup(b.parts[0], name, 0)
 	for i := range machines {
 		id := MachineID(fmt.Sprintf("m-%s-%04d", name, i))
-		m := b.addMachine(g, listedMachine{id: id, kind: groupKind{"small", "a", false}, addr: string(id)}, 31)
+		m := b.addMachine(g, grouprecord.Machine{ID: id, Kind: grouprecord.Kind{Type: "small", Zone: "a", Spot: false}, Address: string(id)}, 31)
 		m.acked, m.session, m.stamp, m.heard = true, 1, 1, b.now
 		for k := range tasks {
 			n := from + (k*machines+i)*2
@@ -129,12 +131,13 @@
 	t.Helper()
 	n, longest := map[MachineID]int{}, 0
 	for _, kv := range b.store.list("groups/", 0) {
-		part, ms, err := decodeGroup(kv.Value)
+		rec, err := grouprecord.Decode(kv.Value)
+		part, ms := rec.Part, rec.Machines
 		if err != nil || part != 0 {
 			t.Fatalf("%s: part %d, %v", kv.Key, part, err)
 		}
 		for _, m := range ms {
-			n[m.id]++
+			n[m.ID]++
 		}
 		longest = max(longest, len(kv.Value))
 	}
@@ -266,7 +269,7 @@
 		b.store.keys[p.key()] = KV{p.key(), []byte(`{"holder":"n0","term":1,"w":"b0-1"}`), 30}
 	}
 	for i := range 6 {
-		kv := KV{fmt.Sprintf("groups/b9-7-%d", i), encodeGroup(0, nil, "x"), Mark(10 + i)}
+		kv := KV{fmt.Sprintf("groups/b9-7-%d", i), grouprecord.Encode(grouprecord.Record{Part: 0, Machines: nil, Nonce: "x"}), Mark(10 + i)}
 		b.store.keys[kv.Key] = kv
 		b.dropEmpty(b.parts[0], kv)
 	}
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"sort"
+
+	"stairrelay/internal/grouprecord"
 )
 
 // Phases of a task on a machine. The machine's stored record lists every task
@@ -111,9 +113,17 @@
 	retire       bool // as before, but only because it costs more than others
 }
 
-func (c *Core) addMachine(g *group, l listedMachine, token Token) *machine {
-	m := &machine{id: l.id, part: g.part, g: g, addr: l.addr, typ: l.kind.Type, zone: l.kind.Zone, spot: l.kind.Spot, token: token,
-		since: c.now, heard: c.now, idleSince: c.now, unackedAt: c.now, booting: l.booting,
+// kind is what the machine has in common with others of its rental.
+func (m *machine) kind() grouprecord.Kind {
+	return grouprecord.Kind{Type: m.typ, Zone: m.zone, Spot: m.spot}
+}
+
+// tasks is how many tasks the machine's record lists.
+func (m *machine) tasks() int { return len(m.assigns) }
+
+func (c *Core) addMachine(g *group, l grouprecord.Machine, token Token) *machine {
+	m := &machine{id: l.ID, part: g.part, g: g, addr: l.Address, typ: l.Kind.Type, zone: l.Kind.Zone, spot: l.Kind.Spot, token: token,
+		since: c.now, heard: c.now, idleSince: c.now, unackedAt: c.now, booting: l.Booting,
 		assigns: map[TaskID]*assign{}, reap: map[start]bool{}, kill: map[start]bool{}, failedJobs: map[JobID]bool{}}
 	if old := c.machines[m.id]; old != nil { // never two pictures of one machine
 		c.removeMachine(old)
--- a/internal/core/meeting_guards_test.go
+++ b/internal/core/meeting_guards_test.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strings"
 	"testing"
+
+	"stairrelay/internal/grouprecord"
 )
 
 // Guards of the meetings of docs/meetings.md, each by itself.
@@ -121,7 +123,7 @@
 
 // running is a machine that runs the first task of a job.
 func (b *bench) running(j *job) (*machine, *assign) {
-	m := b.addMachine(b.newGroup(b.parts[0], "g", 31), listedMachine{id: "m-1", kind: groupKind{"small", "a", false}, addr: "m-1"}, 31)
+	m := b.addMachine(b.newGroup(b.parts[0], "g", 31), grouprecord.Machine{ID: "m-1", Kind: grouprecord.Kind{Type: "small", Zone: "a", Spot: false}, Address: "m-1"}, 31)
 	m.acked, m.session, m.stamp, m.heard = true, 1, 1, b.now
 	a := &assign{task: TaskID{Job: j.spec.ID, Index: 0}, j: j, need: j.spec.Need, mach: m.id, attempt: 7, phase: aSeen, state: Running}
 	m.addAssign(a)
@@ -425,8 +427,8 @@
 		b := newBench()
 		p := b.parts[0]
 		b.learnJob(KV{"jobs/j-1", []byte(`{"st":"cancelled","tm":"red","n":2,"r":{"CPU":3000000,"GPU":0,"Mem":1},"w":"b9-1"}`), 20}, p)
-		l := listedMachine{id: "m-1", kind: groupKind{"small", "a", false}, addr: "m-1", tasks: []listedTask{{TaskID{Job: "j-1", Index: 0}, 7}}}
-		b.learnGroup(KV{"groups/g", encodeGroup(0, []listedMachine{l}, "b9-2"), 25}, p)
+		l := grouprecord.Machine{ID: "m-1", Kind: grouprecord.Kind{Type: "small", Zone: "a", Spot: false}, Address: "m-1", Tasks: []grouprecord.Task{{ID: TaskID{Job: "j-1", Index: 0}, Attempt: 7}}}
+		b.learnGroup(KV{"groups/g", grouprecord.Encode(grouprecord.Record{Part: 0, Machines: []grouprecord.Machine{l}, Nonce: "b9-2"}), 25}, p)
 		m := b.machines["m-1"]
 		r := Report{Machine: "m-1", Addr: "m-1", Session: 1, Stamp: 5, Token: 12, Notice: -1} // an old one, without the task
 		want := Amount(3_000_000)
--- a/internal/core/moves.go
+++ b/internal/core/moves.go
@@ -3,6 +3,8 @@
 import (
 	"sort"
 	"strings"
+
+	"stairrelay/internal/grouprecord"
 )
 
 // Idle machines move between parts by groups: one part offers, the other takes.
@@ -30,10 +32,10 @@
 		if g.offer == nil || g.w {
 			continue
 		}
-		n := map[groupKind]int{}
-		var kinds []groupKind
+		n := map[grouprecord.Kind]int{}
+		var kinds []grouprecord.Kind
 		for _, m := range g.list() {
-			k := groupKind{m.typ, m.zone, m.spot}
+			k := m.kind()
 			if n[k] == 0 {
 				kinds = append(kinds, k)
 			}
@@ -176,12 +178,13 @@
 		if r.Out != OK || r.KV.Mark != mark || !p.held || p.claim != claim {
 			return
 		}
-		part, ms, err := decodeGroup(r.KV.Value)
+		rec, err := grouprecord.Decode(r.KV.Value)
+		part, ms := rec.Part, rec.Machines
 		if err != nil || part == p.id || len(ms) == 0 {
 			return
 		}
 		for _, m := range ms {
-			if len(m.tasks) > 0 || m.returned {
+			if len(m.Tasks) > 0 || m.Returned {
 				return
 			}
 		}
@@ -200,7 +203,7 @@
 		c.w.add(prioRent, &write{
 			part: p.id, keys: []string{key},
 			build: func(nonce string) ([]TxnOp, []Mark) {
-				v := encodeGroup(p.id, ms, nonce)
+				v := grouprecord.Encode(grouprecord.Record{Part: p.id, Machines: ms, Nonce: nonce})
 				size = len(v)
 				return []TxnOp{{key, v}}, []Mark{mark}
 			},
@@ -211,7 +214,7 @@
 				g := c.newGroup(p, id, Mark(e))
 				g.size = size
 				for _, l := range ms {
-					if c.machines[l.id] == nil {
+					if c.machines[l.ID] == nil {
 						c.addMachine(g, l, Token(e))
 					}
 				}
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -4,6 +4,9 @@
 	"encoding/json"
 	"strconv"
 	"strings"
+
+	"stairrelay/internal/grouprecord"
+	"stairrelay/internal/model"
 )
 
 // part is a set of teams and some machines with one owner at a time.
@@ -34,7 +37,7 @@
 	order      []*job        // js as they are served, as of orderAt; nil: to be worked out
 	owed       map[*job]bool // those within their team's guarantee, as of then
 	orderAt    Time
-	toEnlist   []listedMachine
+	toEnlist   []grouprecord.Machine
 	offerAfter Time
 	preemptAt  Time
 	unanswered int  // machines taken over that have not acknowledged this claim's token
@@ -87,7 +90,7 @@
 
 func (p *part) nextAttempt() Attempt {
 	p.attempts++
-	return Attempt(uint64(p.claim)<<20 | p.attempts)
+	return model.MakeAttempt(uint64(p.claim), p.attempts)
 }
 
 // loadParts reads who holds what and then follows the changes.
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"stairrelay/internal/grouprecord"
 )
 
 // classStats is what is learned of a class: estimates are often wrong the
@@ -347,9 +349,9 @@
 
 // slots lists the machines with room, and their kinds: what a job may use is
 // decided once for all machines of a kind.
-func (c *Core) slots(p *part, least Amount) ([]slot, []groupKind) {
+func (c *Core) slots(p *part, least Amount) ([]slot, []grouprecord.Kind) {
 	var l []slot
-	var kinds []groupKind
+	var kinds []grouprecord.Kind
 	for _, m := range p.ms {
 		if m.yield && !m.retire || !c.usable(m) || m.g.offer != nil {
 			continue
@@ -371,7 +373,7 @@
 		if s.free.CPU < least {
 			continue
 		}
-		k := groupKind{m.typ, m.zone, m.spot}
+		k := m.kind()
 		for i := range kinds {
 			if kinds[i] == k {
 				s.kind = i
@@ -476,7 +478,7 @@
 
 // placeJob starts up to n tasks of a job: on machines that have its image,
 // else are getting it, else have most free room.
-func (c *Core) placeJob(p *part, j *job, slots []slot, kinds []groupKind, use map[string]Res, kept Res, n int) {
+func (c *Core) placeJob(p *part, j *job, slots []slot, kinds []grouprecord.Kind, use map[string]Res, kept Res, n int) {
 	allowed := make([]bool, len(kinds))
 	any := false
 	for i, k := range kinds {
@@ -556,16 +558,17 @@
 // listedBytes is about how much longer a record gets by a task: one that follows
 // on the task placed before on the same machine only widens its range.
 func listedBytes(j *job, m *machine, t, last TaskID) int {
-	if last.Job == t.Job && last.Index+1 == t.Index {
-		return 1
-	}
-	n := 16
-	for a := range j.on {
-		if a.mach == m.id && a.task != t {
-			return n
+	continues := last.Job == t.Job && last.Index+1 == t.Index
+	jobListed := false
+	if !continues {
+		for a := range j.on {
+			if a.mach == m.id && a.task != t {
+				jobListed = true
+				break
+			}
 		}
 	}
-	return n + len(t.Job) + 3
+	return grouprecord.AddedBytes(t.Job, continues, jobListed)
 }
 
 // stake is what a job's tasks must expect to lose on spot machines, in seconds:
--- a/internal/core/production_test.go
+++ b/internal/core/production_test.go
@@ -8,6 +8,8 @@
 	"regexp"
 	"strings"
 	"testing"
+
+	"stairrelay/internal/grouprecord"
 )
 
 // Records of the version in production (deploy/service.toml), as its own code
@@ -74,7 +76,7 @@
 	m1, m2, m3 := b.machines["m-000001"], b.machines["m-000002"], b.machines["m-000003"]
 	if m1 == nil || m2 == nil || m3 == nil || len(m1.assigns) != 3 || m1.addr != "10.1.0.232:9000" || !m1.spot || m1.zone != "a" || !m2.booting || !m3.returned || len(m3.assigns) != 1 {
 		t.Errorf("machines %+v, %+v, %+v", m1, m2, m3)
-	} else if a := m1.assigns[TaskID{Job: "j-000412", Index: 4}]; a == nil || a.attempt != 30<<attemptBits|2 {
+	} else if a := m1.assigns[TaskID{Job: "j-000412", Index: 4}]; a == nil || a.attempt != 30<<20|2 {
 		t.Errorf("task 4 is listed as %+v", a)
 	}
 	var r rentalRecord
@@ -117,11 +119,11 @@
 		case key == "types":
 			rec = &typesRecord{}
 		case strings.HasPrefix(key, "groups/"):
-			part, ms, err := decodeGroup(old)
+			group, err := grouprecord.Decode(old)
 			if err != nil {
 				t.Fatal(err)
 			}
-			if v := encodeGroup(part, ms, nonceOf(old)); !bytes.Equal(v, old) {
+			if v := grouprecord.Encode(group); !bytes.Equal(v, old) {
 				t.Errorf("%s: wrote %s, was %s", key, v, old)
 			}
 			continue
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -5,6 +5,8 @@
 	"sort"
 	"strconv"
 	"strings"
+
+	"stairrelay/internal/grouprecord"
 )
 
 // rentOption is something that the cloud may have.
@@ -395,9 +397,10 @@
 	if id == "" { // of an earlier claim, whose copies this one has fenced
 		id = c.groupName(p)
 	}
-	ms := make([]listedMachine, 0, len(ids))
+	kind := grouprecord.Kind{Type: r.opt.Type, Zone: r.opt.Zone, Spot: r.opt.Spot}
+	ms := make([]grouprecord.Machine, 0, len(ids))
 	for _, m := range ids {
-		ms = append(ms, listedMachine{id: m, kind: groupKind{r.opt.Type, r.opt.Zone, r.opt.Spot}, booting: true})
+		ms = append(ms, grouprecord.Machine{ID: m, Kind: kind, Booting: true})
 	}
 	keys, prio := []string{rentalKey(r.name)}, prioLazy
 	// A refused one gets no machines, but where a copy of its creation may come
@@ -414,7 +417,7 @@
 		build: func(nonce string) ([]TxnOp, []Mark) {
 			ops, marks := []TxnOp{{rentalKey(r.name), nil}}, []Mark{r.mark}
 			if made {
-				v := encodeGroup(p.id, ms, nonce)
+				v := grouprecord.Encode(grouprecord.Record{Part: p.id, Machines: ms, Nonce: nonce})
 				size = len(v)
 				ops, marks = append(ops, TxnOp{"groups/" + id, v}), append(marks, 0)
 			}
--- a/internal/core/seven_test.go
+++ b/internal/core/seven_test.go
@@ -1,6 +1,10 @@
 package core
 
-import "testing"
+import (
+	"testing"
+
+	"stairrelay/internal/grouprecord"
+)
 
 // TestCloudRateByNeed: where one of seven controllers has all the work it gets
 // most of the cloud's rate, the idle ones keep enough to begin with, and
@@ -119,7 +123,7 @@
 				reads++
 				r := ListReply{Out: OK}
 				if f.Prefix == "groups/" && owned {
-					r.Items = []KV{{Key: "groups/x", Value: encodeGroup(3, []listedMachine{{id: "m-000007", kind: groupKind{"small", "a", false}}}, "n")}}
+					r.Items = []KV{{Key: "groups/x", Value: grouprecord.Encode(grouprecord.Record{Part: 3, Machines: []grouprecord.Machine{{ID: "m-000007", Kind: grouprecord.Kind{Type: "small", Zone: "a", Spot: false}}}, Nonce: "n"})}}
 				}
 				queue = append(queue, c.Step(c.now, 0, Reply{Call: f.Call, Body: r})...)
 			case Log:
@@ -145,7 +149,7 @@
 	p.held, p.ready = true, true
 	g := c.newGroup(p, "g", 1)
 	for i := range manyMachines {
-		m := c.addMachine(g, listedMachine{id: MachineID(rune('a' + i)), kind: groupKind{"small", "a", false}}, 5)
+		m := c.addMachine(g, grouprecord.Machine{ID: MachineID(rune('a' + i)), Kind: grouprecord.Kind{Type: "small", Zone: "a", Spot: false}}, 5)
 		m.since = 0
 	}
 	c.awakeAt = 0 // the step to 30 s was no standstill
--- a/internal/core/strays.go
+++ b/internal/core/strays.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"slices"
 	"strconv"
+
+	"stairrelay/internal/grouprecord"
 )
 
 // Machines that no record of ours lists: somebody else's, or nobody's yet.
@@ -42,7 +44,7 @@
 	c.after(max(50*milli, c.foundAt+500*milli-c.now), func() {
 		ask := c.strange
 		c.strange, c.foundAt = nil, c.now
-		end := func(open map[groupKind]bool, listed map[MachineID]bool) {
+		end := func(open map[grouprecord.Kind]bool, listed map[MachineID]bool) {
 			c.finding = false
 			c.foundAt = c.now
 			c.settleStrange(ask, open, listed)
@@ -54,20 +56,20 @@
 
 // readOwners calls fn with the kinds of the open rentals and all machines that
 // groups list; with nil when the store doesn't answer.
-func (c *Core) readOwners(fn func(open map[groupKind]bool, listed map[MachineID]bool)) {
+func (c *Core) readOwners(fn func(open map[grouprecord.Kind]bool, listed map[MachineID]bool)) {
 	c.list("rentals/", func(r ListReply) {
 		if r.Out != OK {
 			fn(nil, nil)
 			return
 		}
-		open := map[groupKind]bool{}
+		open := map[grouprecord.Kind]bool{}
 		for _, kv := range r.Items {
 			var rec rentalRecord
 			if json.Unmarshal(kv.Value, &rec) != nil {
 				fn(nil, nil) // unreadable: nothing can be concluded
 				return
 			}
-			open[groupKind{rec.Type, rec.Zone, rec.Spot}] = true
+			open[grouprecord.Kind{Type: rec.Type, Zone: rec.Zone, Spot: rec.Spot}] = true
 		}
 		c.list("groups/", func(r ListReply) {
 			if r.Out != OK {
@@ -105,14 +107,15 @@
 		if kv.Value == nil {
 			continue
 		}
-		part, ms, err := decodeGroup(kv.Value)
+		rec, err := grouprecord.Decode(kv.Value)
+		part, ms := rec.Part, rec.Machines
 		if err != nil || part < 0 || int(part) >= len(c.parts) {
 			return false
 		}
 		for i := range ms {
-			listed[ms[i].id] = true
-			if c.machines[ms[i].id] == nil {
-				c.owners[ms[i].id] = ownerNote{part, c.now}
+			listed[ms[i].ID] = true
+			if c.machines[ms[i].ID] == nil {
+				c.owners[ms[i].ID] = ownerNote{part, c.now}
 			}
 		}
 	}
@@ -120,7 +123,7 @@
 }
 
 // settleStrange answers the workers whose machines were looked for.
-func (c *Core) settleStrange(ask []Checkin, open map[groupKind]bool, listed map[MachineID]bool) {
+func (c *Core) settleStrange(ask []Checkin, open map[grouprecord.Kind]bool, listed map[MachineID]bool) {
 	for _, e := range ask {
 		id, r := e.Report.Machine, &e.Report
 		switch {
@@ -142,7 +145,7 @@
 				continue
 			}
 			c.refuse(e.Req, 503, 0, "")
-			kind := groupKind{r.Type, r.Zone, r.Spot}
+			kind := grouprecord.Kind{Type: r.Type, Zone: r.Zone, Spot: r.Spot}
 			if !p.ready || open[kind] || c.inspecting[id] || r.Addr == "" {
 				continue
 			}
@@ -154,7 +157,7 @@
 					delete(c.inspecting, id)
 					return
 				}
-				c.enlistSoon(p, listedMachine{id: id, kind: kind, addr: r.Addr})
+				c.enlistSoon(p, grouprecord.Machine{ID: id, Kind: kind, Address: r.Addr})
 			})})
 		}
 	}
@@ -162,8 +165,8 @@
 
 // enlistSoon gathers what is to be enlisted within a moment. Until that is
 // stored or has failed, the machine is not enlisted a second time.
-func (c *Core) enlistSoon(p *part, l listedMachine) {
-	c.inspecting[l.id] = true
+func (c *Core) enlistSoon(p *part, l grouprecord.Machine) {
+	c.inspecting[l.ID] = true
 	p.toEnlist = append(p.toEnlist, l)
 	if len(p.toEnlist) > 1 {
 		return
@@ -177,7 +180,7 @@
 			all = all[len(ms):]
 			done := func() {
 				for _, l := range ms {
-					delete(c.inspecting, l.id)
+					delete(c.inspecting, l.ID)
 				}
 				c.machineSweep()
 			}
@@ -205,19 +208,19 @@
 
 // enlist writes machines that no record lists into a new group of a part. done
 // is called when that is stored, or has failed.
-func (c *Core) enlist(p *part, ms []listedMachine, done func()) {
+func (c *Core) enlist(p *part, ms []grouprecord.Machine, done func()) {
 	claim := p.claim
 	id := c.groupName(p)
 	size := 0
 	c.w.add(prioRent, &write{
 		part: p.id, keys: []string{"groups/" + id},
 		build: func(nonce string) ([]TxnOp, []Mark) {
-			ms = slices.DeleteFunc(ms, func(l listedMachine) bool { return c.machines[l.id] != nil })
+			ms = slices.DeleteFunc(ms, func(l grouprecord.Machine) bool { return c.machines[l.ID] != nil })
 			if len(ms) == 0 {
 				done()
 				return nil, nil
 			}
-			v := encodeGroup(p.id, ms, nonce)
+			v := grouprecord.Encode(grouprecord.Record{Part: p.id, Machines: ms, Nonce: nonce})
 			size = len(v)
 			return []TxnOp{{"groups/" + id, v}}, []Mark{0}
 		},
@@ -233,11 +236,11 @@
 }
 
 // addGroup follows the first record of machines that only this claim has owned.
-func (c *Core) addGroup(p *part, id string, ms []listedMachine, size int, e Epoch) {
+func (c *Core) addGroup(p *part, id string, ms []grouprecord.Machine, size int, e Epoch) {
 	g := c.newGroup(p, id, Mark(e))
 	g.size = size
 	for _, l := range ms {
-		if c.machines[l.id] == nil {
+		if c.machines[l.ID] == nil {
 			m := c.addMachine(g, l, Token(e))
 			m.first = m.token
 		}
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -50,6 +50,19 @@
 // Seconds returns the time in seconds.
 func (t Time) Seconds() float64 { return time.Duration(t).Seconds() }
 
+// AttemptCountBits is how many bits of an attempt count the starts under one
+// claim of a part. The bits above them are the claim.
+const AttemptCountBits = 20
+
+// MakeAttempt numbers a start under the claim that a store change made.
+func MakeAttempt(claim, count uint64) Attempt { return Attempt(claim<<AttemptCountBits | count) }
+
+// Claim returns the claim under which the attempt was numbered.
+func (a Attempt) Claim() uint64 { return uint64(a) >> AttemptCountBits }
+
+// Count returns the attempt's number among those of its claim.
+func (a Attempt) Count() uint64 { return uint64(a) & (1<<AttemptCountBits - 1) }
+
 // NoPart is for writes that no claim guards.
 const NoPart Part = -1
 
--- a/internal/model/model_test.go
+++ b/internal/model/model_test.go
@@ -34,3 +34,16 @@
 		t.Errorf("3.25 s came out as %v", s)
 	}
 }
+
+// TestAttempt: an attempt shows its claim and its number, and a later claim's
+// are higher than all of an earlier one.
+func TestAttempt(t *testing.T) {
+	const most = 1<<AttemptCountBits - 1
+	a, b := MakeAttempt(41, most), MakeAttempt(42, 0)
+	if a.Claim() != 41 || a.Count() != most || b.Claim() != 42 || b.Count() != 0 {
+		t.Errorf("%d is claim %d, count %d; %d is claim %d, count %d", a, a.Claim(), a.Count(), b, b.Claim(), b.Count())
+	}
+	if b != a+1 {
+		t.Errorf("%d doesn't follow %d", b, a)
+	}
+}
