--- a/internal/core/quick_boot_test.go
+++ b/internal/core/quick_boot_test.go
@@ -1,6 +1,10 @@
 package core
 
-import "testing"
+import (
+	"testing"
+
+	"stairrelay/internal/grouprecord"
+)
 
 // Machines that are up moments after they were rented, while writes lag.
 
@@ -68,7 +72,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			b := newBench()
 			b.job("j-1", 1)
-			b.addGroup(b.parts[0], "g", []listedMachine{{id: quickMachine, kind: groupKind{"small", "a", false}, booting: true}}, 100, 31)
+			b.addGroup(b.parts[0], "g", []grouprecord.Machine{{ID: quickMachine, Kind: grouprecord.Kind{Type: "small", Zone: "a", Spot: false}, Booting: true}}, 100, 31)
 			b.onCheckin(firstReport(quickMachine))
 			effects := flushed(b)
 			var record *StoreTxn
@@ -103,11 +107,11 @@
 	part := b.parts[0]
 	recorded := func() bool {
 		for _, kv := range b.store.list("groups/", 0) {
-			_, machines, err := decodeGroup(kv.Value)
+			record, err := grouprecord.Decode(kv.Value)
 			if err != nil {
 				t.Fatal(err)
 			}
-			if len(machines) == 1 && machines[0].id == quickMachine {
+			if len(record.Machines) == 1 && record.Machines[0].ID == quickMachine {
 				return true
 			}
 		}
