--- a/internal/core/orphans.go
+++ b/internal/core/orphans.go
@@ -242,7 +242,7 @@
 				}
 				c.machineSweep()
 			}
-			if !p.held || p.claim != claim {
+			if !p.heldUnder(claim) {
 				done()
 				continue
 			}
@@ -283,7 +283,7 @@
 			return []TxnOp{{"groups/" + id, v}}, []Mark{0}
 		},
 		ok: func(e Epoch) {
-			if p.held && p.claim == claim {
+			if p.heldUnder(claim) {
 				c.addGroup(p, id, ms, size, e)
 			}
 			done()
