--- a/internal/standin/troubles.go
+++ b/internal/standin/troubles.go
@@ -4,33 +4,33 @@
 
 // Troubles that a test may bring about.
 
-// Hang stops a machine for a while; Cut takes its network away.
-func (w *World) Hang(id core.MachineID, d core.Time) {
-	if l := w.Workers[id]; l != nil {
-		l.hang = w.Now + d
+// Hang stops a machine for a while.
+func (w *World) Hang(id core.MachineID, duration core.Time) {
+	if worker := w.Workers[id]; worker != nil {
+		worker.hang = w.Now + duration
 	}
 }
 
 // Cut takes a machine's network away for a while.
-func (w *World) Cut(id core.MachineID, d core.Time) {
-	if l := w.Workers[id]; l != nil {
-		l.cut = w.Now + d
+func (w *World) Cut(id core.MachineID, duration core.Time) {
+	if worker := w.Workers[id]; worker != nil {
+		worker.cut = w.Now + duration
 	}
 }
 
 // CutZone takes the network away from all machines of a zone.
-func (w *World) CutZone(zone string, d core.Time) {
+func (w *World) CutZone(zone string, duration core.Time) {
 	for _, id := range w.liveIDs() {
-		if l := w.Workers[id]; l.Zone == zone {
-			w.Cut(id, d)
+		if w.Workers[id].Zone == zone {
+			w.Cut(id, duration)
 		}
 	}
 }
 
-// Die stops one machine of so many, with all that is on them.
-func (w *World) Die(of int) {
+// Die ends every n-th machine, with all that is on it.
+func (w *World) Die(n int) {
 	for i, id := range w.liveIDs() {
-		if i%of == 0 {
+		if i%n == 0 {
 			w.Remove(id)
 		}
 	}
@@ -38,27 +38,26 @@
 
 // Busiest is the controller to which most workers report; nil: none is up.
 func (w *World) Busiest() *Node {
-	count := make([]int, len(w.Nodes))
+	workers := make([]int, len(w.Nodes))
 	for _, id := range w.liveIDs() {
-		count[w.Workers[id].node]++
+		workers[w.Workers[id].node]++
 	}
-	best := -1
-	for i, n := range w.Nodes {
-		if n.up && (best < 0 || count[i] > count[best]) {
-			best = i
+	var busiest *Node
+	most := -1
+	for i, node := range w.Nodes {
+		if node.up && workers[i] > most {
+			busiest = node
+			most = workers[i]
 		}
 	}
-	if best < 0 {
-		return nil
-	}
-	return w.Nodes[best]
+	return busiest
 }
 
 // Sicken makes some machines fail every task that they start.
-func (w *World) Sicken(n int, d core.Time) {
-	for range n {
-		if l := w.Workers[w.AnyMachine()]; l != nil {
-			l.Sick = w.Now + d
+func (w *World) Sicken(machines int, duration core.Time) {
+	for range machines {
+		if worker := w.Workers[w.AnyMachine()]; worker != nil {
+			worker.Sick = w.Now + duration
 		}
 	}
 }
@@ -66,20 +65,22 @@
 // Reboot ends a worker that is back at once: its tasks are gone, its next
 // session begins.
 func (w *World) Reboot(id core.MachineID) {
-	if l := w.Workers[id]; l != nil && !l.gone {
-		l.renewed = -l.Lease
-		l.Advance(w.Now)
-		w.changed(l)
+	worker := w.Workers[id]
+	if worker == nil || worker.gone {
+		return
 	}
+	worker.renewed = -worker.Lease // so long ago that the lease has run out
+	worker.Advance(w.Now)
+	w.changed(worker)
 }
 
 // SpotNotice warns a spot machine, then takes it.
-func (w *World) SpotNotice(id core.MachineID, d core.Time) {
-	l := w.Workers[id]
-	if l == nil || l.gone || !l.Spot {
+func (w *World) SpotNotice(id core.MachineID, notice core.Time) {
+	worker := w.Workers[id]
+	if worker == nil || worker.gone || !worker.Spot {
 		return
 	}
-	l.Notice = float64(d) / 1e9
-	w.changed(l)
-	w.After(d, func() { w.Remove(id) })
+	worker.Notice = float64(notice) / float64(second)
+	w.changed(worker)
+	w.After(notice, func() { w.Remove(id) })
 }
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -1,116 +1,163 @@
 package standin
 
-import "stairrelay/internal/core"
+import (
+	"net/http"
+
+	"stairrelay/internal/core"
+)
 
 // Users, and what they are told.
 
+const (
+	// userTimeout is how long a user waits for an answer.
+	userTimeout = 2 * second
+	// A user asks again after a time between these; after a job's end after this
+	// many times as long.
+	leastPollPause  = 2 * second
+	mostPollPause   = 6 * second
+	finalPollFactor = 5
+	// retryPause is the least time before a user repeats a refused request.
+	retryPause = second
+)
+
 // Told checks an answer that a user got.
-func (w *World) Told(j *Job, s core.Status) {
-	if s == core.StDone {
-		for i := range j.Spec.Tasks {
-			if !w.done[core.TaskID{Job: j.Spec.ID, Index: i}] {
-				w.broke("not_done: %s is called done before task %d is", j.Spec.ID, i)
-				return
-			}
+func (w *World) Told(job *Job, status core.Status) {
+	if status == core.StDone {
+		if index, found := w.undoneTask(job); found {
+			w.broke("not_done: %s is called done before task %d is", job.Spec.ID, index)
+			return
 		}
 	}
-	w.checkOrphan(j, s, w.Now)
-	if j.Told.Final() && s != j.Told {
-		w.broke("went_back: %s was %s, now %s", j.Spec.ID, j.Told, s)
+	w.checkOrphan(job, status, w.Now)
+	if job.Told.Final() && status != job.Told {
+		w.broke("went_back: %s was %s, now %s", job.Spec.ID, job.Told, status)
 	}
-	if s == core.StCancelled {
-		if !w.mayBeCancelled(j) {
-			w.broke("went_back: %s called cancelled unasked", j.Spec.ID)
-		}
-		if j.CancelTold == 0 {
-			j.CancelTold = w.Now
+	if status == core.StCancelled {
+		w.toldCancelled(job)
+	}
+	ended := status.Final() && !job.Told.Final()
+	job.Told = status
+	if ended {
+		job.finalAt = w.Now
+		w.lookClosely(job)
+	}
+}
+
+// undoneTask finds a task of a job that is not done.
+func (w *World) undoneTask(job *Job) (int, bool) {
+	for index := range job.Spec.Tasks {
+		if !w.done[core.TaskID{Job: job.Spec.ID, Index: index}] {
+			return index, true
 		}
 	}
-	news := s.Final() && !j.Told.Final()
-	if news {
-		j.finalAt = w.Now
+	return 0, false
+}
+
+func (w *World) toldCancelled(job *Job) {
+	if !w.mayBeCancelled(job) {
+		w.broke("went_back: %s called cancelled unasked", job.Spec.ID)
 	}
-	j.Told = s
-	if news {
-		w.lookClosely(j)
+	if job.CancelTold == 0 {
+		job.CancelTold = w.Now
 	}
 }
 
 // Submit hands in a job until it is accepted.
-func (w *World) Submit(j *Job) {
-	w.Jobs[j.Spec.ID] = j
-	j.Submitted = w.Now
-	w.resubmit(j)
+func (w *World) Submit(job *Job) {
+	w.Jobs[job.Spec.ID] = job
+	job.Submitted = w.Now
+	w.resubmit(job)
 }
 
-func (w *World) resubmit(j *Job) {
+func (w *World) resubmit(job *Job) {
 	asked := w.Now
-	w.Ask(w.any(), func(id core.ReqID) core.Event { return core.Submit{Req: id, Job: j.Spec} }, func(r core.Respond) {
-		switch r.Status {
-		case 200, 201:
-			first := !j.Accepted
-			j.Accepted, j.answeredAt = true, w.Now
-			if asked >= j.finalAt {
-				w.Told(j, r.View.Status)
-			}
-			if first {
-				w.lookClosely(j)
-			}
-			w.poll(j)
-		case 400, 422:
-			w.broke("%s refused with %d", j.Spec.ID, r.Status)
+	submit := func(id core.ReqID) core.Event { return core.Submit{Req: id, Job: job.Spec} }
+	w.Ask(w.any(), submit, func(answer core.Respond) {
+		switch answer.Status {
+		case http.StatusOK, http.StatusCreated:
+			w.accepted(job, asked, answer.View.Status)
+		case http.StatusBadRequest, http.StatusUnprocessableEntity:
+			w.broke("%s refused with %d", job.Spec.ID, answer.Status)
 		default:
-			w.After(max(second, core.Time(r.RetryAfter)*second), func() { w.resubmit(j) })
+			pause := max(retryPause, core.Time(answer.RetryAfter)*second)
+			w.After(pause, func() { w.resubmit(job) })
 		}
 	})
 }
 
+// accepted takes in the answer to a submission that was made at a time.
+func (w *World) accepted(job *Job, asked core.Time, status core.Status) {
+	first := !job.Accepted
+	job.Accepted = true
+	job.answeredAt = w.Now
+	if asked >= job.finalAt {
+		w.Told(job, status)
+	}
+	if first {
+		w.lookClosely(job)
+	}
+	w.poll(job)
+}
+
+// any draws a controller.
 func (w *World) any() *Node { return w.Nodes[w.Rand.IntN(len(w.Nodes))] }
 
-func (w *World) poll(j *Job) {
-	pause := w.Between(2*second, 6*second)
-	if j.Told.Final() {
-		pause *= 5
+// poll asks for a job's state again and again.
+func (w *World) poll(job *Job) {
+	pause := w.Between(leastPollPause, mostPollPause)
+	if job.Told.Final() {
+		pause *= finalPollFactor
 	}
 	w.After(pause, func() {
 		asked := w.Now
-		w.Ask(w.any(), func(id core.ReqID) core.Event { return core.Query{Req: id, ID: j.Spec.ID} }, func(r core.Respond) {
-			if r.Status == 200 && w.Now-asked <= 2*second {
-				j.answeredAt = w.Now
-			}
-			switch {
-			case w.Now-asked > 2*second: // the user has given up
-			case r.Status == 200 && asked < j.finalAt: // may have been answered before the end was
-			case r.Status == 200:
-				w.Told(j, r.View.Status)
-			case r.Status == 404:
-				w.broke("forgotten: %s", j.Spec.ID)
-			}
-			w.poll(j)
+		query := func(id core.ReqID) core.Event { return core.Query{Req: id, ID: job.Spec.ID} }
+		w.Ask(w.any(), query, func(answer core.Respond) {
+			w.polled(job, asked, answer)
+			w.poll(job)
 		})
 	})
 }
 
+// polled takes in the answer to a question that was asked at a time, unless
+// its user has given up.
+func (w *World) polled(job *Job, asked core.Time, answer core.Respond) {
+	if w.Now-asked > userTimeout {
+		return
+	}
+	switch answer.Status {
+	case http.StatusOK:
+		job.answeredAt = w.Now
+		// An earlier question may have been answered before the end was.
+		if asked >= job.finalAt {
+			w.Told(job, answer.View.Status)
+		}
+	case http.StatusNotFound:
+		w.broke("forgotten: %s", job.Spec.ID)
+	}
+}
+
 // Cancel asks until it is answered.
-func (w *World) Cancel(j *Job) {
-	j.AskedCancel = true
-	accepted := j.Accepted
-	w.Ask(w.any(), func(id core.ReqID) core.Event { return core.Cancel{Req: id, ID: j.Spec.ID} }, func(r core.Respond) {
+func (w *World) Cancel(job *Job) {
+	job.AskedCancel = true
+	accepted := job.Accepted
+	cancel := func(id core.ReqID) core.Event { return core.Cancel{Req: id, ID: job.Spec.ID} }
+	w.Ask(w.any(), cancel, func(answer core.Respond) {
 		switch {
-		case r.Status == 200:
-			w.Told(j, r.View.Status)
-		case r.Status == 404 && accepted:
-			w.broke("forgotten: %s at its cancellation", j.Spec.ID)
+		case answer.Status == http.StatusOK:
+			w.Told(job, answer.View.Status)
+		case answer.Status == http.StatusNotFound && accepted:
+			w.broke("forgotten: %s at its cancellation", job.Spec.ID)
 		default:
-			w.After(second, func() { w.Cancel(j) })
+			w.After(retryPause, func() { w.Cancel(job) })
 		}
 	})
 }
 
 // Unknown polls for a job that nobody has submitted.
 func (w *World) Unknown(id core.JobID) {
-	w.Ask(w.any(), func(r core.ReqID) core.Event { return core.Query{Req: r, ID: id} }, func(r core.Respond) {
-		if r.Status == 200 {
+	query := func(request core.ReqID) core.Event { return core.Query{Req: request, ID: id} }
+	w.Ask(w.any(), query, func(answer core.Respond) {
+		if answer.Status == http.StatusOK {
 			w.broke("invented: %s", id)
 		}
 	})
@@ -118,11 +165,11 @@
 
 // Unfinished counts the jobs whose users wait.
 func (w *World) Unfinished() int {
-	n := 0
-	for _, j := range w.Jobs {
-		if !j.Told.Final() {
-			n++
+	unfinished := 0
+	for _, job := range w.Jobs {
+		if !job.Told.Final() {
+			unfinished++
 		}
 	}
-	return n
+	return unfinished
 }
