--- a/internal/core/orphans.go
+++ b/internal/core/orphans.go
@@ -270,7 +270,7 @@
 	claim := p.claim
 	id := c.groupName(p)
 	size := 0
-	c.w.add(prioRent, &write{
+	c.writer.add(prioRent, &write{
 		part: p.id, keys: []string{"groups/" + id},
 		build: func(nonce string) ([]TxnOp, []Mark) {
 			ms = slices.DeleteFunc(ms, func(l grouprecord.Machine) bool { return c.machines[l.ID] != nil })
