Records for which most CPUs have waited longest are written first

Change: writes of starts are ordered by the CPUs that wait for them times their age, by put. A raised token counts four times its machine, as leases run on; all age, so none waits for ever.

--- a/internal/core/groups.go
+++ b/internal/core/groups.go
@@ -103,6 +103,33 @@
 	return v, s
 }
 
+// bumpWeight is how many times its size a machine counts whose token is to be
+// raised: it starts nothing until then, and the leases of its tasks run on.
+const bumpWeight = 4
+
+// cpusWaiting counts the CPUs that wait for the groups' records: of tasks that
+// may start, here or elsewhere, once the record says so, and of machines that
+// can be used, or offered, only after it.
+func (c *Core) cpusWaiting(groups ...*group) float64 {
+	var sum Amount
+	for _, g := range groups {
+		for _, m := range g.ms {
+			size := c.types[m.typ].Cap.CPU
+			if m.bumping {
+				sum += bumpWeight * size
+			} else if m.yield {
+				sum += size
+			}
+			for _, a := range m.assigns {
+				if a.phase == aRecording || a.gone && a.j.active() {
+					sum += a.need.CPU
+				}
+			}
+		}
+	}
+	return float64(sum) / 1e6
+}
+
 // writeMachine stores which tasks may be on a machine, with the rest of its
 // group. All that changes while the write waits its turn goes into the same put.
 func (c *Core) writeMachine(m *machine, prio int) { c.writeGroup(m.g, prio) }
@@ -119,6 +146,7 @@
 	var s *snapshot
 	g.wait = &write{
 		part: g.part, keys: []string{g.key()},
+		cpusWaiting: func() float64 { return c.cpusWaiting(g) },
 		build: func(nonce string) ([]TxnOp, []Mark) {
 			g.wait = nil
 			if c.groups[g.id] != g {
@@ -268,6 +296,7 @@
 	var snaps []*snapshot
 	c.w.add(prio, &write{
 		part: p.id, keys: keys,
+		cpusWaiting: func() float64 { return c.cpusWaiting(all...) },
 		build: func(nonce string) ([]TxnOp, []Mark) {
 			moving, snaps = nil, nil
 			var ops []TxnOp
@@ -371,6 +400,7 @@
 	var bins [][]*machine
 	c.w.add(prioStart, &write{
 		part: p.id, keys: keys,
+		cpusWaiting: func() float64 { return c.cpusWaiting(g) },
 		build: func(nonce string) ([]TxnOp, []Mark) {
 			if c.groups[g.id] != g {
 				free()
--- a/internal/core/writer.go
+++ b/internal/core/writer.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"cmp"
 	"encoding/json"
 	"slices"
 	"strconv"
@@ -29,7 +30,10 @@
 	also []Cond
 	// mostAlso is how many of them build may come to set.
 	mostAlso int
-	ok       func(Epoch)
+	queuedAt Time
+	// cpusWaiting counts the CPUs that stand idle until the write is done; nil: none.
+	cpusWaiting func() float64
+	ok          func(Epoch)
 	// unsure is set before ok when a late copy may yet come.
 	unsure bool
 	// alone: the store called a transaction with it malformed.
@@ -129,7 +133,29 @@
 	return n
 }
 
-func (w *writer) add(prio int, x *write) { w.queues[prio] = append(w.queues[prio], x) }
+func (w *writer) add(prio int, x *write) {
+	x.queuedAt = w.c.now
+	w.queues[prio] = append(w.queues[prio], x)
+}
+
+// orderStarts puts those writes of starts first for which most CPUs have waited
+// longest, by put: a record with little to start waits until more can share its
+// put. Each ages, so none waits for ever.
+func (w *writer) orderStarts() {
+	queue := w.queues[prioStart]
+	if len(queue) < 2 || w.puts.have < 1 {
+		return
+	}
+	rank := make(map[*write]float64, len(queue))
+	for _, x := range queue {
+		cpus := 1.0
+		if x.cpusWaiting != nil {
+			cpus += x.cpusWaiting()
+		}
+		rank[x] = cpus * (w.c.now - x.queuedAt).seconds() / float64(len(x.keys))
+	}
+	slices.SortStableFunc(queue, func(a, b *write) int { return cmp.Compare(rank[b], rank[a]) })
+}
 
 // cancel takes back a write whose turn has not come.
 func (w *writer) cancel(x *write) {
@@ -184,6 +210,7 @@
 		w.wakeIn(second / 20)
 		return nil
 	}
+	w.orderStarts()
 	if q := w.queues[prioLazy]; w.credit >= 1 && len(q) > 0 {
 		w.credit = 0
 		w.queues[prioLazy] = q[1:]
