--- a/internal/core/write_order_test.go
+++ b/internal/core/write_order_test.go
@@ -28,8 +28,10 @@
 
 // scarcePuts leaves the given number of puts a second and no more at once.
 func (b *bench) scarcePuts(rate float64) {
-	b.timers = nil // no new division of the rate
-	b.w.puts = bucket{rate: rate, cap: 1, at: b.now}
+	b.timers = timerQueue{} // no new division of the rate
+	b.writer.puts.SetRate(rate, 1)
+	b.writer.puts.Refill(b.now)
+	b.writer.puts.Lower(0)
 }
 
 // TestMostWaitingCPUsAreRecordedFirst: of two records of which the one with
--- a/internal/core/writer.go
+++ b/internal/core/writer.go
@@ -128,7 +128,7 @@
 }
 
 func (w *writer) add(prio int, x *write) {
-	x.queuedAt = w.c.now
+	x.queuedAt = w.core.now
 	w.queues[prio] = append(w.queues[prio], x)
 }
 
@@ -137,7 +137,7 @@
 // put. Each ages, so none waits for ever.
 func (w *writer) orderStarts() {
 	queue := w.queues[prioStart]
-	if len(queue) < 2 || w.puts.have < 1 {
+	if len(queue) < 2 || w.puts.Level() < 1 {
 		return
 	}
 	rank := make(map[*write]float64, len(queue))
@@ -146,7 +146,7 @@
 		if x.cpusWaiting != nil {
 			cpus += x.cpusWaiting()
 		}
-		rank[x] = cpus * (w.c.now - x.queuedAt).seconds() / float64(len(x.keys))
+		rank[x] = cpus * (w.core.now - x.queuedAt).Seconds() / float64(len(x.keys))
 	}
 	slices.SortStableFunc(queue, func(a, b *write) int { return cmp.Compare(rank[b], rank[a]) })
 }
