--- a/internal/core/cloudlist.go
+++ b/internal/core/cloudlist.go
@@ -1,6 +1,8 @@
 package core
 
-import "slices"
+import (
+	"slices"
+)
 
 // cloudListing is the state of reading the cloud's machine list, which shows
 // machines that died and orphans that no record lists.
--- a/internal/core/machineowners.go
+++ b/internal/core/machineowners.go
@@ -1,6 +1,10 @@
 package core
 
-import "encoding/json"
+import (
+	"encoding/json"
+
+	"stairrelay/internal/grouprecord"
+)
 
 // machineOwners says which parts' records list machines that are not held
 // here, as last read.
@@ -26,8 +30,8 @@
 
 // recordedMachines is what the rentals' and groups' records list.
 type recordedMachines struct {
-	open   map[groupKind]bool // kinds of the open rentals
-	listed map[MachineID]bool // by a group of any part
+	open   map[grouprecord.Kind]bool // kinds of the open rentals
+	listed map[MachineID]bool        // by a group of any part
 }
 
 // readRecorded calls fn with what the records list; nil: the store doesn't
@@ -42,14 +46,14 @@
 			fn(nil)
 			return
 		}
-		rec := &recordedMachines{open: map[groupKind]bool{}, listed: map[MachineID]bool{}}
+		rec := &recordedMachines{open: map[grouprecord.Kind]bool{}, listed: map[MachineID]bool{}}
 		for _, kv := range r.Items {
 			var rental rentalRecord
 			if json.Unmarshal(kv.Value, &rental) != nil {
 				fn(nil)
 				return
 			}
-			rec.open[groupKind{rental.Type, rental.Zone, rental.Spot}] = true
+			rec.open[grouprecord.Kind{Type: rental.Type, Zone: rental.Zone, Spot: rental.Spot}] = true
 		}
 		c.readGrouped(rec, fn)
 	})
@@ -85,15 +89,15 @@
 		if kv.Value == nil {
 			continue
 		}
-		part, ms, err := decodeGroup(kv.Value)
-		if err != nil || part < 0 || int(part) >= len(c.parts) {
+		record, err := grouprecord.Decode(kv.Value)
+		if err != nil || record.Part < 0 || int(record.Part) >= len(c.parts) {
 			return false
 		}
-		for i := range ms {
-			id := ms[i].id
+		for i := range record.Machines {
+			id := record.Machines[i].ID
 			listed[id] = true
 			if c.machines[id] == nil {
-				c.owners.note(id, part, c.now)
+				c.owners.note(id, record.Part, c.now)
 			}
 		}
 	}
--- a/internal/core/many_holders_test.go
+++ b/internal/core/many_holders_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"slices"
 	"testing"
+
+	"stairrelay/internal/grouprecord"
 )
 
 // A part that changes hands many times within minutes.
@@ -61,8 +63,8 @@
 	part := b.parts[0]
 	const need = Amount(3_000_000)
 	b.store.keys["jobs/j-1"] = KV{"jobs/j-1", fmt.Appendf(nil, `{"st":"cancelled","tm":"red","n":1,"r":{"CPU":%d,"GPU":0,"Mem":1},"w":"b9-1"}`, need), 20}
-	listed := listedMachine{id: "m-1", kind: groupKind{"small", "a", false}, addr: "m-1", tasks: []listedTask{{TaskID{Job: "j-1", Index: 0}, 7}}}
-	b.store.keys["groups/g"] = KV{"groups/g", encodeGroup(0, []listedMachine{listed}, "b9-2"), 25}
+	listed := grouprecord.Machine{ID: "m-1", Kind: grouprecord.Kind{Type: "small", Zone: "a", Spot: false}, Address: "m-1", Tasks: []grouprecord.Task{{ID: TaskID{Job: "j-1", Index: 0}, Attempt: 7}}}
+	b.store.keys["groups/g"] = KV{"groups/g", grouprecord.Encode(grouprecord.Record{Part: 0, Machines: []grouprecord.Machine{listed}, Nonce: "b9-2"}), 25}
 
 	earlierToken := Token(25)
 	for range holders {
@@ -99,7 +101,7 @@
 	var heldUp []StoreTxn
 	for holder := range holders {
 		id := MachineID(fmt.Sprintf("m-%d", 3*holder)) // numbers of part 0
-		b.enlist(part, []listedMachine{{id: id, kind: groupKind{"small", "a", false}, addr: string(id)}}, func() {})
+		b.enlist(part, []grouprecord.Machine{{ID: id, Kind: grouprecord.Kind{Type: "small", Zone: "a", Spot: false}, Address: string(id)}}, func() {})
 		heldUp = append(heldUp, loseNextWrite(t, b))
 		succeeded(t, b)
 		claimed(t, b)
--- a/internal/core/orphans.go
+++ b/internal/core/orphans.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"strconv"
+
+	"stairrelay/internal/grouprecord"
 )
 
 // orphans holds the machines that no record known here lists: somebody else's,
@@ -145,7 +147,7 @@
 // inspectOrphan asks a machine that is nobody's for its state, and enlists it
 // when it answers: a report may be an old copy from one that is long gone.
 func (c *Core) inspectOrphan(p *part, r *Report, rec *recordedMachines) {
-	id, kind := r.Machine, groupKind{r.Type, r.Zone, r.Spot}
+	id, kind := r.Machine, grouprecord.Kind{Type: r.Type, Zone: r.Zone, Spot: r.Spot}
 	if !p.ready || rec.open[kind] || c.orphans.enlisting[id] || r.Addr == "" {
 		return
 	}
@@ -156,7 +158,7 @@
 			delete(c.orphans.enlisting, id)
 			return
 		}
-		c.enlistSoon(p, listedMachine{id: id, kind: kind, addr: r.Addr})
+		c.enlistSoon(p, grouprecord.Machine{ID: id, Kind: kind, Address: r.Addr})
 	})})
 }
 
@@ -203,7 +205,7 @@
 	o := &c.orphans
 	delete(o.enlisting, l.ID)
 	p := c.partFor(l.ID)
-	kind := groupKind{l.Type, l.Zone, l.Spot}
+	kind := grouprecord.Kind{Type: l.Type, Zone: l.Zone, Spot: l.Spot}
 	if rec == nil || rec.listed[l.ID] || rec.open[kind] || c.machines[l.ID] != nil || !p.held || !p.ready {
 		delete(o.listedSince, l.ID)
 		return
@@ -216,13 +218,13 @@
 		return
 	}
 	c.logf("info", "adopted stray machine", "machine", string(l.ID))
-	c.enlistSoon(p, listedMachine{id: l.ID, kind: kind, addr: l.Addr})
+	c.enlistSoon(p, grouprecord.Machine{ID: l.ID, Kind: kind, Address: l.Addr})
 }
 
 // enlistSoon gathers what is to be enlisted within a moment. Until that is
 // stored or has failed, the machine is not enlisted a second time.
-func (c *Core) enlistSoon(p *part, l listedMachine) {
-	c.orphans.enlisting[l.id] = true
+func (c *Core) enlistSoon(p *part, l grouprecord.Machine) {
+	c.orphans.enlisting[l.ID] = true
 	p.toEnlist = append(p.toEnlist, l)
 	if len(p.toEnlist) > 1 {
 		return
@@ -236,7 +238,7 @@
 			all = all[len(ms):]
 			done := func() {
 				for _, l := range ms {
-					delete(c.orphans.enlisting, l.id)
+					delete(c.orphans.enlisting, l.ID)
 				}
 				c.machineSweep()
 			}
@@ -264,19 +266,19 @@
 
 // enlist writes machines that no record lists into a new group of a part. done
 // is called when that is stored, or has failed.
-func (c *Core) enlist(p *part, ms []listedMachine, done func()) {
+func (c *Core) enlist(p *part, ms []grouprecord.Machine, done func()) {
 	claim := p.claim
 	id := c.groupName(p)
 	size := 0
 	c.writer.add(prioRent, &write{
 		part: p.id, keys: []string{"groups/" + id},
 		build: func(nonce string) ([]TxnOp, []Mark) {
-			ms = slices.DeleteFunc(ms, func(l listedMachine) bool { return c.machines[l.id] != nil })
+			ms = slices.DeleteFunc(ms, func(l grouprecord.Machine) bool { return c.machines[l.ID] != nil })
 			if len(ms) == 0 {
 				done()
 				return nil, nil
 			}
-			v := encodeGroup(p.id, ms, nonce)
+			v := grouprecord.Encode(grouprecord.Record{Part: p.id, Machines: ms, Nonce: nonce})
 			size = len(v)
 			return []TxnOp{{"groups/" + id, v}}, []Mark{0}
 		},
@@ -292,11 +294,11 @@
 }
 
 // addGroup follows the first record of machines that only this claim has owned.
-func (c *Core) addGroup(p *part, id string, ms []listedMachine, size int, e Epoch) {
+func (c *Core) addGroup(p *part, id string, ms []grouprecord.Machine, size int, e Epoch) {
 	g := c.newGroup(p, id, Mark(e))
 	g.size = size
 	for _, l := range ms {
-		if c.machines[l.id] == nil {
+		if c.machines[l.ID] == nil {
 			m := c.addMachine(g, l, Token(e))
 			m.first = m.token
 		}
