Confirmations, notices and failure detection are types in files of their own

Three fields of part, two of peer and a closure of forty lines: who waits until a part is shown to be held, which stored jobs another controller is yet to be told of, and the calls that find a peer failed. Each is a type with its invariant and named times.

Run: go test ./internal/core, passed.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -177,7 +177,7 @@
 	t := c.cfg.Tuning
 	for _, n := range c.cfg.Nodes {
 		if p := c.peers[n]; p != nil {
-			c.pingLoop(p)
+			c.watchPeer(p)
 		}
 	}
 	c.loadParts()
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -47,9 +47,7 @@
 	refusals   map[rentOption]int // in a row
 	rentedAt   Time
 
-	confirmQ    []func(bool)
-	confirming  bool
-	confirmedAt Time
+	confirmations confirmations
 }
 
 type partRecord struct {
@@ -284,10 +282,10 @@
 			delete(c.groups, gid)
 		}
 	}
-	for _, fn := range p.confirmQ {
+	for _, fn := range p.confirmations.waiting {
 		fn(false)
 	}
-	p.confirmQ = nil
+	p.confirmations.waiting = nil
 	c.writer.dropPart(id)
 	c.rereadPart(p)
 }
@@ -322,44 +320,3 @@
 		}
 	})
 }
-
-// confirm calls fn after the store has shown that the part is still held,
-// with a read begun after this call. Without it a holder that lost its claim
-// unawares could answer with an older state than its successor.
-func (c *Core) confirm(p *part, fn func(bool)) {
-	if c.storeLost(second) {
-		fn(false)
-		return
-	}
-	p.confirmQ = append(p.confirmQ, fn)
-	if p.confirming {
-		return
-	}
-	p.confirming = true
-	c.after(max(0, p.confirmedAt+100*milli-c.now), func() {
-		q, mark := p.confirmQ, p.mark
-		p.confirmQ, p.confirmedAt = nil, c.now
-		if len(q) == 0 {
-			p.confirming = false
-			return
-		}
-		begun := c.now
-		c.get(p.key(), func(r GetReply) {
-			p.confirming = false
-			if r.Out == OK {
-				c.learnPart(r.KV)
-				c.proven(p, r.KV.Mark, begun)
-			}
-			good := r.Out == OK && p.held && r.KV.Mark == mark && p.mark == mark
-			for _, fn := range q {
-				fn(good)
-			}
-			if rest := p.confirmQ; len(rest) > 0 {
-				p.confirmQ = nil
-				for _, fn := range rest {
-					c.confirm(p, fn)
-				}
-			}
-		})
-	})
-}
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -20,9 +20,8 @@
 	failed   bool
 	ping     Ping
 	pingAt   Time
-	goodFrom Time // since when it has answered and had its store
-	tells    []KV
-	telling  bool
+	goodFrom Time            // since when it has answered and had its store
+	notices  notices         // of stored jobs, for it
 	taken    map[string]Mark // groups of its that we have tried to take, at which mark
 	failedAt Time
 	wroteAt  Time // when a record it wrote was last seen
@@ -31,54 +30,6 @@
 	aliveAt  Time // when a new sign of life of it came after it had failed
 }
 
-// pingLoop is the design's detection: a call each second, then retries with
-// exponential back-off, then probes at a steady pace, then failure.
-func (c *Core) pingLoop(p *peer) {
-	t := c.cfg.Tuning
-	miss := 0
-	var send func()
-	send = func() {
-		timeout, pause := t.PingTimeout, t.PingEvery
-		switch {
-		case miss == 0:
-		case miss <= t.Retries:
-			timeout = t.RetryFirst << (miss - 1)
-		default:
-			timeout = t.ProbeEvery
-		}
-		begun := c.now
-		c.ask(p.id, timeout, PeerMsg{Ping: c.makePing(p)}, func(r PeerReply) {
-			if r.Out == OK && r.Msg.Ping != nil {
-				miss = 0
-				c.heardPing(p, *r.Msg.Ping, begun)
-				c.after(pause, send)
-				return
-			}
-			miss++
-			if miss > t.Retries && !p.prone {
-				p.prone = true
-				c.logf("debug", "peer failure-prone", "peer", string(p.id))
-			}
-			if miss > t.Retries+t.Probes && !p.failed {
-				p.failed, p.failedAt, p.beatRead = true, c.now, false
-				c.logf("info", "peer failed", "peer", string(p.id))
-				c.livenessChanged()
-			}
-			if p.failed {
-				c.reviewParts()
-			}
-			// A refused connection comes back at once and proves nothing: it
-			// must not shorten the detection, so the full interval passes.
-			wait := begun + timeout - c.now
-			if miss > t.Retries+t.Probes {
-				wait = max(wait, t.ProbeEvery)
-			}
-			c.after(max(wait, 5*milli), send)
-		})
-	}
-	send()
-}
-
 func (c *Core) ask(to NodeID, timeout Time, m PeerMsg, fn func(PeerReply)) {
 	m.Version, m.From = peerVersion, c.cfg.Self
 	c.counters.PeerCalls++
@@ -300,38 +251,7 @@
 	}
 }
 
-// tell passes a stored job to its owner; the owner's watch is the safety net.
-func (c *Core) tell(part Part, kv KV) {
-	p := c.peers[c.parts[part].holder]
-	if p == nil || p.failed {
-		return
-	}
-	p.tells = append(p.tells, kv)
-	if !p.telling {
-		p.telling = true
-		c.after(20*milli, func() { c.sendTells(p, 0) })
-	}
-}
-
-func (c *Core) sendTells(p *peer, tries int) {
-	batch := p.tells
-	if len(batch) > 50 {
-		batch = batch[:50]
-	}
-	c.ask(p.id, second, PeerMsg{Tell: &Tell{Keys: batch}}, func(r PeerReply) {
-		if r.Out != OK && tries < 3 && !p.failed {
-			c.sendTells(p, tries+1)
-			return
-		}
-		p.tells = append([]KV(nil), p.tells[len(batch):]...)
-		if len(p.tells) > 0 {
-			c.sendTells(p, 0)
-			return
-		}
-		p.telling = false
-	})
-}
-
+// onHealth tells whether this node can take requests.
 func (c *Core) onHealth(e Health) {
 	if c.storeHealth.lastOK == 0 || len(c.types) == 0 && c.now < 10*second {
 		c.refuse(e.Req, 503, 0, "starting")
