--- a/internal/core/groups.go
+++ b/internal/core/groups.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -257,131 +256,6 @@
 	return c.cfg.Boot + "-" + strconv.FormatUint(uint64(p.claim), 10) + "-" + strconv.Itoa(c.groupSeq)
 }
 
-// regroup moves machines of a part into one group, a new one if to is nil, by
-// one transaction on all the groups concerned. done gets the group, or nil.
-func (c *Core) regroup(p *part, ms []*machine, to *group, prio int, done func(*group)) {
-	var from []*group
-	for _, m := range ms {
-		if m.g.sent || m.g == to {
-			done(nil)
-			return
-		}
-		if !slices.Contains(from, m.g) {
-			from = append(from, m.g)
-		}
-	}
-	if len(from) == 0 || len(from)+1 > c.cfg.TxnOps || to != nil && to.sent {
-		done(nil)
-		return
-	}
-	claim := p.claim
-	id := c.groupName(p)
-	all := slices.Clone(from)
-	if to != nil {
-		id = to.id
-		all = append(all, to)
-	}
-	var keys []string
-	for _, g := range all {
-		// A write that still waits its turn says nothing that this one won't.
-		if g.wait != nil {
-			c.writer.cancel(g.wait)
-			g.wait = nil
-		}
-		g.writing, g.sent, g.again = true, true, prios
-		keys = append(keys, g.key())
-	}
-	if to == nil {
-		keys = append(keys, "groups/"+id)
-	}
-	free := func() {
-		for _, g := range all {
-			g.writing, g.sent = false, false
-		}
-	}
-	var moving []*machine
-	var snaps []*snapshot
-	c.writer.add(prio, &write{
-		part: p.id, keys: keys,
-		cpusWaiting: func() float64 { return c.cpusWaiting(all...) },
-		build: func(nonce string) ([]TxnOp, []Mark) {
-			moving, snaps = nil, nil
-			var ops []TxnOp
-			var marks []Mark
-			for _, m := range ms {
-				if c.machines[m.id] == m && m.g != to && slices.Contains(from, m.g) {
-					moving = append(moving, m)
-				}
-			}
-			for _, g := range from {
-				rest := slices.DeleteFunc(g.list(), func(m *machine) bool { return slices.Contains(moving, m) })
-				g.again, g.added = prios, 0
-				v, s := c.snap(p.id, rest, nonce)
-				ops, marks, snaps = append(ops, TxnOp{g.key(), v}), append(marks, g.mark), append(snaps, s)
-			}
-			mark, into := Mark(0), slices.Clone(moving)
-			if to != nil {
-				mark = to.mark
-				to.again, to.added = prios, 0
-				into = append(into, to.list()...)
-			}
-			sort.Slice(into, func(i, k int) bool { return into[i].id < into[k].id })
-			v, s := c.snap(p.id, into, nonce)
-			snaps = append(snaps, s)
-			if !c.valueLimit().Within(len(v)) || len(moving) == 0 {
-				free()
-				for _, g := range all {
-					c.writeGroup(g, prioStart)
-				}
-				done(nil)
-				return nil, nil
-			}
-			return append(ops, TxnOp{"groups/" + id, v}), append(marks, mark)
-		},
-		ok: func(e Epoch) {
-			free()
-			if !p.held || p.claim != claim {
-				done(nil)
-				return
-			}
-			if to == nil {
-				to = c.newGroup(p, id, 0)
-				all = append(all, to)
-			}
-			for _, m := range moving {
-				delete(m.g.ms, m.id)
-				m.g = to
-				to.ms[m.id] = m
-			}
-			again := prios
-			for _, g := range all {
-				again = min(again, g.again)
-			}
-			for i, g := range append(slices.Clone(from), to) {
-				g.mark, g.size = Mark(e), snaps[i].size
-				c.groupStored(g, snaps[i], e)
-				if g.again = again; len(g.ms) > 0 { // what was asked of one may now concern the other
-					c.writeAgain(g)
-				}
-			}
-			done(to)
-		},
-		conflict: func() {
-			free()
-			for _, g := range all {
-				if c.groups[g.id] == g {
-					c.checkGroup(g)
-				}
-			}
-			done(nil)
-		},
-		lost: func() {
-			free()
-			done(nil)
-		},
-	})
-}
-
 // splitGroup moves machines of a group into new ones, by one transaction on all
 // of them: into two, or as many as a transaction may write where the record is
 // far too large, as one that was written under higher limits may be.
--- a/internal/core/writer.go
+++ b/internal/core/writer.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"encoding/json"
 	"slices"
-	"strconv"
 
 	"stairrelay/internal/ratelimit"
 )
@@ -193,107 +192,7 @@
 	}
 }
 
-func (w *writer) gather() *txn {
-	c := w.core
-	w.puts.Refill(c.now)
-	w.reqs.Refill(c.now)
-	if w.depth() == 0 {
-		return nil
-	}
-	if w.reqs.Level() < 1 {
-		w.wakeIn(second / 20)
-		return nil
-	}
-	w.orderStarts()
-	if q := w.queues[prioLazy]; w.credit >= 1 && len(q) > 0 {
-		w.credit = 0
-		w.queues[prioLazy] = q[1:]
-		w.queues[prioStart] = append([]*write{q[0]}, w.queues[prioStart]...)
-	}
-	w.seq++
-	t := &txn{nonce: c.cfg.Boot + "-" + strconv.Itoa(w.seq), part: NoPart, prio: prios}
-	budget, bytes := w.puts.Level(), 0
-	used := map[string]bool{}
-	for prio := 0; prio < prios; prio++ {
-		// Checkpoint writes leave some of the budget to what may come next.
-		if prio == prioLazy && budget < w.puts.Capacity()/3 {
-			if len(w.queues[prio]) > 0 {
-				w.wakeIn(second / 10)
-			}
-			break
-		}
-		q := w.queues[prio]
-		w.queues[prio] = nil // what a build adds comes behind the rest
-		var rest []*write
-		for i, x := range q {
-			if len(t.then) >= c.cfg.TxnOps || t.prio != prios && prio > max(t.prio, prioAccept)+1 {
-				rest = append(rest, q[i:]...)
-				break
-			}
-			if float64(len(x.keys)) > budget {
-				w.wakeIn(second / 10)
-				rest = append(rest, q[i:]...)
-				break
-			}
-			clash := x.part != NoPart && t.part != NoPart && x.part != t.part || len(t.then)+len(x.keys) > c.cfg.TxnOps ||
-				len(t.when)+len(x.keys)+max(x.mostAlso, len(x.also))+1 > condsPerOp*c.cfg.TxnOps ||
-				len(t.writes) > 0 && (x.alone || t.writes[0].alone)
-			for _, k := range x.keys {
-				clash = clash || w.busy[k] || used[k]
-			}
-			if clash || bytes > 40_000 {
-				rest = append(rest, x)
-				continue
-			}
-			// Without the claim there is no mark of ours to make the write
-			// conditional on: the one in the books is the new holder's.
-			if x.part != NoPart && prio != prioClaim && !c.parts[x.part].held {
-				if x.lost != nil {
-					x.lost()
-				}
-				continue
-			}
-			ops, marks := x.build(t.nonce)
-			if ops == nil {
-				continue
-			}
-			for j, op := range ops {
-				t.when = append(t.when, Cond{op.Key, marks[j]})
-				used[op.Key] = true
-				bytes += len(op.Value) + len(op.Key) + 80
-			}
-			t.then = append(t.then, ops...)
-			t.when = append(t.when, x.also...)
-			t.kinds[prio] += len(ops)
-			t.writes = append(t.writes, x)
-			budget -= float64(len(ops))
-			if x.part != NoPart {
-				t.part = x.part
-			}
-			if prio < t.prio {
-				t.prio = prio
-			}
-		}
-		w.queues[prio] = append(rest, w.queues[prio]...)
-	}
-	if len(t.writes) == 0 {
-		return nil
-	}
-	if t.part != NoPart && t.prio != prioClaim {
-		p := c.parts[t.part]
-		t.pmark = p.mark
-		t.when = append(t.when, Cond{p.key(), p.mark})
-	}
-	for k := range used {
-		w.busy[k] = true
-	}
-	return t
-}
-
-// condsPerOp is how many conditions the protocol allows per change that a
-// transaction may make.
-const condsPerOp = 4
-
+// wakeIn has the queues looked at again after a time.
 func (w *writer) wakeIn(d Time) {
 	if w.wake {
 		return
