Move the bound of entitlement into package entitlement

How long a holder may answer and start after it was last certain of its part is arithmetic on ages and words, but was worked out inside methods of Core. entitlement has Bound, MayAnswer, MayStart, NeedsProof and Claim.CertainAt, which takes the own claim and what each other controller last answered; core gathers these, without an allocation, and acts. settings uses Bound and Least from there. The arithmetic is the same.

--- a/internal/core/meeting_guards_test.go
+++ b/internal/core/meeting_guards_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"testing"
 
+	"stairrelay/internal/entitlement"
 	"stairrelay/internal/grouprecord"
 )
 
@@ -370,7 +371,7 @@
 // TestNoStartUncertain: a holder that has not been certain of its part for a
 // while sends no start, but stops all the same.
 func TestNoStartUncertain(t *testing.T) {
-	for d, want := range map[Time]int{second: 1, startEntitlement + second: 0} {
+	for d, want := range map[Time]int{second: 1, entitlement.StartBound + second: 0} {
 		b := newBench()
 		j := b.job("j-1", 1)
 		m, a := b.running(j)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -18,6 +18,7 @@
 	"github.com/santhosh-tekuri/jsonschema/v6"
 
 	"stairrelay/internal/core"
+	"stairrelay/internal/entitlement"
 	"stairrelay/internal/sockets"
 )
 
@@ -222,12 +223,12 @@
 		k.Objectives = append(k.Objectives, core.Objective{Kind: o.Kind, Class: o.Class, WithinS: o.WithinS, Times: o.Times})
 	}
 	k.ReportEvery, k.Lease, k.CancelWithin = seconds(cl.Workers.ReportS), seconds(cl.Workers.LeaseS), seconds(cl.Workers.CancelS)
-	if e := core.Entitlement(k.CancelWithin, k.Lease); e < core.LeastEntitlement {
+	if e := entitlement.Bound(k.CancelWithin, k.Lease); e < entitlement.Least {
 		// The bound falls by less than a second for each that cancel_s does, so what is missing is rounded up.
-		need := math.Ceil(cl.Workers.CancelS + float64(core.LeastEntitlement-e)/1e9*1.01)
+		need := math.Ceil(cl.Workers.CancelS + float64(entitlement.Least-e)/1e9*1.01)
 		s.Odd = append(s.Odd, fmt.Sprintf("cluster.workers: with lease_s %g a cancel_s of %g leaves a cut-off controller %.2f s to notice that it was succeeded, of %g that it needs; "+
 			"in an outage of the state service a cancelled task may run on past cancel_s. A cancel_s of %g would do",
-			cl.Workers.LeaseS, cl.Workers.CancelS, float64(e)/1e9, float64(core.LeastEntitlement)/1e9, need))
+			cl.Workers.LeaseS, cl.Workers.CancelS, float64(e)/1e9, float64(entitlement.Least)/1e9, need))
 	}
 	k.StoreRPS, k.WriteRPS, k.ValueBytes, k.TxnOps = cl.State.RPS, writeRPS, int(valueKB*1024), txnOps
 	if s.CoreShare < 0 || math.IsNaN(s.CoreShare) {
