--- a/internal/core/zone_cut_guards_test.go
+++ b/internal/core/zone_cut_guards_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"stairrelay/internal/entitlement"
 	"stairrelay/internal/grouprecord"
 )
 
@@ -39,9 +40,9 @@
 		return b
 	}
 	config := newHolder().cfg
-	entitlement := Entitlement(config.CancelWithin, config.Lease)
-	if entitlement < config.Lease+2*second {
-		t.Fatalf("entitled for %d s: no later than isolated", entitlement/second)
+	bound := entitlement.Bound(config.CancelWithin, config.Lease)
+	if bound < config.Lease+2*second {
+		t.Fatalf("entitled for %d s: no later than isolated", bound/second)
 	}
 	for _, test := range []struct {
 		name   string
@@ -52,7 +53,7 @@
 		{"hears nobody, within the lease", config.Lease - 2*second, false, 200},
 		{"hears nobody, after the lease", config.Lease + second, false, 421},
 		{"hears one, after the lease", config.Lease + second, true, 200},
-		{"hears one, too late for a cancellation", entitlement + second, true, 421},
+		{"hears one, too late for a cancellation", bound + second, true, 421},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			b := newHolder()
--- a/internal/settings/platform.go
+++ b/internal/settings/platform.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"stairrelay/internal/core"
+	"stairrelay/internal/entitlement"
 	"stairrelay/internal/sockets"
 )
 
@@ -236,18 +237,18 @@
 	s.Core.ReportEvery = seconds(workers.ReportS)
 	s.Core.Lease = seconds(workers.LeaseS)
 	s.Core.CancelWithin = seconds(workers.CancelS)
-	entitlement := core.Entitlement(s.Core.CancelWithin, s.Core.Lease)
-	if entitlement >= core.LeastEntitlement {
+	bound := entitlement.Bound(s.Core.CancelWithin, s.Core.Lease)
+	if bound >= entitlement.Least {
 		return nil
 	}
 	// The entitlement grows by a little less than a second for each second of
 	// cancel_s, so somewhat more than what is missing is needed.
 	const margin = 1.01
-	missing := float64(core.LeastEntitlement-entitlement) / nanosPerSecond
+	missing := float64(entitlement.Least-bound) / nanosPerSecond
 	enough := math.Ceil(workers.CancelS + missing*margin)
 	s.warnf("cluster.workers: with lease_s %g a cancel_s of %g leaves a cut-off controller %.2f s to notice that it was succeeded, of %g that it needs; "+
 		"in an outage of the state service a cancelled task may run on past cancel_s. A cancel_s of %g would do",
-		workers.LeaseS, workers.CancelS, float64(entitlement)/nanosPerSecond, float64(core.LeastEntitlement)/nanosPerSecond, enough)
+		workers.LeaseS, workers.CancelS, float64(bound)/nanosPerSecond, float64(entitlement.Least)/nanosPerSecond, enough)
 	return nil
 }
 
