--- a/internal/core/groups.go
+++ b/internal/core/groups.go
@@ -140,6 +140,18 @@
 // group. All that changes while the write waits its turn goes into the same put.
 func (c *Core) writeMachine(m *machine, prio int) { c.writeGroup(m.g, prio) }
 
+// groupWrite is the write of one group's record.
+type groupWrite struct {
+	core  *Core
+	part  *part
+	claim Epoch
+	group *group
+	prio  int
+	snap  *snapshot // of the last record built
+}
+
+// writeGroup stores a group's record. One that is on its way already is followed
+// by another.
 func (c *Core) writeGroup(g *group, prio int) {
 	if g.writing {
 		g.again = min(g.again, prio)
@@ -148,56 +160,79 @@
 	}
 	g.writing, g.again = true, prios
 	p := c.parts[g.part]
-	claim := p.claim
-	var s *snapshot
+	w := &groupWrite{core: c, part: p, claim: p.claim, group: g, prio: prio}
 	g.wait = &write{
-		part: g.part, keys: []string{g.key()},
+		part:        g.part,
+		keys:        []string{g.key()},
 		cpusWaiting: func() float64 { return c.cpusWaiting(g) },
-		build: func(nonce string) ([]TxnOp, []Mark) {
-			g.wait = nil
-			if c.groups[g.id] != g {
-				g.writing = false
-				return nil, nil
-			}
-			g.sent, g.again, g.added = true, prios, 0
-			var v []byte
-			v, s = c.snap(g.part, g.list(), nonce)
-			g.size = s.size
-			return []TxnOp{{g.key(), v}}, []Mark{g.mark}
-		},
-		ok: func(e Epoch) {
-			g.writing, g.sent = false, false
-			if c.groups[g.id] != g || p.claim != claim || !p.held {
-				return
-			}
-			g.mark = Mark(e)
-			c.groupStored(g, s, e)
-			c.writeAgain(g)
-		},
-		conflict: func() {
-			g.writing, g.sent = false, false
-			if c.groups[g.id] == g {
-				c.checkGroup(g)
-			}
-		},
-		tooLarge: func() {
-			g.writing, g.sent = false, false
-			if c.groups[g.id] != g || p.claim != claim || !p.held {
-				return
-			}
-			if g.again = min(g.again, prio); len(g.ms) > 1 {
-				again := g.again
-				c.splitGroup(p, g)
-				g.again = again
-				return
-			}
-			c.after(second, func() { c.writeAgain(g) })
-		},
-		lost: func() { g.writing, g.sent = false, false },
+		build:       w.build,
+		ok:          w.stored,
+		conflict:    w.refused,
+		tooLarge:    w.tooLarge,
+		lost:        g.endWrite,
 	}
 	c.writer.add(prio, g.wait)
 }
 
+// endWrite notes that no write of the record is under way any more.
+func (g *group) endWrite() { g.writing, g.sent = false, false }
+
+// current tells whether the group is still held under the claim of the write.
+func (w *groupWrite) current() bool {
+	return w.core.groups[w.group.id] == w.group && w.part.heldUnder(w.claim)
+}
+
+func (w *groupWrite) build(nonce string) ([]TxnOp, []Mark) {
+	c, g := w.core, w.group
+	g.wait = nil
+	if c.groups[g.id] != g {
+		g.writing = false
+		return nil, nil
+	}
+	g.sent, g.again, g.added = true, prios, 0
+	var v []byte
+	v, w.snap = c.snap(g.part, g.list(), nonce)
+	g.size = w.snap.size
+	return []TxnOp{{g.key(), v}}, []Mark{g.mark}
+}
+
+func (w *groupWrite) stored(e Epoch) {
+	w.group.endWrite()
+	if !w.current() {
+		return
+	}
+	w.group.mark = Mark(e)
+	w.core.groupStored(w.group, w.snap, e)
+	w.core.writeAgain(w.group)
+}
+
+// refused follows a conflict with another writer.
+func (w *groupWrite) refused() {
+	w.group.endWrite()
+	if w.core.groups[w.group.id] == w.group {
+		w.core.checkGroup(w.group)
+	}
+}
+
+// tooLarge follows the store's refusal of a record by its length: the group is
+// split, or tried again where it has one machine.
+func (w *groupWrite) tooLarge() {
+	c, g := w.core, w.group
+	g.endWrite()
+	if !w.current() {
+		return
+	}
+	g.again = min(g.again, w.prio)
+	if len(g.ms) > 1 {
+		again := g.again
+		c.splitGroup(w.part, g)
+		g.again = again
+		return
+	}
+	c.after(second, func() { c.writeAgain(g) })
+}
+
+// writeAgain queues the write that was wanted while one was on its way.
 func (c *Core) writeAgain(g *group) {
 	if g.again < prios && c.groups[g.id] == g {
 		c.writeGroup(g, g.again)
@@ -256,94 +291,6 @@
 	return c.cfg.Boot + "-" + strconv.FormatUint(uint64(p.claim), 10) + "-" + strconv.Itoa(c.groupSeq)
 }
 
-// splitGroup moves machines of a group into new ones, by one transaction on all
-// of them: into two, or as many as a transaction may write where the record is
-// far too large, as one that was written under higher limits may be.
-func (c *Core) splitGroup(p *part, g *group) {
-	if g.sent || len(g.ms) < 2 {
-		return
-	}
-	n := min(max(c.valueLimit().Pieces(g.length()), g.bins), c.cfg.TxnOps, len(g.ms))
-	if g.wait != nil {
-		c.writer.cancel(g.wait)
-		g.wait = nil
-	}
-	g.writing, g.sent, g.again = true, true, prios
-	keys := []string{g.key()}
-	var ids []string
-	for range n - 1 {
-		id := c.groupName(p)
-		ids, keys = append(ids, id), append(keys, "groups/"+id)
-	}
-	claim := p.claim
-	free := func() { g.writing, g.sent = false, false }
-	var snaps []*snapshot
-	var bins [][]*machine
-	c.writer.add(prioStart, &write{
-		part: p.id, keys: keys,
-		cpusWaiting: func() float64 { return c.cpusWaiting(g) },
-		build: func(nonce string) ([]TxnOp, []Mark) {
-			if c.groups[g.id] != g {
-				free()
-				return nil, nil
-			}
-			g.again, g.added = prios, 0
-			bins, snaps = grouprecord.Split(g.list(), n, (*machine).tasks), nil
-			var ops []TxnOp
-			var marks []Mark
-			for i, ms := range bins {
-				v, s := c.snap(p.id, ms, nonce)
-				mark := Mark(0)
-				if i == 0 {
-					mark = g.mark
-				}
-				ops, marks, snaps = append(ops, TxnOp{keys[i], v}), append(marks, mark), append(snaps, s)
-			}
-			return ops, marks
-		},
-		ok: func(e Epoch) {
-			free()
-			if c.groups[g.id] != g || !p.held || p.claim != claim {
-				return
-			}
-			again := g.again
-			for i, ms := range bins {
-				to := g
-				if i > 0 {
-					to = c.newGroup(p, ids[i-1], 0)
-					for _, m := range ms {
-						delete(g.ms, m.id)
-						m.g = to
-						to.ms[m.id] = m
-					}
-				}
-				to.mark, to.size = Mark(e), snaps[i].size
-				c.groupStored(to, snaps[i], e)
-				if to.again = again; len(to.ms) > 0 { // what was asked of the whole may concern each
-					c.writeAgain(to)
-				}
-			}
-		},
-		conflict: func() {
-			free()
-			if c.groups[g.id] == g {
-				c.checkGroup(g)
-			}
-		},
-		// Still too large for the store: tasks end, and the record gets shorter.
-		tooLarge: func() {
-			free()
-			g.bins = 2 * n // what the store takes now is less than the settings say
-			c.after(second, func() {
-				if c.groups[g.id] == g && p.held && p.claim == claim {
-					c.writeGroup(g, prioStart)
-				}
-			})
-		},
-		lost: free,
-	})
-}
-
 // tidyGroups keeps records well under the value limit, and few: every group
 // with a change costs a put.
 func (c *Core) tidyGroups(p *part) {
--- a/internal/core/regroup.go
+++ b/internal/core/regroup.go
@@ -86,7 +86,7 @@
 
 func (r *regrouping) unlock() {
 	for _, g := range r.all {
-		g.writing, g.sent = false, false
+		g.endWrite()
 	}
 }
 
