Return hung machines of long cancelled jobs also where holders end soon

A holder that takes a part over gives a machine with cancelled tasks 5 s, or two reports if that is longer, to acknowledge its token before it returns it. The time began anew with each holder. Where each ends sooner, nobody returned a hung machine before cancel_s was over.

Each controller now notes since when it has known of a final state (in memory alone: no form that is stored or sent changes). Once that is half of cancel_s, or if it stood in the records when the process first read them, a machine that was taken over is returned when a call has had no answer for 1.5 s.

With the new condition out TestHungMachineOverShortHolders and TestUnansweredCallOfCancelled fail, with parts of it out one of them.

--- a/internal/core/awaits.go
+++ b/internal/core/awaits.go
@@ -92,7 +92,7 @@
 	if k.final != "" {
 		return
 	}
-	k.final, k.spec = end, nil
+	k.final, k.finalAt, k.spec = end, c.jobs.learntAt(c.now), nil
 	j := c.jobs.held[id]
 	if j != nil && j.final == "" && end == StCancelled && !j.cancelling && len(k.awaits) > 0 {
 		c.cancelImplied(j)
--- a/internal/core/meetings_test.go
+++ b/internal/core/meetings_test.go
@@ -27,7 +27,12 @@
 
 func newMeetingOf(t *testing.T, seed uint64, machines int) *meeting {
 	t.Helper()
-	cfg := testConfig()
+	return newMeetingWith(t, testConfig(), seed, machines)
+}
+
+// newMeetingWith is newMeetingOf with settings of its own.
+func newMeetingWith(t *testing.T, cfg core.Config, seed uint64, machines int) *meeting {
+	t.Helper()
 	m := &meeting{t: t, cfg: cfg}
 	m.World = standin.NewWorld(seed, cfg, testCloud(func() *standin.World { return m.World }))
 	m.Calm = true
--- a/internal/core/registry.go
+++ b/internal/core/registry.go
@@ -16,16 +16,17 @@
 
 // knownJob is what is known of a job, whoever holds its part.
 type knownJob struct {
-	part   Part
-	final  Status // or "" while it is unfinished
-	stored bool   // its own record says so; else it follows from that of a job that it needs
-	tasks  int
-	team   string
-	need   Res      // of a cancelled job
-	spec   *JobSpec // while it is unfinished, and its record was seen
-	awaits []JobID
-	prio   Priority // its own, or that of one that needs it
-	dueBy  float64  // when it has to be done for itself and all that need it, as time of day; 0: any time
+	part    Part
+	final   Status // or "" while it is unfinished
+	finalAt Time   // since when this process has known of its final state; longAgo: since it began
+	stored  bool   // its own record says so; else it follows from that of a job that it needs
+	tasks   int
+	team    string
+	need    Res      // of a cancelled job
+	spec    *JobSpec // while it is unfinished, and its record was seen
+	awaits  []JobID
+	prio    Priority // its own, or that of one that needs it
+	dueBy   float64  // when it has to be done for itself and all that need it, as time of day; 0: any time
 }
 
 func newJobRegistry() jobRegistry {
@@ -46,6 +47,18 @@
 	return k
 }
 
+// longAgo is before any time that this process has seen.
+const longAgo = -Time(1) << 62
+
+// learntAt is since when a state that is learnt now counts as known. What the
+// first reading shows was stored before this process began, perhaps long before.
+func (r *jobRegistry) learntAt(now Time) Time {
+	if r.epoch == 0 {
+		return longAgo
+	}
+	return now
+}
+
 // finished returns what is known of a job in a final state, or nil.
 func (r *jobRegistry) finished(id JobID) *knownJob {
 	if k := r.known[id]; k != nil && k.final != "" {
--- a/internal/core/upkeep.go
+++ b/internal/core/upkeep.go
@@ -34,7 +34,7 @@
 			c.spotTime += sweepEvery.Seconds()
 		}
 		silent := c.silentFor(m)
-		hangs := c.holdsCancelled(m) && (silent > c.cfg.Lease+2*second || m.taken && c.now-max(m.since, c.awakeAt) > c.takenPatience())
+		hangs := c.hangsWithCancelled(m)
 		if c.storeLost(second) && !m.returned && (hangs || c.ignoresStop(m)) {
 			c.returnUnrecorded(m)
 		}
@@ -109,6 +109,42 @@
 // may be a copy that was held up until now, while the machine hangs.
 func (c *Core) takenPatience() Time { return max(5*second, 2*c.cfg.ReportEvery) }
 
+// hangsWithCancelled tells whether a machine that may run tasks of a cancelled
+// job seems to hang, so that it has to be returned before the cancellation's time
+// is up.
+func (c *Core) hangsWithCancelled(m *machine) bool {
+	if !c.holdsCancelled(m) {
+		return false
+	}
+	if c.silentFor(m) > c.cfg.Lease+2*second {
+		return true
+	}
+	if !m.taken {
+		return false
+	}
+	if c.now-max(m.since, c.awakeAt) > c.takenPatience() {
+		return true
+	}
+	return c.holdsLongCancelled(m) && m.ordersBusy && c.now-max(m.ordersAt, c.awakeAt) > slowCall
+}
+
+// slowCall is well above what a call takes to a machine that runs.
+const slowCall = 1500 * milli
+
+// holdsLongCancelled tells whether half of the time for a cancellation has passed
+// since this process learnt of one whose tasks may be on a machine. Where each
+// holder of the part ended sooner than takenPatience, the rest may not be enough
+// for that either.
+func (c *Core) holdsLongCancelled(m *machine) bool {
+	for _, a := range m.assigns {
+		known := c.jobs.finished(a.task.Job)
+		if a.live() && known != nil && known.final == StCancelled && c.now-known.finalAt > c.cfg.CancelWithin/2 {
+			return true
+		}
+	}
+	return false
+}
+
 // lostSpot notes a spot machine that went without notice.
 func (c *Core) lostSpot(m *machine) {
 	if m.spot && !m.draining {
