--- a/internal/core/moves.go
+++ b/internal/core/moves.go
@@ -3,6 +3,8 @@
 import (
 	"sort"
 	"strings"
+
+	"stairrelay/internal/grouprecord"
 )
 
 // Idle machines move between parts by groups: one part offers, the other takes.
@@ -27,13 +29,13 @@
 	var out []GroupOffer
 	for _, id := range sortedKeys(c.groups) {
 		g := c.groups[id]
-		if g.offer == nil || g.w {
+		if g.offer == nil || g.writing {
 			continue
 		}
-		n := map[groupKind]int{}
-		var kinds []groupKind
+		n := map[grouprecord.Kind]int{}
+		var kinds []grouprecord.Kind
 		for _, m := range g.list() {
-			k := groupKind{m.typ, m.zone, m.spot}
+			k := m.kind()
 			if n[k] == 0 {
 				kinds = append(kinds, k)
 			}
@@ -54,7 +56,7 @@
 	for _, g := range c.groups {
 		if g.offer != nil && c.now > g.offer.until {
 			g.offer = nil
-			c.placing = true
+			c.placement.request()
 		}
 	}
 }
@@ -176,17 +178,18 @@
 		if r.Out != OK || r.KV.Mark != mark || !p.held || p.claim != claim {
 			return
 		}
-		part, ms, err := decodeGroup(r.KV.Value)
+		rec, err := grouprecord.Decode(r.KV.Value)
+		part, ms := rec.Part, rec.Machines
 		if err != nil || part == p.id || len(ms) == 0 {
 			return
 		}
 		for _, m := range ms {
-			if len(m.tasks) > 0 || m.returned {
+			if len(m.Tasks) > 0 || m.Returned {
 				return
 			}
 		}
 		if g := c.groups[id]; g != nil { // held here too
-			if g.w || g.mark != mark || g.offer == nil {
+			if g.writing || g.mark != mark || g.offer == nil {
 				return
 			}
 			for _, m := range g.ms {
@@ -197,10 +200,10 @@
 			c.groupMoved(g, p.id)
 		}
 		size := 0
-		c.w.add(prioRent, &write{
+		c.writer.add(prioRent, &write{
 			part: p.id, keys: []string{key},
 			build: func(nonce string) ([]TxnOp, []Mark) {
-				v := encodeGroup(p.id, ms, nonce)
+				v := grouprecord.Encode(grouprecord.Record{Part: p.id, Machines: ms, Nonce: nonce})
 				size = len(v)
 				return []TxnOp{{key, v}}, []Mark{mark}
 			},
@@ -211,12 +214,12 @@
 				g := c.newGroup(p, id, Mark(e))
 				g.size = size
 				for _, l := range ms {
-					if c.machines[l.id] == nil {
+					if c.machines[l.ID] == nil {
 						c.addMachine(g, l, Token(e))
 					}
 				}
 				c.logf("debug", "took idle machines", "group", id, "machines", len(ms), "part", int(p.id), "from", int(part))
-				c.placing = true
+				c.placement.request()
 				c.machineSweep()
 			},
 			conflict: func() {},
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -4,6 +4,9 @@
 	"encoding/json"
 	"strconv"
 	"strings"
+
+	"stairrelay/internal/grouprecord"
+	"stairrelay/internal/model"
 )
 
 // part is a set of teams and some machines with one owner at a time.
@@ -34,7 +37,7 @@
 	order      []*job        // js as they are served, as of orderAt; nil: to be worked out
 	owed       map[*job]bool // those within their team's guarantee, as of then
 	orderAt    Time
-	toEnlist   []listedMachine
+	toEnlist   []grouprecord.Machine
 	offerAfter Time
 	preemptAt  Time
 	unanswered int  // machines taken over that have not acknowledged this claim's token
@@ -60,6 +63,9 @@
 
 func (p *part) key() string { return "parts/" + strconv.Itoa(int(p.id)) }
 
+// heldUnder tells whether the part is still held under a claim.
+func (p *part) heldUnder(claim Epoch) bool { return p.held && p.claim == claim }
+
 // changed notes that the part has a new holder.
 func (p *part) changed(now Time) {
 	p.since = now
@@ -90,7 +96,7 @@
 
 func (p *part) nextAttempt() Attempt {
 	p.attempts++
-	return Attempt(uint64(p.claim)<<20 | p.attempts)
+	return model.MakeAttempt(uint64(p.claim), p.attempts)
 }
 
 // loadParts reads who holds what and then follows the changes.
@@ -229,7 +235,7 @@
 func (c *Core) claimPart(p *part) {
 	p.claiming = true
 	prev, term := p.holder, p.term+1
-	c.w.add(prioClaim, &write{
+	c.writer.add(prioClaim, &write{
 		part: p.id, keys: []string{p.key()},
 		build: func(nonce string) ([]TxnOp, []Mark) {
 			v, _ := json.Marshal(partRecord{Holder: c.cfg.Self, Term: term, W: nonce, Upgraded: c.releases.list()})
@@ -282,86 +288,10 @@
 		fn(false)
 	}
 	p.confirmQ = nil
-	c.w.dropPart(id)
+	c.writer.dropPart(id)
 	c.rereadPart(p)
 }
 
-// loadPart reads the checkpoint of a part just claimed: the records come
-// first, what the workers say is compared with them afterwards.
-func (c *Core) loadPart(p *part) {
-	claim := p.claim
-	var machines, rentals, jobs, accepts *ListReply
-	step := func() {
-		if !p.held || p.claim != claim || machines == nil || rentals == nil || jobs == nil || accepts == nil {
-			return
-		}
-		for _, kv := range jobs.Items {
-			c.learnJob(kv, p)
-		}
-		for _, kv := range accepts.Items { // after the jobs' own records, which count
-			c.learnAccepted(kv, p)
-		}
-		for _, kv := range machines.Items {
-			c.learnGroup(kv, p)
-		}
-		for _, kv := range rentals.Items {
-			c.learnRental(kv, p)
-		}
-		if !p.held {
-			return
-		}
-		if len(p.aside) > 0 {
-			c.clearAside(p)
-			return
-		}
-		p.ready = true
-		c.claims++
-		early := p.early
-		p.early = nil
-		for _, kv := range early {
-			c.learnJob(kv, nil)
-		}
-		p.unanswered, p.ackedAt = 0, c.now
-		for _, m := range p.ms {
-			if m.taken = !m.booting; m.taken {
-				p.unanswered++
-			}
-		}
-		if taken := p.unanswered; taken > 0 {
-			c.after(c.cfg.Lease, func() {
-				if p.held && p.claim == claim {
-					c.logf("info", "machines answered", "part", int(p.id), "machines", taken, "silent", p.unanswered, "took_ms", int((p.ackedAt-p.since)/milli))
-				}
-			})
-		}
-		c.placing = true
-		if len(p.ms)+len(p.rentals) > 0 {
-			c.nextList = 0 // the cloud's list shows what the records may lack
-		}
-		c.logf("info", "part ready", "part", int(p.id), "machines", len(p.ms), "jobs", len(p.js), "took_ms", int((c.now-p.since)/milli))
-		c.machineSweep()
-	}
-	var read func(prefix string, to **ListReply)
-	read = func(prefix string, to **ListReply) {
-		c.list(prefix, func(r ListReply) {
-			if !p.held || p.claim != claim {
-				return
-			}
-			if r.Out != OK {
-				c.after(second/3, func() { read(prefix, to) })
-				return
-			}
-			*to = &r
-			step()
-		})
-	}
-	read("groups/", &machines)
-	read("rentals/", &rentals)
-	// The accepts first: what is accepted in between comes by the watch.
-	read(acceptPrefix, &accepts)
-	read(jobPrefix, &jobs)
-}
-
 // broken gives up a part whose records were changed in a way that this process
 // can't account for: nothing is guessed, it is claimed again after a pause and
 // read anew. Meanwhile every controller answers from the store. The pauses are
@@ -379,7 +309,7 @@
 func (c *Core) suspect(p *part, key, why string) {
 	claim := p.claim
 	c.get(p.key(), func(r GetReply) {
-		if !p.held || p.claim != claim {
+		if !p.heldUnder(claim) {
 			return
 		}
 		if r.Out != OK {
@@ -387,7 +317,7 @@
 			return
 		}
 		c.learnPart(r.KV)
-		if p.held && p.claim == claim {
+		if p.heldUnder(claim) {
 			c.broken(p, key, why)
 		}
 	})
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -5,6 +5,8 @@
 	"sort"
 	"strconv"
 	"strings"
+
+	"stairrelay/internal/grouprecord"
 )
 
 // rentOption is something that the cloud may have.
@@ -36,11 +38,6 @@
 	W     string `json:"w"`
 }
 
-// cloudView is the state of reading the machine list.
-type cloudView struct {
-	busy bool
-}
-
 func rentalKey(name string) string { return "rentals/" + name }
 
 func (c *Core) learnRental(kv KV, p *part) {
@@ -115,7 +112,7 @@
 		return
 	}
 	c.rentAsked = true
-	c.after(c.pause(100*milli), func() {
+	c.after(c.process.pause(100*milli), func() {
 		c.rentAsked = false
 		c.rentSweep()
 	})
@@ -341,7 +338,7 @@
 		r.mark, r.late = Mark(e), x.unsure
 		c.callRent(p, r)
 	}
-	c.w.add(prioRent, x)
+	c.writer.add(prioRent, x)
 }
 
 func (c *Core) rentalCurrent(p *part, r *rental) bool { return p.held && p.rentals[r.name] == r }
@@ -395,9 +392,10 @@
 	if id == "" { // of an earlier claim, whose copies this one has fenced
 		id = c.groupName(p)
 	}
-	ms := make([]listedMachine, 0, len(ids))
+	kind := grouprecord.Kind{Type: r.opt.Type, Zone: r.opt.Zone, Spot: r.opt.Spot}
+	ms := make([]grouprecord.Machine, 0, len(ids))
 	for _, m := range ids {
-		ms = append(ms, listedMachine{id: m, kind: groupKind{r.opt.Type, r.opt.Zone, r.opt.Spot}, booting: true})
+		ms = append(ms, grouprecord.Machine{ID: m, Kind: kind, Booting: true})
 	}
 	keys, prio := []string{rentalKey(r.name)}, prioLazy
 	// A refused one gets no machines, but where a copy of its creation may come
@@ -409,12 +407,12 @@
 	if len(ids) > 0 {
 		prio = prioRent
 	}
-	c.w.add(prio, &write{
+	c.writer.add(prio, &write{
 		part: p.id, keys: keys,
 		build: func(nonce string) ([]TxnOp, []Mark) {
 			ops, marks := []TxnOp{{rentalKey(r.name), nil}}, []Mark{r.mark}
 			if made {
-				v := encodeGroup(p.id, ms, nonce)
+				v := grouprecord.Encode(grouprecord.Record{Part: p.id, Machines: ms, Nonce: nonce})
 				size = len(v)
 				ops, marks = append(ops, TxnOp{"groups/" + id, v}), append(marks, 0)
 			}
--- a/internal/core/zone_cut_guards_test.go
+++ b/internal/core/zone_cut_guards_test.go
@@ -1,6 +1,10 @@
 package core
 
-import "testing"
+import (
+	"testing"
+
+	"stairrelay/internal/grouprecord"
+)
 
 // The guards of a zone that is cut off with machines and controllers in it:
 // inside, a controller lets go of its machines; outside, what they may run is
@@ -28,7 +32,7 @@
 func TestCutOffHolderLetsMachinesGo(t *testing.T) {
 	newHolder := func() *bench {
 		b := newBench()
-		b.storeUp.failing, b.storeUp.since = true, b.now
+		b.storeHealth.failing, b.storeHealth.failingSince = true, b.now
 		for _, peer := range b.peers {
 			answerPing(b, peer.id, 1)
 		}
@@ -73,12 +77,12 @@
 	part := b.parts[0]
 	job := b.job("j-1", 1)
 	task := TaskID{Job: "j-1", Index: 0}
-	cut := listedMachine{id: "m-1", kind: groupKind{"small", "a", false}, addr: "m-1", tasks: []listedTask{{task, 7}}}
-	record := KV{"groups/cut", encodeGroup(0, []listedMachine{cut}, "b9-1"), 25}
+	cut := grouprecord.Machine{ID: "m-1", Kind: grouprecord.Kind{Type: "small", Zone: "a", Spot: false}, Address: "m-1", Tasks: []grouprecord.Task{{ID: task, Attempt: 7}}}
+	record := KV{"groups/cut", grouprecord.Encode(grouprecord.Record{Part: 0, Machines: []grouprecord.Machine{cut}, Nonce: "b9-1"}), 25}
 	b.store.keys[record.Key] = record
 	b.learnGroup(record, part)
-	outside := b.addMachine(b.newGroup(part, "outside", 26), listedMachine{id: "m-2", kind: groupKind{"small", "b", false}, addr: "m-2"}, 31)
-	b.store.keys["groups/outside"] = KV{"groups/outside", encodeGroup(0, []listedMachine{{id: "m-2", kind: groupKind{"small", "b", false}, addr: "m-2"}}, "b9-2"), 26}
+	outside := b.addMachine(b.newGroup(part, "outside", 26), grouprecord.Machine{ID: "m-2", Kind: grouprecord.Kind{Type: "small", Zone: "b", Spot: false}, Address: "m-2"}, 31)
+	b.store.keys["groups/outside"] = KV{"groups/outside", grouprecord.Encode(grouprecord.Record{Part: 0, Machines: []grouprecord.Machine{{ID: "m-2", Kind: grouprecord.Kind{Type: "small", Zone: "b", Spot: false}, Address: "m-2"}}, Nonce: "b9-2"}), 26}
 	outside.acked, outside.session, outside.stamp = true, 1, 1
 
 	startedOutside := func() bool {
--- a/internal/e2e/pipeline_test.go
+++ b/internal/e2e/pipeline_test.go
@@ -40,7 +40,7 @@
 // TestPipeline: three real processes take a pipeline over three teams, run its
 // jobs one after the other, and cancel what needs a cancelled job.
 func TestPipeline(t *testing.T) {
-	c := start(t)
+	c := startCluster(t)
 	if status := c.submit(0, "j-000051", "red", 1, 3*time.Second); status != 201 {
 		t.Fatalf("submitted: %d", status)
 	}
