--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -281,8 +281,6 @@
 	c.emit(Log{Level: level, Text: text, Args: args})
 }
 
-func (c *Core) respond(r Respond) { c.emit(r) }
-
 // refuse answers at once that the request can't be taken now.
 func (c *Core) refuse(req ReqID, status, after int, why string) {
 	c.emit(Respond{Req: req, Status: status, RetryAfter: after, Error: why})
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -35,7 +35,6 @@
 	grace     float64
 	stopSent  Time
 	stopAt    Time // when its stop was decided
-	stops     int
 	runAt     Time
 	partial   bool // its start was not seen
 }
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -92,6 +92,7 @@
 	Index int
 }
 
+// String is the job's id, a slash and the index.
 func (t TaskID) String() string { return string(t.Job) + "/" + strconv.Itoa(t.Index) }
 
 // ParseTask reads the form that String writes.
@@ -131,27 +132,29 @@
 	Awaits    []JobID  `json:"aw,omitempty"` // have to be done before any task of this one starts
 }
 
-// Task states in a worker's report.
+// TaskState is a task's state in a worker's report.
 type TaskState int
 
+// The states of a task, in the order in which it goes through them.
 const (
-	Fetching TaskState = iota
+	Fetching TaskState = iota // its image is being fetched
 	Running
-	Saving
+	Saving // a checkpoint is being written, since it is to be stopped
 	Ended
 )
 
 // Cause says why a task ended.
 type Cause int
 
+// The causes of a task's end.
 const (
-	CauseNone Cause = iota
-	CauseDone
-	CauseStopped
-	CauseError
-	CauseFull
-	CauseBusy
-	CauseNoSuch
+	CauseNone    Cause = iota // it has not ended
+	CauseDone                 // it ran to its end
+	CauseStopped              // by a command
+	CauseError                // it failed
+	CauseFull                 // the machine has no room for it
+	CauseBusy                 // another attempt of it is on the machine
+	CauseNoSuch               // the worker knows no such task
 )
 
 // TaskReport is one task in a worker's report.
@@ -177,13 +180,14 @@
 	Tasks   []TaskReport
 }
 
-// Verb is a command to a worker.
+// Verb is what a command tells a worker to do.
 type Verb int
 
+// The verbs of commands.
 const (
-	Start Verb = iota
-	Stop
-	Forget
+	Start  Verb = iota // start an attempt of a task
+	Stop               // stop it, after a grace for saving
+	Forget             // drop the account of one that has ended
 )
 
 // Command is sent to a worker.
@@ -228,6 +232,7 @@
 // Status is a job's state as users see it.
 type Status string
 
+// The states of a job.
 const (
 	StPending   Status = "pending"
 	StRunning   Status = "running"
