--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -1,5 +1,7 @@
 package core
 
+import "stairrelay/internal/sharing"
+
 // Event is anything that happens to a controller.
 type Event interface{ isEvent() }
 
@@ -288,20 +290,7 @@
 }
 
 // PartLoad is what a part has and what its jobs could use, by priority.
-type PartLoad struct {
-	Part   Part
-	Have   Amount // usable now
-	Coming Amount // booting
-	Demand [4]Amount
-}
-
-func (l PartLoad) need() Amount {
-	var sum Amount
-	for _, d := range l.Demand {
-		sum += d
-	}
-	return sum
-}
+type PartLoad = sharing.PartLoad
 
 // PartTerm says that the sender holds a part.
 type PartTerm struct {
--- a/internal/core/moves.go
+++ b/internal/core/moves.go
@@ -1,10 +1,10 @@
 package core
 
 import (
-	"sort"
 	"strings"
 
 	"stairrelay/internal/grouprecord"
+	"stairrelay/internal/sharing"
 )
 
 // Idle machines move between parts by groups: one part offers, the other takes.
@@ -63,7 +63,7 @@
 
 // offerIdle offers a part's idle machines to those that lack some. They are
 // gathered into groups of their own, so that one write moves many.
-func (c *Core) offerIdle(p *part, loads map[Part]PartLoad, want map[Part]Amount) {
+func (c *Core) offerIdle(p *part, plan *sharing.Plan) {
 	if c.now < p.offerAfter {
 		return
 	}
@@ -71,17 +71,6 @@
 	if len(idle) == 0 {
 		return
 	}
-	lacking, lacks := make([]Part, 0, len(loads)), map[Part]Amount{}
-	for q, l := range loads {
-		if q != p.id && want[q] > l.Have {
-			lacking = append(lacking, q)
-			lacks[q] = want[q] - l.Have
-		}
-	}
-	sort.Slice(lacking, func(i, k int) bool {
-		a, b := lacking[i], lacking[k]
-		return lacks[a] > lacks[b] || lacks[a] == lacks[b] && a < b
-	})
 	work := c.unplaced(p)
 	var spare []*machine
 	for _, m := range idle {
@@ -89,13 +78,14 @@
 			spare = append(spare, m)
 		}
 	}
-	for _, id := range sortedKeys(c.groups) {
-		if g := c.groups[id]; g.part == p.id && g.offer != nil {
-			lacks[g.offer.to] -= c.cpus(g)
+	offered := map[Part]Amount{}
+	for _, g := range c.groups {
+		if g.part == p.id && g.offer != nil {
+			offered[g.offer.to] += c.cpus(g)
 		}
 	}
-	for _, q := range lacking {
-		lack := lacks[q]
+	for _, recipient := range plan.Recipients(p.id) {
+		lack := recipient.Amount - offered[recipient.Part]
 		var ms []*machine
 		groups := map[*group]bool{}
 		for len(spare) > 0 && lack > 0 && len(ms) < c.groupMachines() && (len(groups) < c.cfg.TxnOps-1 || groups[spare[0].g]) {
@@ -111,7 +101,7 @@
 		p.offerAfter = c.now + second
 		offer := func(g *group) {
 			if g != nil {
-				g.offer = &groupOffer{to: q, until: c.now + 5*second}
+				g.offer = &groupOffer{to: recipient.Part, until: c.now + 5*second}
 			}
 		}
 		if len(groups) == 1 && len(ms) == len(ms[0].g.ms) {
--- a/internal/core/share.go
+++ b/internal/core/share.go
@@ -1,10 +1,15 @@
 package core
 
-import "sort"
+import (
+	"sort"
+
+	"stairrelay/internal/sharing"
+)
 
 // Machines are split among the parts, but the need for them is not split
-// evenly: this file says how much of all machines each part should have, lets
-// a part that has more give machines up, and stops less important work.
+// evenly: package sharing says how much of all machines each part should have.
+// This file tells it the parts' loads, lets a part that has more give machines
+// up, and stops less important work.
 
 // loads describes the parts held here.
 func (c *Core) loads() []PartLoad {
@@ -50,8 +55,8 @@
 }
 
 // allLoads is every part's load as far as it is known, by number.
-func (c *Core) allLoads() map[Part]PartLoad {
-	out := map[Part]PartLoad{}
+func (c *Core) allLoads() sharing.Snapshot {
+	out := sharing.Snapshot{}
 	for _, id := range c.cfg.Nodes {
 		if p := c.peers[id]; p != nil && !p.failed && c.now-p.pingAt < 3*second {
 			for _, l := range p.ping.Loads {
@@ -67,106 +72,80 @@
 	return out
 }
 
-// targets divides all the machines there are: more important work first, and
-// within a priority the least served part first.
-func targets(loads map[Part]PartLoad) map[Part]Amount {
-	var parts []Part
-	var rest Amount
-	for p, l := range loads {
-		parts = append(parts, p)
-		rest += l.Have
-	}
-	sort.Slice(parts, func(i, j int) bool { return parts[i] < parts[j] })
-	got := map[Part]Amount{}
-	for prio := Production; prio >= BestEffort; prio-- {
-		open := append([]Part(nil), parts...)
-		sort.SliceStable(open, func(i, j int) bool { return loads[open[i]].Demand[prio] < loads[open[j]].Demand[prio] })
-		for i, p := range open {
-			give := min(loads[p].Demand[prio], rest/Amount(len(open)-i))
-			got[p] += give
-			rest -= give
-		}
-	}
-	return got
-}
-
-// yieldMargin: a part keeps what is this fraction beyond its target.
-const yieldMargin = 6
-
 // yieldMachines picks the machines that the parts held here give up. They get
 // nothing new; once empty they are offered as idle machines.
 func (c *Core) yieldMachines() {
 	c.endOffers()
-	loads := c.allLoads()
-	want := targets(loads)
-	var lack Amount
-	for p, l := range loads {
-		if want[p] > l.Have {
-			lack += want[p] - l.Have
-		}
-	}
+	plan := sharing.NewPlan(c.allLoads())
 	for _, p := range c.parts {
-		l, ok := loads[p.id]
-		if !p.held || !p.ready || !ok {
-			continue
+		if load, known := plan.Loads[p.id]; known && p.held && p.ready {
+			c.yieldOf(p, load, plan)
 		}
-		// Between parts that all lack machines needs change every second; what
-		// moves for that runs empty first and fetches its images anew. Only what
-		// goes beyond a margin is worth it.
-		spare := min(l.Have-want[p.id]-want[p.id]/yieldMargin, lack)
-		if lack <= 0 {
-			spare = 0
-		}
-		var ms []*machine
-		for _, m := range p.ms {
-			if m.yield && spare <= 0 {
-				c.placing = true
-			}
-			m.yield, m.retire = false, false
-			if c.usable(m) {
-				ms = append(ms, m)
-			}
+	}
+}
+
+// yieldOf picks the machines that one part gives up.
+func (c *Core) yieldOf(p *part, load PartLoad, plan *sharing.Plan) {
+	spare := plan.Spare(p.id)
+	ms := c.resetYield(p, spare)
+	c.sortByRest(ms)
+	top := plan.LackPriority(p.id)
+	for _, i := range sharing.PickWithin(c.sizes(ms), spare) {
+		ms[i].yield = true
+		c.clearFor(ms[i], top)
+	}
+	if plan.Lack <= 0 {
+		c.retire(p, ms, load)
+	} else {
+		c.offerIdle(p, plan)
+	}
+}
+
+// resetYield takes back what was picked before, and returns the machines to
+// pick from.
+func (c *Core) resetYield(p *part, spare Amount) []*machine {
+	var ms []*machine
+	for _, m := range p.ms {
+		if m.yield && spare <= 0 {
+			c.placing = true
 		}
-		rest := map[*machine]float64{}
-		for _, m := range ms {
-			for _, a := range m.assigns {
-				if a.live() {
-					rest[m] = max(rest[m], c.expectedRest(a))
-				}
-			}
+		m.yield, m.retire = false, false
+		if c.usable(m) {
+			ms = append(ms, m)
 		}
-		sort.SliceStable(ms, func(i, j int) bool { return rest[ms[i]] < rest[ms[j]] })
-		for _, m := range ms {
-			size := c.types[m.typ].Cap.CPU
-			if spare < size || size == 0 {
-				continue
+	}
+	return ms
+}
+
+// sortByRest puts the machines first that will be free soonest.
+func (c *Core) sortByRest(ms []*machine) {
+	rest := map[*machine]float64{}
+	for _, m := range ms {
+		for _, a := range m.assigns {
+			if a.live() {
+				rest[m] = max(rest[m], c.expectedRest(a))
 			}
-			spare -= size
-			m.yield = true
-			c.clearFor(m, loads, want)
-		}
-		if lack <= 0 {
-			c.retire(p, ms, l)
-		} else {
-			c.offerIdle(p, loads, want)
 		}
 	}
+	sort.SliceStable(ms, func(i, j int) bool { return rest[ms[i]] < rest[ms[j]] })
+}
+
+// sizes lists the machines' CPUs.
+func (c *Core) sizes(ms []*machine) []Amount {
+	out := make([]Amount, len(ms))
+	for i, m := range ms {
+		out[i] = c.types[m.typ].Cap.CPU
+	}
+	return out
 }
 
 // retire picks the machines that a part can do without, dearest first. They
 // run empty and are returned, so that the work gathers on the cheaper ones.
-func (c *Core) retire(p *part, ms []*machine, l PartLoad) {
-	need := l.need()
-	spare := l.Have - need - Amount(float64(need)*c.cfg.Tuning.SpareShare) - 8_000_000
+func (c *Core) retire(p *part, ms []*machine, load PartLoad) {
 	typical := c.typicalNeed(p)
 	sort.SliceStable(ms, func(i, j int) bool { return c.dearness(ms[i], typical) > c.dearness(ms[j], typical) })
-	for _, m := range ms {
-		size := c.types[m.typ].Cap.CPU
-		if size > spare || size == 0 {
-			continue
-		}
-		spare -= size
-		m.yield, m.retire = true, true
+	for _, i := range sharing.PickWithin(c.sizes(ms), load.Surplus(c.cfg.Tuning.SpareShare)) {
+		ms[i].yield, ms[i].retire = true, true
 	}
 }
 
@@ -200,21 +179,9 @@
 	return Res{sum.CPU / n * 115 / 100, sum.GPU / n, sum.Mem / n * 115 / 100}
 }
 
-// clearFor empties a yielded machine of work that can save, when what other
-// parts lack it for is more important.
-func (c *Core) clearFor(m *machine, loads map[Part]PartLoad, want map[Part]Amount) {
-	top := BestEffort
-	for p, l := range loads {
-		if p == m.part || want[p] <= l.Have {
-			continue
-		}
-		for prio := Production; prio > top; prio-- {
-			if l.Demand[prio] > 0 {
-				top = prio
-				break
-			}
-		}
-	}
+// clearFor empties a yielded machine of work that can save, when the work that
+// other parts lack it for is more important.
+func (c *Core) clearFor(m *machine, top Priority) {
 	if top < Urgent {
 		return
 	}
@@ -359,18 +326,7 @@
 // mayRent holds back a part that has its share already while others lack
 // theirs: what the cloud still has should go to them first.
 func (c *Core) mayRent(p *part) bool {
-	loads := c.allLoads()
-	mine := loads[p.id]
-	least := true
-	for q, l := range loads {
-		if q == p.id {
-			continue
-		}
-		if l.need() > l.Have+l.Coming && l.Have+l.Coming+16_000_000 < mine.Have+mine.Coming {
-			least = false
-		}
-	}
-	if least {
+	if c.allLoads().RentsFirst(p.id) {
 		return true
 	}
 	if c.now-p.rentedAt < 4*second {
--- a/internal/core/upkeep.go
+++ b/internal/core/upkeep.go
@@ -1,6 +1,10 @@
 package core
 
-import "strings"
+import (
+	"strings"
+
+	"stairrelay/internal/sharing"
+)
 
 // What becomes of machines: tokens raised, silent and idle ones returned.
 
@@ -140,16 +144,14 @@
 // to any part. Another part with too few machines is better offered it than
 // left to rent one. What all machines share is worked out at most once.
 func (c *Core) idleJudge() func(*machine) bool {
-	var loads map[Part]PartLoad
+	var loads sharing.Snapshot
 	work := map[Part][]waitingWork{}
 	return func(m *machine) bool {
 		if loads == nil {
 			loads = c.allLoads()
 		}
-		for q, l := range loads {
-			if q != m.part && l.need() > l.Have+l.Coming {
-				return false
-			}
+		if loads.OthersLack(m.part) {
+			return false
 		}
 		w, ok := work[m.part]
 		if !ok {
