--- a/internal/core/maintenance.go
+++ b/internal/core/maintenance.go
@@ -1,5 +1,9 @@
 package core
 
+import (
+	"stairrelay/internal/sharing"
+)
+
 // Maintenance of the machines held here: tokens are raised, silent and idle ones
 // returned.
 
@@ -175,16 +179,14 @@
 // to any part. Another part with too few machines is better offered it than
 // left to rent one. What all machines share is worked out at most once.
 func (c *Core) idleJudge() func(*machine) bool {
-	var loads map[Part]PartLoad
+	var loads sharing.Snapshot
 	work := map[Part][]waitingWork{}
 	return func(m *machine) bool {
 		if loads == nil {
 			loads = c.allLoads()
 		}
-		for q, l := range loads {
-			if q != m.part && l.need() > l.Have+l.Coming {
-				return false
-			}
+		if loads.OthersLack(m.part) {
+			return false
 		}
 		w, ok := work[m.part]
 		if !ok {
