--- a/internal/core/maintenance.go
+++ b/internal/core/maintenance.go
@@ -1,5 +1,9 @@
 package core
 
+import (
+	"stairrelay/internal/sharing"
+)
+
 // Maintenance of the machines held here: tokens are raised, silent and idle ones
 // returned.
 
@@ -33,7 +37,7 @@
 			c.spotLosses.served(sweepEvery)
 		}
 		silent := c.silentFor(m)
-		hangs := c.holdsCancelled(m) && (silent > c.cfg.Lease+2*second || m.taken && c.now-max(m.since, c.process.resumedAt) > c.takenPatience())
+		hangs := c.hangsWithCancelled(m)
 		if c.storeLost(second) && !m.returned && (hangs || c.ignoresStop(m)) {
 			c.returnUnrecorded(m)
 		}
@@ -108,6 +112,42 @@
 // may be a copy that was held up until now, while the machine hangs.
 func (c *Core) takenPatience() Time { return max(5*second, 2*c.cfg.ReportEvery) }
 
+// hangsWithCancelled tells whether a machine that may run tasks of a cancelled
+// job seems to hang, so that it has to be returned before the cancellation's time
+// is up.
+func (c *Core) hangsWithCancelled(m *machine) bool {
+	if !c.holdsCancelled(m) {
+		return false
+	}
+	if c.silentFor(m) > c.cfg.Lease+2*second {
+		return true
+	}
+	if !m.taken {
+		return false
+	}
+	if c.now-max(m.since, c.process.resumedAt) > c.takenPatience() {
+		return true
+	}
+	return c.holdsLongCancelled(m) && m.ordersBusy && c.now-max(m.ordersAt, c.process.resumedAt) > slowCall
+}
+
+// slowCall is well above what a call takes to a machine that runs.
+const slowCall = 1500 * milli
+
+// holdsLongCancelled tells whether half of the time for a cancellation has passed
+// since this process learnt of one whose tasks may be on a machine. Where each
+// holder of the part ended sooner than takenPatience, the rest may not be enough
+// for that either.
+func (c *Core) holdsLongCancelled(m *machine) bool {
+	for _, a := range m.assigns {
+		known := c.jobs.finished(a.task.Job)
+		if a.live() && known != nil && known.final == StCancelled && c.now-known.finalAt > c.cfg.CancelWithin/2 {
+			return true
+		}
+	}
+	return false
+}
+
 // lostSpot notes a spot machine that went without notice.
 func (c *Core) lostSpot(m *machine) {
 	if m.spot && !m.draining {
@@ -139,16 +179,14 @@
 // to any part. Another part with too few machines is better offered it than
 // left to rent one. What all machines share is worked out at most once.
 func (c *Core) idleJudge() func(*machine) bool {
-	var loads map[Part]PartLoad
+	var loads sharing.Snapshot
 	work := map[Part][]waitingWork{}
 	return func(m *machine) bool {
 		if loads == nil {
 			loads = c.allLoads()
 		}
-		for q, l := range loads {
-			if q != m.part && l.need() > l.Have+l.Coming {
-				return false
-			}
+		if loads.OthersLack(m.part) {
+			return false
 		}
 		w, ok := work[m.part]
 		if !ok {
