--- a/internal/core/amend.go
+++ b/internal/core/amend.go
@@ -125,10 +125,10 @@
 // reload reads a part's records anew.
 func (c *Core) reload(p *part) {
 	p.aside = nil
-	for _, m := range slices.Clone(p.ms) {
+	for _, m := range slices.Clone(p.machines) {
 		c.dropMachine(m)
 	}
-	for _, j := range slices.Clone(p.js) {
+	for _, j := range slices.Clone(p.jobs) {
 		c.dropJob(j)
 	}
 	for _, id := range sortedKeys(c.groups) {
--- a/internal/core/groups.go
+++ b/internal/core/groups.go
@@ -17,20 +17,20 @@
 // group's record at a mark at which that lists no task.
 
 type group struct {
-	id   string
-	part Part
-	mark Mark
-	ms   map[MachineID]*machine
-
-	writing  bool   // a write is queued or on its way
-	sent     bool   // it is on its way: what it lists is settled until it is answered
-	wait     *write // it is queued
-	again    int    // the priority of the next write that is wanted, or prios
-	checking bool
-	size     int // of the record as last built
-	added    int // bytes that may have come on top since
-	bins     int // into how many it is to be split at least, after a refusal
-	offer    *groupOffer
+	id       string
+	part     Part
+	mark     Mark
+	machines map[MachineID]*machine
+
+	writing     bool   // a write is queued or on its way
+	sent        bool   // it is on its way: what it lists is settled until it is answered
+	queuedWrite *write // it is queued
+	again       int    // the priority of the next write that is wanted, or prios
+	checking    bool
+	size        int // of the record as last built
+	added       int // bytes that may have come on top since
+	minPieces   int // into how many it is to be split at least, after a refusal
+	offer       *groupOffer
 }
 
 // groupOffer says that a part may take the group. Until then nothing is
@@ -43,8 +43,8 @@
 func (g *group) key() string { return "groups/" + g.id }
 
 func (g *group) list() []*machine {
-	l := make([]*machine, 0, len(g.ms))
-	for _, m := range g.ms {
+	l := make([]*machine, 0, len(g.machines))
+	for _, m := range g.machines {
 		l = append(l, m)
 	}
 	sort.Slice(l, func(i, k int) bool { return l[i].id < l[k].id })
@@ -67,13 +67,13 @@
 
 // snapshot remembers what a built record says, for when it is stored.
 type snapshot struct {
-	ms   []machineSnap
-	left []*machine // not listed any more: the cloud has taken them back
-	size int
+	machines []machineSnap
+	left     []*machine // not listed any more: the cloud has taken them back
+	size     int
 }
 
 type machineSnap struct {
-	m         *machine
+	machine   *machine
 	in, out   []*assign
 	bump, ret bool
 }
@@ -81,14 +81,14 @@
 // snap builds the record of a group that consists of the given machines. Nil:
 // there is nothing left to list.
 func (c *Core) snap(part Part, ms []*machine, nonce string) ([]byte, *snapshot) {
-	s := &snapshot{ms: make([]machineSnap, 0, len(ms))}
+	s := &snapshot{machines: make([]machineSnap, 0, len(ms))}
 	lines := make([]grouprecord.Machine, 0, len(ms))
 	for _, m := range ms {
 		if m.dead {
 			s.left = append(s.left, m)
 			continue
 		}
-		x := machineSnap{m: m, bump: m.bumping, ret: m.returning}
+		x := machineSnap{machine: m, bump: m.bumping, ret: m.returning}
 		line := grouprecord.Machine{ID: m.id, Kind: m.kind(), Address: m.addr, Returned: m.returning, Booting: m.booting}
 		for _, a := range m.sorted() {
 			if a.gone {
@@ -98,7 +98,7 @@
 			x.in = append(x.in, a)
 			line.Tasks = append(line.Tasks, grouprecord.Task{ID: a.task, Attempt: a.attempt})
 		}
-		s.ms = append(s.ms, x)
+		s.machines = append(s.machines, x)
 		lines = append(lines, line)
 	}
 	// An emptied group's key is kept, with nothing listed: once it were absent,
@@ -119,7 +119,7 @@
 func (c *Core) cpusWaiting(groups ...*group) float64 {
 	var sum Amount
 	for _, g := range groups {
-		for _, m := range g.ms {
+		for _, m := range g.machines {
 			size := c.types[m.typ].Cap.CPU
 			if m.bumping {
 				sum += bumpWeight * size
@@ -127,7 +127,7 @@
 				sum += size
 			}
 			for _, a := range m.assigns {
-				if a.phase == aRecording || a.gone && a.j.active() {
+				if a.phase == aRecording || a.gone && a.job.active() {
 					sum += a.need.CPU
 				}
 			}
@@ -138,7 +138,7 @@
 
 // writeMachine stores which tasks may be on a machine, with the rest of its
 // group. All that changes while the write waits its turn goes into the same put.
-func (c *Core) writeMachine(m *machine, prio int) { c.writeGroup(m.g, prio) }
+func (c *Core) writeMachine(m *machine, prio int) { c.writeGroup(m.group, prio) }
 
 // groupWrite is the write of one group's record.
 type groupWrite struct {
@@ -161,7 +161,7 @@
 	g.writing, g.again = true, prios
 	p := c.parts[g.part]
 	w := &groupWrite{core: c, part: p, claim: p.claim, group: g, prio: prio}
-	g.wait = &write{
+	g.queuedWrite = &write{
 		part:        g.part,
 		keys:        []string{g.key()},
 		cpusWaiting: func() float64 { return c.cpusWaiting(g) },
@@ -171,7 +171,7 @@
 		tooLarge:    w.tooLarge,
 		lost:        g.endWrite,
 	}
-	c.writer.add(prio, g.wait)
+	c.writer.add(prio, g.queuedWrite)
 }
 
 // endWrite notes that no write of the record is under way any more.
@@ -184,7 +184,7 @@
 
 func (w *groupWrite) build(nonce string) ([]TxnOp, []Mark) {
 	c, g := w.core, w.group
-	g.wait = nil
+	g.queuedWrite = nil
 	if c.groups[g.id] != g {
 		g.writing = false
 		return nil, nil
@@ -223,7 +223,7 @@
 		return
 	}
 	g.again = min(g.again, w.prio)
-	if len(g.ms) > 1 {
+	if len(g.machines) > 1 {
 		again := g.again
 		c.splitGroup(w.part, g)
 		g.again = again
@@ -242,9 +242,9 @@
 // groupStored follows a stored record: what it lists may be started, what it
 // no longer lists may be started elsewhere.
 func (c *Core) groupStored(g *group, s *snapshot, e Epoch) {
-	for i := range s.ms {
-		x := &s.ms[i]
-		m := x.m
+	for i := range s.machines {
+		x := &s.machines[i]
+		m := x.machine
 		if c.machines[m.id] != m {
 			continue
 		}
@@ -254,7 +254,7 @@
 				continue
 			}
 			a.phase = aReady
-			if !a.j.active() {
+			if !a.job.active() {
 				c.setGone(m, a) // cancelled meanwhile, never sent
 			} else {
 				c.orderSoon(m)
@@ -275,13 +275,13 @@
 	for _, m := range s.left {
 		c.forgetMachine(m)
 	}
-	if len(g.ms) == 0 {
+	if len(g.machines) == 0 {
 		delete(c.groups, g.id)
 	}
 }
 
 func (c *Core) newGroup(p *part, id string, mark Mark) *group {
-	g := &group{id: id, part: p.id, mark: mark, ms: map[MachineID]*machine{}, again: prios}
+	g := &group{id: id, part: p.id, mark: mark, machines: map[MachineID]*machine{}, again: prios}
 	c.groups[id] = g
 	return g
 }
@@ -298,10 +298,10 @@
 	var small []*group
 	for _, id := range sortedKeys(c.groups) {
 		g := c.groups[id]
-		if g.part != p.id || g.sent || g.offer != nil || len(g.ms) == 0 {
+		if g.part != p.id || g.sent || g.offer != nil || len(g.machines) == 0 {
 			continue
 		}
-		if size := g.length(); limit.TooLong(size) && len(g.ms) > 1 {
+		if size := g.length(); limit.TooLong(size) && len(g.machines) > 1 {
 			c.splitGroup(p, g)
 		} else if limit.Short(size) {
 			small = append(small, g)
@@ -310,7 +310,7 @@
 	sort.SliceStable(small, func(i, k int) bool { return small[i].length() < small[k].length() })
 	sizes := make([]grouprecord.Size, len(small))
 	for i, g := range small {
-		sizes[i] = grouprecord.Size{Bytes: g.length(), Machines: len(g.ms)}
+		sizes[i] = grouprecord.Size{Bytes: g.length(), Machines: len(g.machines)}
 	}
 	n := limit.Joinable(sizes, c.cfg.TxnOps)
 	if n < 2 {
@@ -388,7 +388,7 @@
 // groupMoved forgets a group that another part has taken. Its record listed no
 // task, so what was planned for it was never sent.
 func (c *Core) groupMoved(g *group, to Part) {
-	c.logf("debug", "group moved away", "group", g.id, "machines", len(g.ms), "to", int(to))
+	c.logf("debug", "group moved away", "group", g.id, "machines", len(g.machines), "to", int(to))
 	delete(c.groups, g.id)
 	for _, m := range g.list() {
 		c.dropMachine(m)
@@ -437,7 +437,7 @@
 			if uint64(x.token) > uint64(kv.Mark) {
 				return
 			}
-			c.groupMoved(x.g, p.id)
+			c.groupMoved(x.group, p.id)
 		}
 	}
 	g := c.newGroup(p, id, kv.Mark)
@@ -529,7 +529,7 @@
 	if j.state[t.ID.Index] >= tDone {
 		return ""
 	}
-	a := &assign{task: t.ID, mach: m.id, j: j, attempt: t.Attempt, phase: aDoubt, need: j.spec.Need, stop: j.final != ""}
+	a := &assign{task: t.ID, mach: m.id, job: j, attempt: t.Attempt, phase: aDoubt, need: j.spec.Need, stop: j.final != ""}
 	m.addAssign(a)
 	if j.state[t.ID.Index] == tPending {
 		j.setPlaced(t.ID.Index, a)
--- a/internal/core/groupsplit.go
+++ b/internal/core/groupsplit.go
@@ -24,13 +24,13 @@
 // where the record is far too large, as one that was written under higher limits
 // may be.
 func (c *Core) splitGroup(p *part, g *group) {
-	if g.sent || len(g.ms) < 2 {
+	if g.sent || len(g.machines) < 2 {
 		return
 	}
-	n := min(max(c.valueLimit().Pieces(g.length()), g.bins), c.cfg.TxnOps, len(g.ms))
-	if g.wait != nil {
-		c.writer.cancel(g.wait)
-		g.wait = nil
+	n := min(max(c.valueLimit().Pieces(g.length()), g.minPieces), c.cfg.TxnOps, len(g.machines))
+	if g.queuedWrite != nil {
+		c.writer.cancel(g.queuedWrite)
+		g.queuedWrite = nil
 	}
 	g.writing, g.sent, g.again = true, true, prios
 	s := &groupSplit{core: c, part: p, claim: p.claim, group: g, keys: []string{g.key()}}
@@ -97,7 +97,7 @@
 		}
 		to.mark, to.size = Mark(e), s.snaps[i].size
 		c.groupStored(to, s.snaps[i], e)
-		if to.again = again; len(to.ms) > 0 { // what was asked of the whole may concern each
+		if to.again = again; len(to.machines) > 0 { // what was asked of the whole may concern each
 			c.writeAgain(to)
 		}
 	}
@@ -117,7 +117,7 @@
 func (s *groupSplit) tooLarge() {
 	g := s.group
 	g.endWrite()
-	g.bins = 2 * len(s.keys)
+	g.minPieces = 2 * len(s.keys)
 	s.core.after(second, func() {
 		if s.current() {
 			s.core.writeGroup(g, prioStart)
--- a/internal/core/guards_test.go
+++ b/internal/core/guards_test.go
@@ -71,8 +71,8 @@
 		c.addMachine(c.newGroup(c.parts[0], "joined", 50), l, 50) // taken at revision 50
 		c.learnGroup(KV{Key: "groups/old", Value: grouprecord.Encode(grouprecord.Record{Part: 1, Machines: []grouprecord.Machine{l}, Nonce: "n"}), Mark: mark}, c.parts[1])
 		m := c.machines["m-1"]
-		if m == nil || m.part != want || len(c.parts[0].ms)+len(c.parts[1].ms) != 1 {
-			t.Errorf("read at %d: the parts hold %d and %d machines, want one in part %d", mark, len(c.parts[0].ms), len(c.parts[1].ms), want)
+		if m == nil || m.part != want || len(c.parts[0].machines)+len(c.parts[1].machines) != 1 {
+			t.Errorf("read at %d: the parts hold %d and %d machines, want one in part %d", mark, len(c.parts[0].machines), len(c.parts[1].machines), want)
 		}
 	}
 }
@@ -87,7 +87,7 @@
 	v, s := c.snap(0, nil, "n-1")
 	rec, err := grouprecord.Decode(v)
 	part, ms := rec.Part, rec.Machines
-	if v == nil || err != nil || part != 0 || len(ms) != 0 || nonceOf(v) != "n-1" || len(s.ms) != 0 {
+	if v == nil || err != nil || part != 0 || len(ms) != 0 || nonceOf(v) != "n-1" || len(s.machines) != 0 {
 		t.Fatalf("an emptied group is written as %q: %v", v, err)
 	}
 	p.held, p.claim, p.mark = true, 30, 30
@@ -273,7 +273,7 @@
 		urgent := newJob(JobSpec{ID: "j-2", Team: "red", Tasks: 1, Need: Res{CPU: 4_000_000}, Priority: Urgent, Submitted: c.wall}, 0, 0, 0)
 		c.addJob(old)
 		c.addJob(urgent)
-		a := &assign{task: TaskID{Job: "j-1", Index: 0}, j: old, need: old.spec.Need, mach: "m-1", phase: aSeen, state: Running}
+		a := &assign{task: TaskID{Job: "j-1", Index: 0}, job: old, need: old.spec.Need, mach: "m-1", phase: aSeen, state: Running}
 		m.addAssign(a)
 		old.setPlaced(0, a)
 		c.preempt(p, []*job{urgent}, map[*job]bool{}, c.teamUse(p))
@@ -294,7 +294,7 @@
 	c.addJob(j)
 	g := c.newGroup(p, "g", 1)
 	put := func(m *machine, i int, ph phase) {
-		a := &assign{task: TaskID{Job: "j-1", Index: i}, j: j, need: j.spec.Need, mach: m.id, phase: ph}
+		a := &assign{task: TaskID{Job: "j-1", Index: i}, job: j, need: j.spec.Need, mach: m.id, phase: ph}
 		m.addAssign(a)
 		j.setPlaced(i, a)
 	}
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -324,16 +324,16 @@
 func (c *Core) addJob(j *job) {
 	c.jobs.held[j.spec.ID] = j
 	p := c.parts[j.part]
-	i := sort.Search(len(p.js), func(i int) bool { return p.js[i].spec.ID >= j.spec.ID })
-	p.js = slices.Insert(p.js, i, j)
+	i := sort.Search(len(p.jobs), func(i int) bool { return p.jobs[i].spec.ID >= j.spec.ID })
+	p.jobs = slices.Insert(p.jobs, i, j)
 	p.order = nil
 }
 
 func (c *Core) removeJob(j *job) {
 	delete(c.jobs.held, j.spec.ID)
 	p := c.parts[j.part]
-	if i := slices.Index(p.js, j); i >= 0 {
-		p.js = slices.Delete(slices.Clone(p.js), i, i+1) // somebody may be walking the old list
+	if i := slices.Index(p.jobs, j); i >= 0 {
+		p.jobs = slices.Delete(slices.Clone(p.jobs), i, i+1) // somebody may be walking the old list
 		p.order = slices.DeleteFunc(slices.Clone(p.order), func(x *job) bool { return x == j })
 	}
 }
@@ -421,7 +421,7 @@
 func (c *Core) heldJobs() []*job {
 	var l []*job
 	for _, p := range c.parts {
-		l = append(l, p.js...)
+		l = append(l, p.jobs...)
 	}
 	return l
 }
--- a/internal/core/limits_test.go
+++ b/internal/core/limits_test.go
@@ -114,7 +114,7 @@
 		m.acked, m.session, m.stamp, m.heard = true, 1, 1, b.now
 		for k := range tasks {
 			n := from + (k*machines+i)*2
-			a := &assign{task: TaskID{Job: j.spec.ID, Index: n}, j: j, need: j.spec.Need, mach: id, attempt: Attempt(n + 1), phase: aSeen, state: Running}
+			a := &assign{task: TaskID{Job: j.spec.ID, Index: n}, job: j, need: j.spec.Need, mach: id, attempt: Attempt(n + 1), phase: aSeen, state: Running}
 			m.addAssign(a)
 			j.setPlaced(n, a)
 		}
@@ -239,8 +239,8 @@
 	if len(n) != 51 || longest > limit {
 		t.Errorf("%d of 51 machines are listed, the longest record has %d bytes", len(n), longest)
 	}
-	if len(small.ms) != 3 || len(other.ms) != 3 || len(large.ms) >= 45 {
-		t.Errorf("the groups have %d, %d and %d machines", len(large.ms), len(small.ms), len(other.ms))
+	if len(small.machines) != 3 || len(other.machines) != 3 || len(large.machines) >= 45 {
+		t.Errorf("the groups have %d, %d and %d machines", len(large.machines), len(small.machines), len(other.machines))
 	}
 	for _, p := range b.parts {
 		if !p.held {
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -24,7 +24,7 @@
 type assign struct {
 	task      TaskID
 	mach      MachineID
-	j         *job
+	job       *job
 	attempt   Attempt
 	phase     phase
 	cause     Cause
@@ -61,7 +61,7 @@
 type machine struct {
 	id        MachineID
 	part      Part
-	g         *group
+	group     *group
 	addr      string
 	typ       string
 	zone      string
@@ -121,18 +121,18 @@
 func (m *machine) tasks() int { return len(m.assigns) }
 
 func (c *Core) addMachine(g *group, l grouprecord.Machine, token Token) *machine {
-	m := &machine{id: l.ID, part: g.part, g: g, addr: l.Address, typ: l.Kind.Type, zone: l.Kind.Zone, spot: l.Kind.Spot, token: token,
+	m := &machine{id: l.ID, part: g.part, group: g, addr: l.Address, typ: l.Kind.Type, zone: l.Kind.Zone, spot: l.Kind.Spot, token: token,
 		since: c.now, heard: c.now, idleSince: c.now, unackedAt: c.now, booting: l.Booting,
 		assigns: map[TaskID]*assign{}, reap: map[start]bool{}, kill: map[start]bool{}, failedJobs: map[JobID]bool{}}
 	if old := c.machines[m.id]; old != nil { // never two pictures of one machine
 		c.removeMachine(old)
 		m.assigns = old.assigns
 	}
-	g.ms[m.id] = m
+	g.machines[m.id] = m
 	c.machines[m.id] = m
 	p := c.parts[m.part]
-	i := sort.Search(len(p.ms), func(i int) bool { return p.ms[i].id >= m.id })
-	p.ms = slices.Insert(p.ms, i, m)
+	i := sort.Search(len(p.machines), func(i int) bool { return p.machines[i].id >= m.id })
+	p.machines = slices.Insert(p.machines, i, m)
 	delete(c.owners, m.id)
 	return m
 }
@@ -141,16 +141,16 @@
 	if c.machines[m.id] == m {
 		delete(c.machines, m.id)
 	}
-	delete(m.g.ms, m.id)
+	delete(m.group.machines, m.id)
 	p := c.parts[m.part]
-	if i := slices.Index(p.ms, m); i >= 0 {
-		p.ms = slices.Delete(slices.Clone(p.ms), i, i+1) // somebody may be walking the old list
+	if i := slices.Index(p.machines, m); i >= 0 {
+		p.machines = slices.Delete(slices.Clone(p.machines), i, i+1) // somebody may be walking the old list
 	}
 }
 
 func (m *machine) addAssign(a *assign) {
 	m.assigns[a.task] = a
-	a.j.on[a] = true
+	a.job.on[a] = true
 }
 
 // dropMachine forgets a machine that is no longer ours.
@@ -228,7 +228,7 @@
 }
 
 func (c *Core) freeTask(a *assign) {
-	j := a.j
+	j := a.job
 	delete(j.on, a)
 	if j.where[a.task.Index] == a {
 		j.setPending(a.task.Index)
@@ -253,7 +253,7 @@
 // checkOwner finds out whether a machine was moved to another part.
 func (c *Core) checkOwner(m *machine) {
 	m.outbid = true
-	c.checkGroup(m.g)
+	c.checkGroup(m.group)
 }
 
 // bump raises a machine's token. Whatever was sent under the lower one can't
--- a/internal/core/maintenance.go
+++ b/internal/core/maintenance.go
@@ -27,7 +27,7 @@
 	var ms []*machine
 	for _, p := range c.parts {
 		if p.held && p.ready {
-			ms = append(ms, p.ms...)
+			ms = append(ms, p.machines...)
 		}
 	}
 	c.callMachines(ms)
@@ -157,7 +157,7 @@
 
 func (c *Core) holdsCancelled(m *machine) bool {
 	for _, a := range m.assigns {
-		if a.live() && a.j.cancelling {
+		if a.live() && a.job.cancelling {
 			return true
 		}
 	}
@@ -168,7 +168,7 @@
 // perhaps they don't reach the machine.
 func (c *Core) ignoresStop(m *machine) bool {
 	for _, a := range m.assigns {
-		if a.live() && a.stopAt > 0 && a.j.cancelling && c.now-a.stopAt > min(c.cfg.Lease+2*second, c.cfg.CancelWithin/2) {
+		if a.live() && a.stopAt > 0 && a.job.cancelling && c.now-a.stopAt > min(c.cfg.Lease+2*second, c.cfg.CancelWithin/2) {
 			return true
 		}
 	}
@@ -194,7 +194,7 @@
 			work[m.part] = w
 		}
 		for _, x := range w {
-			if c.allowedOn(x.j, m) {
+			if c.allowedOn(x.job, m) {
 				return false
 			}
 		}
--- a/internal/core/meeting_guards_test.go
+++ b/internal/core/meeting_guards_test.go
@@ -126,7 +126,7 @@
 func (b *bench) running(j *job) (*machine, *assign) {
 	m := b.addMachine(b.newGroup(b.parts[0], "g", 31), grouprecord.Machine{ID: "m-1", Kind: grouprecord.Kind{Type: "small", Zone: "a", Spot: false}, Address: "m-1"}, 31)
 	m.acked, m.session, m.stamp, m.heard = true, 1, 1, b.now
-	a := &assign{task: TaskID{Job: j.spec.ID, Index: 0}, j: j, need: j.spec.Need, mach: m.id, attempt: 7, phase: aSeen, state: Running}
+	a := &assign{task: TaskID{Job: j.spec.ID, Index: 0}, job: j, need: j.spec.Need, mach: m.id, attempt: 7, phase: aSeen, state: Running}
 	m.addAssign(a)
 	j.setPlaced(0, a)
 	return m, a
@@ -176,7 +176,7 @@
 			b := newBench()
 			m, a := b.running(b.job("j-1", 2))
 			other := b.job("j-2", 1)
-			ready := &assign{task: TaskID{Job: "j-2", Index: 0}, j: other, mach: m.id, attempt: 8, phase: aReady}
+			ready := &assign{task: TaskID{Job: "j-2", Index: 0}, job: other, mach: m.id, attempt: 8, phase: aReady}
 			m.addAssign(ready)
 			other.setPlaced(0, ready)
 			b.cancelHere("j-1", func(int, *JobView) {})
@@ -391,13 +391,13 @@
 		b := newBench()
 		m, a := b.running(b.job("j-1", 1))
 		a.stop = true
-		a.j.cancelling = true
+		a.job.cancelling = true
 		if m.heard = b.now; silent {
 			m.heard -= 2*b.cfg.ReportEvery + second
 		} else {
 			m.bumping, m.acked = true, false
 		}
-		b.callMachines(b.parts[0].ms)
+		b.callMachines(b.parts[0].machines)
 		var got []Command
 		for _, f := range b.out {
 			if o, ok := f.(Orders); ok && o.Addr == m.addr {
--- a/internal/core/moves.go
+++ b/internal/core/moves.go
@@ -88,11 +88,11 @@
 		lack := recipient.Amount - offered[recipient.Part]
 		var ms []*machine
 		groups := map[*group]bool{}
-		for len(spare) > 0 && lack > 0 && len(ms) < c.groupMachines() && (len(groups) < c.cfg.TxnOps-1 || groups[spare[0].g]) {
+		for len(spare) > 0 && lack > 0 && len(ms) < c.groupMachines() && (len(groups) < c.cfg.TxnOps-1 || groups[spare[0].group]) {
 			m := spare[0]
 			spare = spare[1:]
 			ms = append(ms, m)
-			groups[m.g] = true
+			groups[m.group] = true
 			lack -= c.types[m.typ].Cap.CPU
 		}
 		if len(ms) == 0 {
@@ -104,8 +104,8 @@
 				g.offer = &groupOffer{to: recipient.Part, until: c.now + 5*second}
 			}
 		}
-		if len(groups) == 1 && len(ms) == len(ms[0].g.ms) {
-			offer(ms[0].g)
+		if len(groups) == 1 && len(ms) == len(ms[0].group.machines) {
+			offer(ms[0].group)
 			continue
 		}
 		for _, m := range ms {
@@ -118,7 +118,7 @@
 // cpus is what a group's machines have in all.
 func (c *Core) cpus(g *group) Amount {
 	var sum Amount
-	for _, m := range g.ms {
+	for _, m := range g.machines {
 		sum += c.types[m.typ].Cap.CPU
 	}
 	return sum
@@ -182,7 +182,7 @@
 			if g.writing || g.mark != mark || g.offer == nil {
 				return
 			}
-			for _, m := range g.ms {
+			for _, m := range g.machines {
 				if len(m.assigns) > 0 {
 					return
 				}
--- a/internal/core/orders.go
+++ b/internal/core/orders.go
@@ -58,7 +58,7 @@
 			for _, a := range starts {
 				if a.phase == aSent {
 					a.phase = aReady
-					if !a.j.active() {
+					if !a.job.active() {
 						c.setGone(m, a)
 					}
 				}
--- a/internal/core/partload.go
+++ b/internal/core/partload.go
@@ -62,13 +62,13 @@
 	}
 	l.awaitMachines()
 	c.placement.request()
-	if len(p.ms)+len(p.rentals) > 0 {
+	if len(p.machines)+len(p.rentals) > 0 {
 		c.cloudListing.nextAt = 0 // the cloud's list shows what the records may lack
 	}
 	c.logf("info", "part ready",
 		"part", int(p.id),
-		"machines", len(p.ms),
-		"jobs", len(p.js),
+		"machines", len(p.machines),
+		"jobs", len(p.jobs),
 		"took_ms", int((c.now-p.since)/milli))
 	c.machineSweep()
 }
@@ -94,7 +94,7 @@
 func (l *partLoading) awaitMachines() {
 	c, p := l.core, l.part
 	p.unanswered, p.ackedAt = 0, c.now
-	for _, m := range p.ms {
+	for _, m := range p.machines {
 		if m.taken = !m.booting; m.taken {
 			p.unanswered++
 		}
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -32,8 +32,8 @@
 	provenAt   Time // when the last exchange with the store began that showed the claim in force
 	attempts   uint64
 	rentals    map[string]*rental
-	ms         []*machine // held here, by id
-	js         []*job
+	machines   []*machine // held here, by id
+	jobs       []*job
 	order      []*job        // js as they are served, as of orderAt; nil: to be worked out
 	owed       map[*job]bool // those within their team's guarantee, as of then
 	orderAt    Time
@@ -271,10 +271,10 @@
 	p.aside, p.early = nil, nil
 	p.held, p.ready, p.since = false, false, c.now
 	c.claims++
-	for _, m := range p.ms {
+	for _, m := range p.machines {
 		c.dropMachine(m)
 	}
-	for _, j := range p.js {
+	for _, j := range p.jobs {
 		c.dropJob(j)
 	}
 	for _, gid := range sortedKeys(c.groups) {
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -75,11 +75,11 @@
 // controller that it does beside other work. A part that has all the work would
 // only change hands: its machines and users would wait for that for nothing.
 func (c *Core) relieves(p *part) bool {
-	if len(p.js)+len(p.ms) == 0 {
+	if len(p.jobs)+len(p.machines) == 0 {
 		return true
 	}
 	for _, q := range c.parts {
-		if q != p && q.held && len(q.js)+len(q.ms) > 0 {
+		if q != p && q.held && len(q.jobs)+len(q.machines) > 0 {
 			return true
 		}
 	}
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -12,7 +12,7 @@
 // same way for a whole day.
 type classStats struct {
 	ratio float64 // run time over estimate, smoothed
-	n     int
+	runs  int
 }
 
 func (c *Core) class(name string) *classStats {
@@ -27,11 +27,11 @@
 func (c *Core) learnRuntime(m *machine, a *assign) {
 	// Only whole runs seen from their start tell anything: a resumed task has
 	// less to do, and after a take-over the start was not seen.
-	if a.runAt == 0 || a.j.spec.RuntimeS <= 0 || a.partial || a.j.restarted[a.task.Index] {
+	if a.runAt == 0 || a.job.spec.RuntimeS <= 0 || a.partial || a.job.restarted[a.task.Index] {
 		return
 	}
 	took := time.Duration(c.now - a.runAt).Seconds()
-	j := a.j
+	j := a.job
 	if j.runs >= 2 {
 		// Against its own job's other tasks a machine's speed shows best.
 		w := max(0.3, 1/float64(m.timed+1))
@@ -40,10 +40,10 @@
 	}
 	j.runs++
 	j.runSum += took
-	s := c.class(a.j.spec.Class)
-	s.n++
-	w := max(0.05, 1/float64(s.n+1))
-	s.ratio += w * (min(took/a.j.spec.RuntimeS, 5) - s.ratio)
+	s := c.class(a.job.spec.Class)
+	s.runs++
+	w := max(0.05, 1/float64(s.runs+1))
+	s.ratio += w * (min(took/a.job.spec.RuntimeS, 5) - s.ratio)
 }
 
 // slowPace is how many times slower than its like a machine may be. Machines
@@ -59,10 +59,10 @@
 	slow := m.timed >= 3 && m.pace > slowPace
 	var late []*assign
 	for _, a := range m.sorted() {
-		if a.phase != aSeen || a.gone || a.runAt == 0 || a.state != Running || a.j.runs < 3 || a.j.restarted[a.task.Index] {
+		if a.phase != aSeen || a.gone || a.runAt == 0 || a.state != Running || a.job.runs < 3 || a.job.restarted[a.task.Index] {
 			continue
 		}
-		if like := a.j.runSum / float64(a.j.runs); time.Duration(c.now-a.runAt).Seconds() > 2.5*like+5 {
+		if like := a.job.runSum / float64(a.job.runs); time.Duration(c.now-a.runAt).Seconds() > 2.5*like+5 {
 			late = append(late, a)
 		}
 	}
@@ -78,12 +78,12 @@
 	c.logf("info", "machine is slow", "machine", string(m.id), "pace", m.pace, "late_tasks", len(late))
 	c.drain(m)
 	for _, a := range m.sorted() {
-		if a.phase == aSeen && !a.gone && a.j.spec.CheckpntS > 0 {
+		if a.phase == aSeen && !a.gone && a.job.spec.CheckpntS > 0 {
 			late = append(late, a)
 		}
 	}
 	for _, a := range late {
-		c.stopTask(m, a, a.j.spec.SaveS*4+1)
+		c.stopTask(m, a, a.job.spec.SaveS*4+1)
 	}
 }
 
@@ -93,7 +93,7 @@
 }
 
 func (c *Core) expectedRest(a *assign) float64 {
-	run := c.expectedRun(a.j)
+	run := c.expectedRun(a.job)
 	if a.runAt == 0 {
 		return run + 2
 	}
@@ -220,13 +220,13 @@
 		start float64
 	}
 	room := Amount(1_000_000)
-	for _, m := range p.ms {
+	for _, m := range p.machines {
 		room += c.types[m.typ].Cap.CPU
 	}
 	p.owed = c.withinGuarantee(p)
-	p.avoidSpot = slices.ContainsFunc(p.js, func(j *job) bool { return j.active() && !j.waiting && c.prefersOrdinary(j) })
-	q := make([]ranked, 0, len(p.js))
-	for _, j := range p.js {
+	p.avoidSpot = slices.ContainsFunc(p.jobs, func(j *job) bool { return j.active() && !j.waiting && c.prefersOrdinary(j) })
+	q := make([]ranked, 0, len(p.jobs))
+	for _, j := range p.jobs {
 		// What is held back for a moment may be let go before the next ranking.
 		if !j.active() || j.waiting || j.pending() == 0 && j.placed == 0 {
 			continue
@@ -278,7 +278,7 @@
 // the team's earlier unfinished ones: they need not wait for other teams.
 func (c *Core) withinGuarantee(p *part) map[*job]bool {
 	var js []*job
-	for _, j := range p.js {
+	for _, j := range p.jobs {
 		if j.active() && !j.waiting {
 			js = append(js, j)
 		}
@@ -303,19 +303,19 @@
 		res  Res
 	}
 	var sums []teamSum // a handful: found faster than in a map, which counts with thousands of tasks
-	for _, m := range p.ms {
+	for _, m := range p.machines {
 	tasks:
 		for _, a := range m.assigns {
 			if !a.live() {
 				continue
 			}
 			for i := range sums {
-				if s := &sums[i]; s.name == a.j.spec.Team {
+				if s := &sums[i]; s.name == a.job.spec.Team {
 					s.res = s.res.plus(a.need)
 					continue tasks
 				}
 			}
-			sums = append(sums, teamSum{a.j.spec.Team, a.need})
+			sums = append(sums, teamSum{a.job.spec.Team, a.need})
 		}
 	}
 	use := make(map[string]Res, len(sums))
@@ -352,8 +352,8 @@
 func (c *Core) slots(p *part, least Amount) ([]slot, []grouprecord.Kind) {
 	var l []slot
 	var kinds []grouprecord.Kind
-	for _, m := range p.ms {
-		if m.yield && !m.retire || !c.usable(m) || m.g.offer != nil {
+	for _, m := range p.machines {
+		if m.yield && !m.retire || !c.usable(m) || m.group.offer != nil {
 			continue
 		}
 		t, ok := c.types[m.typ]
@@ -366,8 +366,8 @@
 				continue
 			}
 			s.free = s.free.minus(a.need)
-			if a.runAt == 0 && !m.hasImage(a.j.spec.Image) {
-				s.fetching(a.j)
+			if a.runAt == 0 && !m.hasImage(a.job.spec.Image) {
+				s.fetching(a.job)
 			}
 		}
 		if s.free.CPU < least {
@@ -496,7 +496,7 @@
 	var fit []choice
 	for i := range slots {
 		s := &slots[i]
-		if !allowed[s.kind] || !j.spec.Need.fits(s.free) || !c.room(s.m.g, j) || c.avoids(j, s.m) || !c.mayUse(j, s.m) {
+		if !allowed[s.kind] || !j.spec.Need.fits(s.free) || !c.room(s.m.group, j) || c.avoids(j, s.m) || !c.mayUse(j, s.m) {
 			continue
 		}
 		if r := s.rank(j); r >= 0 {
@@ -519,7 +519,7 @@
 	zones := c.zonesOf(j)
 	for _, f := range fit {
 		m, last := f.s.m, TaskID{}
-		for n > 0 && j.pending() > 0 && j.spec.Need.fits(f.s.free) && c.room(m.g, j) {
+		for n > 0 && j.pending() > 0 && j.spec.Need.fits(f.s.free) && c.room(m.group, j) {
 			u := use[j.spec.Team].plus(j.spec.Need)
 			if u.CPU > limit.CPU || u.GPU > limit.GPU {
 				return
@@ -535,9 +535,9 @@
 			if m.assigns[task] != nil {
 				break // an earlier attempt is still being cleared away there
 			}
-			a := &assign{task: task, j: j, attempt: p.nextAttempt(), need: j.spec.Need, mach: m.id}
+			a := &assign{task: task, job: j, attempt: p.nextAttempt(), need: j.spec.Need, mach: m.id}
 			m.addAssign(a)
-			m.g.added += listedBytes(j, m, task, last)
+			m.group.added += listedBytes(j, m, task, last)
 			last = task
 			j.setPlaced(i, a)
 			zones[m.zone]++
@@ -649,8 +649,8 @@
 func (c *Core) keepMachine(p *part, j *job) *machine {
 	var best *machine
 	var most Amount
-	for _, m := range p.ms {
-		if !c.usable(m) || m.yield || m.g.offer != nil || !c.allowedOn(j, m) {
+	for _, m := range p.machines {
+		if !c.usable(m) || m.yield || m.group.offer != nil || !c.allowedOn(j, m) {
 			continue
 		}
 		if m.id == j.keeps {
--- a/internal/core/refused_split_test.go
+++ b/internal/core/refused_split_test.go
@@ -16,7 +16,7 @@
 	for _, x := range g.list() {
 		m = x
 	}
-	a := &assign{task: TaskID{Job: "j-1", Index: 15_000}, j: j, need: j.spec.Need, mach: m.id, attempt: 15_000, phase: aRecording}
+	a := &assign{task: TaskID{Job: "j-1", Index: 15_000}, job: j, need: j.spec.Need, mach: m.id, attempt: 15_000, phase: aRecording}
 	m.addAssign(a)
 	j.setPlaced(15_000, a)
 	b.writeMachine(m, prioStart)
--- a/internal/core/regroup.go
+++ b/internal/core/regroup.go
@@ -56,11 +56,11 @@
 func groupsToLeave(ms []*machine, to *group) ([]*group, bool) {
 	var from []*group
 	for _, m := range ms {
-		if m.g.sent || m.g == to {
+		if m.group.sent || m.group == to {
 			return nil, false
 		}
-		if !slices.Contains(from, m.g) {
-			from = append(from, m.g)
+		if !slices.Contains(from, m.group) {
+			from = append(from, m.group)
 		}
 	}
 	return from, true
@@ -71,9 +71,9 @@
 	var keys []string
 	for _, g := range r.all {
 		// A write that still waits its turn says nothing that this one won't.
-		if g.wait != nil {
-			r.core.writer.cancel(g.wait)
-			g.wait = nil
+		if g.queuedWrite != nil {
+			r.core.writer.cancel(g.queuedWrite)
+			g.queuedWrite = nil
 		}
 		g.writing, g.sent, g.again = true, true, prios
 		keys = append(keys, g.key())
@@ -125,7 +125,7 @@
 func (r *regrouping) stillToMove() []*machine {
 	var moving []*machine
 	for _, m := range r.machines {
-		if r.core.machines[m.id] == m && m.g != r.to && slices.Contains(r.from, m.g) {
+		if r.core.machines[m.id] == m && m.group != r.to && slices.Contains(r.from, m.group) {
 			moving = append(moving, m)
 		}
 	}
@@ -164,7 +164,7 @@
 	for i, g := range append(slices.Clone(r.from), r.to) {
 		g.mark, g.size = Mark(e), r.snaps[i].size
 		c.groupStored(g, r.snaps[i], e)
-		if g.again = again; len(g.ms) > 0 { // what was asked of one may now concern the other
+		if g.again = again; len(g.machines) > 0 { // what was asked of one may now concern the other
 			c.writeAgain(g)
 		}
 	}
@@ -190,7 +190,7 @@
 
 // take moves a machine here from the group that it is in.
 func (g *group) take(m *machine) {
-	delete(m.g.ms, m.id)
-	m.g = g
-	g.ms[m.id] = m
+	delete(m.group.machines, m.id)
+	m.group = g
+	g.machines[m.id] = m
 }
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -57,8 +57,8 @@
 
 // waitingWork is what a part's waiting tasks need beyond what it has.
 type waitingWork struct {
-	j     *job
-	n     int
+	job   *job
+	tasks int
 	first bool // a starving job's next task
 }
 
@@ -84,7 +84,7 @@
 			continue
 		}
 		use[j.spec.Team] = use[j.spec.Team].plus(need.times(n))
-		l = append(l, waitingWork{j: j, n: n})
+		l = append(l, waitingWork{job: j, tasks: n})
 	}
 	return l
 }
@@ -94,12 +94,12 @@
 	took := 0
 	for i := range work {
 		w := &work[i]
-		if w.n <= 0 || !w.j.spec.Need.fits(room) || !ok(w.j) {
+		if w.tasks <= 0 || !w.job.spec.Need.fits(room) || !ok(w.job) {
 			continue
 		}
-		n := min(w.n, slotsIn(room, w.j.spec.Need))
-		room = room.minus(w.j.spec.Need.times(n))
-		w.n -= n
+		n := min(w.tasks, slotsIn(room, w.job.spec.Need))
+		room = room.minus(w.job.spec.Need.times(n))
+		w.tasks -= n
 		took += n
 	}
 	return took
@@ -141,14 +141,14 @@
 		s := &slots[i]
 		c.fill(work, s.free, func(j *job) bool { return c.allowedOn(j, s.m) && c.mayUse(j, s.m) })
 	}
-	for _, m := range p.ms {
+	for _, m := range p.machines {
 		if !m.booting && !m.acked && !m.returning && c.now-m.since < 5*second {
 			c.fill(work, c.types[m.typ].Cap.minus(m.used()), func(j *job) bool { return c.allowedOn(j, m) })
 		}
 	}
 	// Another part's idle machine serves at once, a booting one much later.
 	c.takeOffered(p, work)
-	for _, m := range p.ms {
+	for _, m := range p.machines {
 		if m.returning || m.draining || c.usable(m) {
 			continue
 		}
@@ -184,8 +184,8 @@
 	if !p.held || !p.ready {
 		return nil
 	}
-	for _, m := range p.ms {
-		if c.usable(m) && len(m.assigns) == 0 && m.stored == 0 && !m.g.sent && m.g.offer == nil && m.addr != "" &&
+	for _, m := range p.machines {
+		if c.usable(m) && len(m.assigns) == 0 && m.stored == 0 && !m.group.sent && m.group.offer == nil && m.addr != "" &&
 			len(m.kill) == 0 && c.now-m.idleSince > second/2 {
 			l = append(l, m)
 		}
@@ -204,8 +204,8 @@
 	for flying < 4 {
 		var first *job
 		for _, w := range work {
-			if w.n > 0 {
-				first = w.j
+			if w.tasks > 0 {
+				first = w.job
 				break
 			}
 		}
@@ -218,8 +218,8 @@
 		}
 		if len(opts) == 0 {
 			for i := range work { // nothing to be had for it now
-				if work[i].j == first {
-					work[i].n = 0
+				if work[i].job == first {
+					work[i].tasks = 0
 				}
 			}
 			continue
@@ -264,7 +264,7 @@
 	have := float64(max(mine, all/Amount(max(len(loads), 1)))) / 1e6
 	rest := 0.0
 	for _, w := range work {
-		rest += float64(w.n) * float64(w.j.spec.Need.CPU) / 1e6 * c.expectedRun(w.j)
+		rest += float64(w.tasks) * float64(w.job.spec.Need.CPU) / 1e6 * c.expectedRun(w.job)
 	}
 	return rest > have*t.BootS
 }
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -150,7 +150,7 @@
 				a.stopSent = c.now
 			}
 			out = append(out, Command{Verb: Stop, Task: a.task, Attempt: a.attempt, Grace: g})
-		case a.phase == aReady && !m.unsure && !m.returning && c.now >= m.notBefore && a.j.active():
+		case a.phase == aReady && !m.unsure && !m.returning && c.now >= m.notBefore && a.job.active():
 			if !mayStart || m.holds(a.task) {
 				continue
 			}
@@ -184,7 +184,7 @@
 }
 
 func (c *Core) storedDone(a *assign) bool {
-	return a.j.final != "" || a.j.state[a.task.Index] == tStored
+	return a.job.final != "" || a.job.state[a.task.Index] == tStored
 }
 
 // holds tells whether an earlier start of a task is still being cleared away.
@@ -313,7 +313,7 @@
 			}
 			a.phase = aReady
 			lostInAnswer = lostInAnswer || !a.viaOrders
-			if !a.j.active() {
+			if !a.job.active() {
 				c.setGone(m, a)
 			}
 		case aEnded:
@@ -347,7 +347,7 @@
 		return
 	}
 	a.gone = true
-	if a.j.where[a.task.Index] == a && a.j.active() {
+	if a.job.where[a.task.Index] == a && a.job.active() {
 		c.writeMachine(m, prioStart)
 		return
 	}
@@ -380,11 +380,11 @@
 	case Running:
 		if a.runAt == 0 {
 			a.runAt = c.now
-			if a.j.firstRun == 0 {
-				a.j.firstRun = c.now
+			if a.job.firstRun == 0 {
+				a.job.firstRun = c.now
 			}
-			a.j.lastRun = c.now
-			m.addImage(a.j, c.types[m.typ].CacheGB)
+			a.job.lastRun = c.now
+			m.addImage(a.job, c.types[m.typ].CacheGB)
 		}
 	case Ended:
 		c.ended(m, a, t)
@@ -419,7 +419,7 @@
 }
 
 func (c *Core) ended(m *machine, a *assign, t *TaskReport) {
-	j := a.j
+	j := a.job
 	a.phase, a.cause = aEnded, t.Cause
 	if t.Cause == CauseDone {
 		j.setDone(a.task.Index)
@@ -447,7 +447,7 @@
 // on one machine speak against the machine, one job failing on several
 // machines against the job, which is then retried ever more slowly.
 func (c *Core) onTaskError(m *machine, a *assign) {
-	j := a.j
+	j := a.job
 	m.errors++
 	m.failedJobs[j.spec.ID] = true
 	j.errors++
--- a/internal/core/returns.go
+++ b/internal/core/returns.go
@@ -85,7 +85,7 @@
 	var ms []*machine
 	var ids []MachineID
 	for _, p := range c.parts {
-		for _, m := range p.ms {
+		for _, m := range p.machines {
 			if p.held && m.returned && !m.calling && !m.dead && len(ms) < maxReturn {
 				ms, ids = append(ms, m), append(ids, m.id)
 			}
--- a/internal/core/share.go
+++ b/internal/core/share.go
@@ -29,7 +29,7 @@
 
 func (c *Core) loadOf(p *part) PartLoad {
 	l := PartLoad{Part: p.id}
-	for _, m := range p.ms {
+	for _, m := range p.machines {
 		if m.returning || m.draining {
 			continue
 		}
@@ -39,17 +39,17 @@
 		}
 		l.Have += c.types[m.typ].Cap.CPU
 		for _, a := range m.assigns {
-			if a.live() && a.j.active() {
-				l.Demand[a.j.prio] += a.need.CPU
+			if a.live() && a.job.active() {
+				l.Demand[a.job.prio] += a.need.CPU
 			}
 		}
 	}
 	for _, w := range c.unplaced(p) {
-		prio := w.j.prio
+		prio := w.job.prio
 		if w.first {
 			prio = max(prio, Urgent) // it goes before all else
 		}
-		l.Demand[prio] += w.j.spec.Need.CPU * Amount(w.n)
+		l.Demand[prio] += w.job.spec.Need.CPU * Amount(w.tasks)
 	}
 	return l
 }
@@ -105,7 +105,7 @@
 // pick from.
 func (c *Core) resetYield(p *part, spare Amount) []*machine {
 	var ms []*machine
-	for _, m := range p.ms {
+	for _, m := range p.machines {
 		if m.yield && spare <= 0 {
 			c.placement.request()
 		}
@@ -167,7 +167,7 @@
 func (c *Core) typicalNeed(p *part) Res {
 	var sum Res
 	var n Amount
-	for _, j := range p.js {
+	for _, j := range p.jobs {
 		if k := Amount(j.pending() + j.placed); j.active() && !j.waiting && k > 0 {
 			sum = sum.plus(Res{j.spec.Need.CPU * k, j.spec.Need.GPU * k, j.spec.Need.Mem * k})
 			n += k
@@ -186,13 +186,13 @@
 		return
 	}
 	for _, a := range m.assigns {
-		if a.live() && (a.j.prio >= top || a.j.spec.CheckpntS == 0 || c.spared(a.j)) {
+		if a.live() && (a.job.prio >= top || a.job.spec.CheckpntS == 0 || c.spared(a.job)) {
 			return
 		}
 	}
 	for _, a := range m.sorted() {
 		if a.live() && a.phase == aSeen {
-			c.stopTask(m, a, a.j.spec.SaveS+1)
+			c.stopTask(m, a, a.job.spec.SaveS+1)
 		}
 	}
 }
@@ -203,12 +203,12 @@
 // victim again, for ever.
 func (c *Core) preempt(p *part, jobs []*job, owed map[*job]bool, use map[string]Res) {
 	var ms []*machine // with work that could give way
-	for _, m := range p.ms {
+	for _, m := range p.machines {
 		if !c.usable(m) {
 			continue
 		}
 		for _, a := range m.assigns {
-			if a.phase == aSeen && !a.gone && a.j.spec.CheckpntS > 0 {
+			if a.phase == aSeen && !a.gone && a.job.spec.CheckpntS > 0 {
 				ms = append(ms, m)
 				break
 			}
@@ -249,7 +249,7 @@
 				if j.spec.Need.fits(free) {
 					break
 				}
-				if a.phase != aSeen || a.gone || a.j.spec.CheckpntS == 0 || !c.givesWay(a.j, j, owed, use) {
+				if a.phase != aSeen || a.gone || a.job.spec.CheckpntS == 0 || !c.givesWay(a.job, j, owed, use) {
 					continue
 				}
 				if a.stop { // already on its way out
@@ -271,7 +271,7 @@
 				n++
 			}
 			for _, a := range stop {
-				c.stopTask(m, a, a.j.spec.SaveS+1)
+				c.stopTask(m, a, a.job.spec.SaveS+1)
 			}
 			if n >= j.pending() {
 				break
@@ -311,12 +311,12 @@
 			if need.CPU <= room.CPU && need.GPU <= room.GPU {
 				return
 			}
-			if a.phase != aSeen || a.gone || a.j.spec.Team != j.spec.Team || a.j.prio >= j.prio || a.j.spec.CheckpntS == 0 || c.spared(a.j) {
+			if a.phase != aSeen || a.gone || a.job.spec.Team != j.spec.Team || a.job.prio >= j.prio || a.job.spec.CheckpntS == 0 || c.spared(a.job) {
 				continue
 			}
 			room = room.plus(a.need)
 			if !a.stop {
-				c.stopTask(m, a, a.j.spec.SaveS+1)
+				c.stopTask(m, a, a.job.spec.SaveS+1)
 				j.preemptAt = c.now + 8*second
 			}
 		}
--- a/internal/core/stats.go
+++ b/internal/core/stats.go
@@ -67,14 +67,14 @@
 func (c *Core) capacityUse() capacityUse {
 	var use capacityUse
 	for _, p := range c.parts {
-		for _, m := range p.ms {
+		for _, m := range p.machines {
 			use.addMachine(m, c.types[m.typ].Cap.CPU)
 		}
 		if !p.held || !p.ready {
 			continue
 		}
 		for _, w := range c.unplaced(p) {
-			use.waiting += w.j.spec.Need.CPU * Amount(w.n)
+			use.waiting += w.job.spec.Need.CPU * Amount(w.tasks)
 		}
 	}
 	return use
--- a/internal/core/stops.go
+++ b/internal/core/stops.go
@@ -18,7 +18,7 @@
 			continue
 		}
 		rest := c.expectedRest(a)
-		s := a.j.spec
+		s := a.job.spec
 		if s.CheckpntS > 0 {
 			if rest > left-2 && left < s.SaveS+10 {
 				c.stopTask(m, a, s.SaveS+1)
--- a/internal/core/store_writes_test.go
+++ b/internal/core/store_writes_test.go
@@ -49,7 +49,7 @@
 func TestAcceptanceBesideConflict(t *testing.T) {
 	b := newBench()
 	m, _ := b.running(b.job("j-9", 1))
-	m.g.mark = 77 // another writer was there
+	m.group.mark = 77 // another writer was there
 	b.writeMachine(m, prioStart)
 	b.onSubmit(Submit{Req: 1, Job: JobSpec{ID: "j-1", Team: "red", Tasks: 1, Need: Res{CPU: 1_000_000, Mem: 1_000_000}}})
 	b.play(5 * second)
--- a/internal/core/workercontact.go
+++ b/internal/core/workercontact.go
@@ -41,7 +41,7 @@
 	silent := 0
 	addr := ""
 	for _, p := range c.parts {
-		for _, m := range p.ms {
+		for _, m := range p.machines {
 			if !m.booting && c.now-max(m.since, c.process.resumedAt) > patience {
 				silent++
 				addr = m.addr
