The last loose fields of Core: names of records and the cache of loads

recordNames counts what was two counters in two files that built the same name; loadCache holds three fields with the rule when they are void. Core lists its state by owner.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -10,55 +10,59 @@
 	milli  = Time(time.Millisecond)
 )
 
-// Core is a controller's whole state.
+// Core is a controller's whole state, by owner: each type says what always
+// holds of its fields, in the file that it is named for.
 type Core struct {
 	cfg  Config
 	now  Time
 	wall Wall
-	out  []Effect
 
+	// What it wants done, and what it waits for.
+	out      []Effect
 	lastCall CallID
 	calls    map[CallID]func(any)
 	timers   timerQueue
+	writer   writer
+	cloud    cloudShare
+	counters Counters
 
-	writer        writer
+	// How this node fares.
 	storeHealth   storeHealth
 	process       processHealth
 	heartbeat     heartbeat
 	workerContact workerContact
 
-	parts        []*part // by number
-	jobs         jobRegistry
-	machines     map[MachineID]*machine
-	groups       map[string]*group // of held parts
-	owners       machineOwners
+	// The other controllers.
 	peers        map[NodeID]*peer
-	teams        map[string]*team
 	releases     releaseRegistry
-	types        map[string]MachineType
-	catalogue    storedCatalogue
-	cloudListing cloudListing
-	returns      machineReturns
-	spotLosses   spotLosses
-	heldReports  heldReports
-	urgentOrders []*machine // whose commands can't wait for their reports
-	placement    placementTrigger
-	orphans      orphans
-
-	acceptances  acceptances
-	jobReads     jobReads
 	ownerQueries ownerQueries
-	partsEpoch   Epoch
-	counters     Counters
-	classes      map[string]*classStats
-	rentSeq      int
-	rentAsked    bool
-	cloud        cloudShare
-	groupSeq     int
-	loadsAt      Time // when lastLoads was worked out; many ask within one interval
-	loadsEpoch   int
-	lastLoads    []PartLoad
-	claims       int // changes of the parts held here
+
+	// Parts, teams and jobs.
+	parts          []*part // by number
+	partsEpoch     Epoch   // who holds which part is known up to this revision
+	holdingChanges int     // of the parts held here
+	teams          map[string]*team
+	jobs           jobRegistry
+	jobReads       jobReads
+	acceptances    acceptances
+	classes        map[string]*classStats
+	loadCache      loadCache
+	placement      placementTrigger
+
+	// Machines.
+	machines      map[MachineID]*machine // of parts held here
+	groups        map[string]*group      // of parts held here
+	names         recordNames
+	owners        machineOwners
+	orphans       orphans
+	types         map[string]MachineType
+	catalogue     storedCatalogue
+	cloudListing  cloudListing
+	rentScheduled bool // a look for machines before the next regular one
+	returns       machineReturns
+	spotLosses    spotLosses
+	heldReports   heldReports
+	urgentOrders  []*machine // whose commands can't wait for their reports
 }
 
 // New makes a Core. Nothing happens before the first Step.
--- a/internal/core/groups.go
+++ b/internal/core/groups.go
@@ -286,11 +286,6 @@
 	return g
 }
 
-func (c *Core) groupName(p *part) string {
-	c.groupSeq++
-	return c.cfg.Boot + "-" + strconv.FormatUint(uint64(p.claim), 10) + "-" + strconv.Itoa(c.groupSeq)
-}
-
 // tidyGroups keeps records well under the value limit, and few: every group
 // with a change costs a put.
 func (c *Core) tidyGroups(p *part) {
--- a/internal/core/partload.go
+++ b/internal/core/partload.go
@@ -54,7 +54,7 @@
 		return
 	}
 	p.ready = true
-	c.claims++
+	c.holdingChanges++
 	early := p.early
 	p.early = nil
 	for _, kv := range early {
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -270,7 +270,7 @@
 	c.logf("info", "lost part", "part", int(id), "term", uint64(p.term))
 	p.aside, p.early = nil, nil
 	p.held, p.ready, p.since = false, false, c.now
-	c.claims++
+	c.holdingChanges++
 	for _, m := range p.machines {
 		c.dropMachine(m)
 	}
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"sort"
-	"strconv"
 	"strings"
 
 	"stairrelay/internal/grouprecord"
@@ -108,12 +107,12 @@
 // rentSoon looks for machines before the next regular sweep: boots take long,
 // and every second that a request waits is added to them.
 func (c *Core) rentSoon() {
-	if c.rentAsked {
+	if c.rentScheduled {
 		return
 	}
-	c.rentAsked = true
+	c.rentScheduled = true
 	c.after(c.process.pause(100*milli), func() {
-		c.rentAsked = false
+		c.rentScheduled = false
 		c.rentSweep()
 	})
 }
@@ -319,8 +318,7 @@
 const mostRefusals = 2
 
 func (c *Core) startRental(p *part, o rentOption, n int) {
-	c.rentSeq++
-	r := &rental{name: "r-" + c.cfg.Boot + "-" + strconv.FormatUint(uint64(p.claim), 10) + "-" + strconv.Itoa(c.rentSeq), opt: o, count: n, group: c.groupName(p)}
+	r := &rental{name: c.rentalName(p), opt: o, count: n, group: c.groupName(p)}
 	p.rentals[r.name] = r
 	x := &write{
 		part: p.id, keys: []string{rentalKey(r.name)},
--- a/internal/core/share.go
+++ b/internal/core/share.go
@@ -11,19 +11,34 @@
 // This file tells it the parts' loads, lets a part that has more give machines
 // up, and stops less important work.
 
+// loadCache keeps the loads of the parts held here as last worked out: many ask
+// for them within one interval.
+//
+// It is void once a part held here has changed.
+type loadCache struct {
+	loads   []PartLoad
+	at      Time // when they were worked out; 0: never
+	changes int  // of the parts held here until then
+}
+
+// valid tells whether the loads are those of the parts held now, and new enough.
+func (l *loadCache) valid(now Time, changes int) bool {
+	return l.at > 0 && now-l.at < second/4 && l.changes == changes
+}
+
 // loads describes the parts held here.
 func (c *Core) loads() []PartLoad {
-	if c.loadsAt > 0 && c.now-c.loadsAt < second/4 && c.loadsEpoch == c.claims {
-		return c.lastLoads
+	if c.loadCache.valid(c.now, c.holdingChanges) {
+		return c.loadCache.loads
 	}
-	c.loadsAt, c.loadsEpoch = c.now, c.claims
+	c.loadCache.at, c.loadCache.changes = c.now, c.holdingChanges
 	var out []PartLoad
 	for _, p := range c.parts {
 		if p.held && p.ready {
 			out = append(out, c.loadOf(p))
 		}
 	}
-	c.lastLoads = out
+	c.loadCache.loads = out
 	return out
 }
 
