Wire: one JSON service for store and cloud; tests of their pages and outcomes

Store and cloud wrote the same call, and nothing tested how they read pages or what they take each status for. wire.JSONService makes the call for both. TestLoad of the settings is five tests with the same assertions.

--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -23,16 +23,15 @@
 
 // Cloud carries out the core's cloud effects.
 type Cloud struct {
-	baseURL string
-	client  *wire.Client
+	service *wire.JSONService
 	reply   engine.ReplyFunc
 }
 
 // New makes a Cloud for the cloud's interface at addr.
 func New(addr string, reply engine.ReplyFunc) *Cloud {
+	options := wire.ClientOptions{DialTimeout: dialTimeout, IdlePerHost: idleCalls}
 	return &Cloud{
-		baseURL: "http://" + addr,
-		client:  wire.NewClient(wire.ClientOptions{DialTimeout: dialTimeout, IdlePerHost: idleCalls}),
+		service: wire.NewJSONService(addr, callTimeout, options),
 		reply:   reply,
 	}
 }
@@ -51,18 +50,8 @@
 	}
 }
 
-func (c *Cloud) call(method, path string, body []byte) (wire.Response, error) {
-	return c.client.Do(wire.Request{
-		Method:      method,
-		URL:         c.baseURL + path,
-		ContentType: wire.JSON,
-		Body:        body,
-		Timeout:     callTimeout,
-	})
-}
-
 func (c *Cloud) machineTypes() core.TypesReply {
-	response, err := c.call(http.MethodGet, "/flavors", nil)
+	response, err := c.service.Call(http.MethodGet, "/flavors", nil)
 	if err != nil || response.Status != http.StatusOK {
 		return core.TypesReply{Out: core.NotDone}
 	}
@@ -74,7 +63,7 @@
 }
 
 func (c *Cloud) rent(rent core.CloudRent) core.RentReply {
-	response, err := c.call(http.MethodPost, "/rentals", wire.EncodeRental(rent))
+	response, err := c.service.Call(http.MethodPost, "/rentals", wire.EncodeRental(rent))
 	if err != nil {
 		return core.RentReply{Out: core.Unknown}
 	}
@@ -103,7 +92,7 @@
 }
 
 func (c *Cloud) returnMachines(effect core.CloudReturn) core.ReturnReply {
-	response, err := c.call(http.MethodPost, "/rentals/return", wire.EncodeReturn(effect.IDs))
+	response, err := c.service.Call(http.MethodPost, "/rentals/return", wire.EncodeReturn(effect.IDs))
 	if err != nil || response.Status != http.StatusOK {
 		return core.ReturnReply{Out: core.Unknown}
 	}
@@ -133,7 +122,7 @@
 	if lastID != "" {
 		query.Set("since", lastID)
 	}
-	response, err := c.call(http.MethodGet, "/rentals?"+query.Encode(), nil)
+	response, err := c.service.Call(http.MethodGet, "/rentals?"+query.Encode(), nil)
 	if err != nil || response.Status != http.StatusOK {
 		return wire.MachinePage{}, core.NotDone
 	}
--- /dev/null
+++ b/internal/cloud/cloud_test.go
@@ -0,0 +1,85 @@
+package cloud
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"stairrelay/internal/core"
+)
+
+// ask carries out an effect against a server and returns its reply.
+func ask(t *testing.T, handler http.HandlerFunc, effect core.Effect) any {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	replies := make(chan any, 1)
+	cloud := New(strings.TrimPrefix(server.URL, "http://"), func(_ core.CallID, body any) { replies <- body })
+	cloud.Do(effect)
+	select {
+	case reply := <-replies:
+		return reply
+	case <-time.After(10 * time.Second):
+		t.Fatal("no reply")
+		return nil
+	}
+}
+
+// TestListPages: the machine list is read to its last page.
+func TestListPages(t *testing.T) {
+	pages := map[string]string{
+		"":    `{"coaches":[{"id":"m-1"}],"truncated":true}`,
+		"m-1": `{"coaches":[{"id":"m-2"}],"truncated":true}`,
+		"m-2": `{"coaches":[{"id":"m-3"}],"truncated":false}`,
+	}
+	serve := func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/rentals" || r.URL.Query().Get("page") != "500" {
+			t.Errorf("asked for %s", r.URL)
+		}
+		_, _ = w.Write([]byte(pages[r.URL.Query().Get("since")]))
+	}
+	reply := ask(t, serve, core.CloudList{}).(core.CloudListReply)
+	var ids []string
+	for _, machine := range reply.Items {
+		ids = append(ids, string(machine.ID))
+	}
+	if reply.Out != core.OK || strings.Join(ids, " ") != "m-1 m-2 m-3" {
+		t.Errorf("read %+v", reply)
+	}
+}
+
+// TestOutcomes: what each status means; out of machines is not out of order.
+func TestOutcomes(t *testing.T) {
+	for _, c := range []struct {
+		effect core.Effect
+		status int
+		body   string
+		want   string
+	}{
+		{core.CloudRent{}, 200, `{"coaches":["m-1"]}`, fmt.Sprint(core.RentReply{Out: core.OK, IDs: []core.MachineID{"m-1"}})},
+		{core.CloudRent{}, 200, `{}`, fmt.Sprint(core.RentReply{Out: core.Unknown})},
+		{core.CloudRent{}, 503, `{"error":"no capacity"}`, fmt.Sprint(core.RentReply{Out: core.Missing})},
+		{core.CloudRent{}, 503, `{"error":"trouble"}`, fmt.Sprint(core.RentReply{Out: core.NotDone})},
+		{core.CloudRent{}, 503, ``, fmt.Sprint(core.RentReply{Out: core.NotDone})},
+		{core.CloudRent{}, 400, ``, fmt.Sprint(core.RentReply{Out: core.Invalid})},
+		{core.CloudRent{}, 429, ``, fmt.Sprint(core.RentReply{Out: core.Throttled})},
+		{core.CloudRent{}, 500, ``, fmt.Sprint(core.RentReply{Out: core.Unknown})},
+		{core.CloudReturn{}, 200, `{}`, fmt.Sprint(core.ReturnReply{Out: core.OK})},
+		{core.CloudReturn{}, 503, ``, fmt.Sprint(core.ReturnReply{Out: core.Unknown})},
+		{core.CloudTypes{}, 503, ``, fmt.Sprint(core.TypesReply{Out: core.NotDone})},
+		{core.CloudTypes{}, 200, `{"fleets":[{"name":"x","vcpus":0}]}`, fmt.Sprint(core.TypesReply{Out: core.Unknown})},
+		{core.CloudList{}, 429, ``, fmt.Sprint(core.CloudListReply{Out: core.NotDone})},
+		{core.CloudList{}, 200, `[]`, fmt.Sprint(core.CloudListReply{Out: core.Unknown})},
+	} {
+		answer := func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(c.status)
+			_, _ = w.Write([]byte(c.body))
+		}
+		if got := fmt.Sprint(ask(t, answer, c.effect)); got != c.want {
+			t.Errorf("%T answered %d %s: got %s, want %s", c.effect, c.status, c.body, got, c.want)
+		}
+	}
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -48,7 +48,7 @@
 	}
 	response, err := p.client.Do(wire.Request{
 		Method:      http.MethodPost,
-		URL:         "http://" + p.addresses[call.To] + path,
+		URL:         wire.BaseURL(p.addresses[call.To]) + path,
 		ContentType: wire.CBOR,
 		Body:        frame,
 		Timeout:     time.Duration(call.Timeout),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -35,6 +35,7 @@
 	Problem string
 }
 
+// Error is the field and its problem.
 func (e *FieldError) Error() string { return e.Field + ": " + e.Problem }
 
 // fieldErrorf makes a FieldError with a formatted problem.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -51,11 +51,18 @@
 	return p
 }
 
-func TestLoad(t *testing.T) {
-	s, err := Load(write(t, "s.toml", good), "")
+// load reads settings that have to be accepted.
+func load(t *testing.T, text string) *Settings {
+	t.Helper()
+	s, err := Load(write(t, "s.toml", text), "")
 	if err != nil {
 		t.Fatal(err)
 	}
+	return s
+}
+
+func TestLoad(t *testing.T) {
+	s := load(t, good)
 	if s.Core.Self != "n0" || len(s.Core.Nodes) != 2 || s.Peers["n1"] != "127.0.0.1:3" || s.Core.ValueBytes != 4096 {
 		t.Errorf("read %+v", s)
 	}
@@ -65,34 +72,54 @@
 	if len(s.Warnings) != 0 {
 		t.Errorf("called odd: %v", s.Warnings)
 	}
-	odd, err := Load(write(t, "s.toml", strings.Replace(good, "cpus = 4.0", "cpus = 9.0", 1)), "")
-	if err != nil || len(odd.Warnings) != 1 || !strings.Contains(odd.Warnings[0], "red") {
-		t.Errorf("a guarantee above the limit: %v, %v", odd, err)
+	if s.Core.Tuning != core.DefaultTuning() {
+		t.Errorf("defaults changed: %+v", s.Core.Tuning)
 	}
-	// A team that states neither figure is guaranteed nothing and limited by
-	// nothing; nor is that odd. Taken for a limit of 0, all its jobs got 422.
-	free, err := Load(write(t, "s.toml", strings.Replace(good, "cpus = 4.0\ncpus_max = 8.5\n", "", 1)), "")
-	if err != nil || len(free.Warnings) != 0 || free.Core.Teams[0].Guarantee.CPU != 0 || free.Core.Teams[0].Limit.CPU != core.NoLimit || free.Core.Teams[0].Limit.GPU != core.NoLimit {
-		t.Errorf("a team without figures: %+v, %v", free, err)
+}
+
+func TestGuaranteeAboveLimit(t *testing.T) {
+	s := load(t, strings.Replace(good, "cpus = 4.0", "cpus = 9.0", 1))
+	if len(s.Warnings) != 1 || !strings.Contains(s.Warnings[0], "red") {
+		t.Errorf("warnings: %v", s.Warnings)
+	}
+}
+
+// TestTeamWithoutFigures: a team that states neither figure is guaranteed
+// nothing and limited by nothing; nor is that odd. Taken for a limit of 0, all
+// its jobs got 422.
+func TestTeamWithoutFigures(t *testing.T) {
+	s := load(t, strings.Replace(good, "cpus = 4.0\ncpus_max = 8.5\n", "", 1))
+	team := s.Core.Teams[0]
+	if len(s.Warnings) != 0 || team.Guarantee.CPU != 0 || team.Limit.CPU != core.NoLimit || team.Limit.GPU != core.NoLimit {
+		t.Errorf("read %+v with warnings %v", team, s.Warnings)
 	}
+}
+
+func TestMachineLimits(t *testing.T) {
 	limits := good + "\n[cluster.machine_limits]\ncore_share = 0.18\nmax_connections = "
-	few, err := Load(write(t, "s.toml", limits+"200\n"), "")
-	if err != nil || few.CoreShare != 0.18 || few.Connections != 200 || len(few.Warnings) != 1 || !strings.Contains(few.Warnings[0], "max_connections") {
-		t.Errorf("few sockets: %+v, %v", few, err)
+	s := load(t, limits+"200\n")
+	if s.CoreShare != 0.18 || s.Connections != 200 {
+		t.Errorf("read %+v", s)
+	}
+	if len(s.Warnings) != 1 || !strings.Contains(s.Warnings[0], "max_connections") {
+		t.Errorf("warnings: %v", s.Warnings)
 	}
 	if _, err := Load(write(t, "s.toml", limits+"-1\n"), ""); err == nil || !strings.Contains(err.Error(), "max_connections") {
 		t.Errorf("sockets below 0: %v", err)
 	}
-	// cancel_s must leave room for a lease after a holder was last certain of its
-	// part: 12 + 2 + 4 s and 0.1% of both are not there with 18, and are with 19.
-	for cancel, want := range map[string]int{"18.0": 1, "19.0": 0} {
-		s, err := Load(write(t, "s.toml", strings.Replace(good, "cancel_s = 37.0", "cancel_s = "+cancel, 1)), "")
-		if err != nil || len(s.Warnings) != want || want > 0 && (!strings.Contains(s.Warnings[0], "3.97 s") || !strings.HasSuffix(s.Warnings[0], "A cancel_s of 19 would do")) {
-			t.Errorf("cancel_s %s with lease_s 12: %+v, %v", cancel, s, err)
-		}
-	}
-	if s.Core.Tuning != core.DefaultTuning() {
-		t.Errorf("defaults changed: %+v", s.Core.Tuning)
+}
+
+// TestCancelWithin: cancel_s must leave room for a lease after a holder was last
+// certain of its part: 12 + 2 + 4 s and 0.1% of both are not there with 18, and
+// are with 19.
+func TestCancelWithin(t *testing.T) {
+	short := load(t, strings.Replace(good, "cancel_s = 37.0", "cancel_s = 18.0", 1))
+	if len(short.Warnings) != 1 || !strings.Contains(short.Warnings[0], "3.97 s") || !strings.HasSuffix(short.Warnings[0], "A cancel_s of 19 would do") {
+		t.Errorf("cancel_s 18 with lease_s 12: %v", short.Warnings)
+	}
+	enough := load(t, strings.Replace(good, "cancel_s = 37.0", "cancel_s = 19.0", 1))
+	if len(enough.Warnings) != 0 {
+		t.Errorf("cancel_s 19 with lease_s 12: %v", enough.Warnings)
 	}
 }
 
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -27,18 +27,20 @@
 
 // Store carries out the core's store effects.
 type Store struct {
+	service *wire.JSONService
+	watches *wire.Client // apart, since a watch takes as long as it asks for
 	baseURL string
-	calls   *wire.Client
-	watches *wire.Client
 	reply   engine.ReplyFunc
 }
 
 // New makes a Store for the state service at addr.
 func New(addr string, reply engine.ReplyFunc) *Store {
+	forCalls := wire.ClientOptions{DialTimeout: dialTimeout, IdlePerHost: idleCalls}
+	forWatches := wire.ClientOptions{DialTimeout: dialTimeout, IdlePerHost: idleWatches}
 	return &Store{
-		baseURL: "http://" + addr,
-		calls:   wire.NewClient(wire.ClientOptions{DialTimeout: dialTimeout, IdlePerHost: idleCalls}),
-		watches: wire.NewClient(wire.ClientOptions{DialTimeout: dialTimeout, IdlePerHost: idleWatches}),
+		service: wire.NewJSONService(addr, callTimeout, forCalls),
+		watches: wire.NewClient(forWatches),
+		baseURL: wire.BaseURL(addr),
 		reply:   reply,
 	}
 }
@@ -57,16 +59,6 @@
 	}
 }
 
-func (s *Store) call(method, path string, body []byte) (wire.Response, error) {
-	return s.calls.Do(wire.Request{
-		Method:      method,
-		URL:         s.baseURL + path,
-		ContentType: wire.JSON,
-		Body:        body,
-		Timeout:     callTimeout,
-	})
-}
-
 // outcomeOf maps the statuses that all calls share.
 func outcomeOf(status int) core.Outcome {
 	switch status {
@@ -83,7 +75,7 @@
 }
 
 func (s *Store) txn(txn core.StoreTxn) core.TxnReply {
-	response, err := s.call(http.MethodPost, "/multi", wire.EncodeTxn(txn))
+	response, err := s.service.Call(http.MethodPost, "/multi", wire.EncodeTxn(txn))
 	if err != nil {
 		return core.TxnReply{Out: core.Unknown}
 	}
@@ -103,7 +95,7 @@
 }
 
 func (s *Store) get(get core.StoreGet) core.GetReply {
-	response, err := s.call(http.MethodGet, "/keys/"+get.Key, nil)
+	response, err := s.service.Call(http.MethodGet, "/keys/"+get.Key, nil)
 	if err != nil {
 		return core.GetReply{Out: core.Unknown}
 	}
@@ -162,7 +154,7 @@
 	if lastKey != "" {
 		query.Set("since", lastKey)
 	}
-	response, err := s.call(http.MethodGet, "/keys?"+query.Encode(), nil)
+	response, err := s.service.Call(http.MethodGet, "/keys?"+query.Encode(), nil)
 	return decodePage(response, err)
 }
 
--- /dev/null
+++ b/internal/store/store_test.go
@@ -0,0 +1,109 @@
+package store
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"stairrelay/internal/core"
+)
+
+// ask carries out an effect against a server and returns its reply.
+func ask(t *testing.T, handler http.HandlerFunc, effect core.Effect) any {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	replies := make(chan any, 1)
+	store := New(strings.TrimPrefix(server.URL, "http://"), func(_ core.CallID, body any) { replies <- body })
+	store.Do(effect)
+	select {
+	case reply := <-replies:
+		return reply
+	case <-time.After(10 * time.Second):
+		t.Fatal("no reply")
+		return nil
+	}
+}
+
+// pages serves a list in three pages, the second of which is throttled once.
+func pages(t *testing.T) http.HandlerFunc {
+	throttled := false
+	next := map[string]struct {
+		key       string
+		truncated bool
+		epoch     int
+	}{
+		"":  {"a", true, 7},
+		"a": {"b", true, 8},
+		"b": {"c", false, 9},
+	}
+	return func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/keys" || r.URL.Query().Get("prefix") != "jobs/" || r.URL.Query().Get("page") != "1000" {
+			t.Errorf("asked for %s", r.URL)
+		}
+		since := r.URL.Query().Get("since")
+		if since == "a" && !throttled {
+			throttled = true
+			w.WriteHeader(http.StatusTooManyRequests)
+			return
+		}
+		page := next[since]
+		_ = json.NewEncoder(w).Encode(map[string]any{
+			"items":     []map[string]any{{"key": page.key, "value": 1, "mark": 3}},
+			"truncated": page.truncated,
+			"epoch":     page.epoch,
+		})
+	}
+}
+
+// TestListPages: a list holds all pages as of the first one's epoch, also when
+// the request limit is met on the way.
+func TestListPages(t *testing.T) {
+	reply := ask(t, pages(t), core.StoreList{Prefix: "jobs/"}).(core.ListReply)
+	var keys []string
+	for _, item := range reply.Items {
+		keys = append(keys, item.Key)
+	}
+	if reply.Out != core.OK || strings.Join(keys, "") != "abc" || reply.Epoch != 7 || !reply.Paged {
+		t.Errorf("read %+v", reply)
+	}
+}
+
+// TestOutcomes: what each status means; nothing is taken for done that may not be.
+func TestOutcomes(t *testing.T) {
+	for _, c := range []struct {
+		effect core.Effect
+		status int
+		body   string
+		want   string
+	}{
+		{core.StoreTxn{}, 200, `{"epoch":4}`, fmt.Sprint(core.TxnReply{Out: core.OK, Epoch: 4})},
+		{core.StoreTxn{}, 200, `{}`, fmt.Sprint(core.TxnReply{Out: core.Unknown})},
+		{core.StoreTxn{}, 409, `{"epoch":4,"failed":["k"]}`, fmt.Sprint(core.TxnReply{Out: core.Conflict, Epoch: 4, Failed: []string{"k"}})},
+		{core.StoreTxn{}, 409, `{"epoch":4}`, fmt.Sprint(core.TxnReply{Out: core.Unknown})},
+		{core.StoreTxn{}, 400, ``, fmt.Sprint(core.TxnReply{Out: core.Invalid})},
+		{core.StoreTxn{}, 429, ``, fmt.Sprint(core.TxnReply{Out: core.Throttled})},
+		{core.StoreTxn{}, 503, ``, fmt.Sprint(core.TxnReply{Out: core.NotDone})},
+		{core.StoreTxn{}, 500, ``, fmt.Sprint(core.TxnReply{Out: core.Unknown})},
+		{core.StoreGet{Key: "k"}, 404, `{"epoch":4}`, fmt.Sprint(core.GetReply{Out: core.Missing})},
+		{core.StoreGet{Key: "k"}, 503, ``, fmt.Sprint(core.GetReply{Out: core.NotDone})},
+		{core.StoreGet{Key: "k"}, 200, `{"key":"k"}`, fmt.Sprint(core.GetReply{Out: core.Unknown})},
+		{core.StoreList{}, 429, ``, fmt.Sprint(core.ListReply{Out: core.Throttled})},
+		{core.StoreList{}, 200, `{"items":[]}`, fmt.Sprint(core.ListReply{Out: core.Unknown})},
+		{core.StoreWatch{}, 410, `{"epoch":4}`, fmt.Sprint(core.WatchReply{Out: core.Gone})},
+		{core.StoreWatch{}, 200, `{"epoch":4,"events":[]}`, fmt.Sprint(core.WatchReply{Out: core.OK, Epoch: 4})},
+		{core.StoreWatch{}, 200, `{"events":[]}`, fmt.Sprint(core.WatchReply{Out: core.Unknown})},
+	} {
+		answer := func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(c.status)
+			_, _ = w.Write([]byte(c.body))
+		}
+		if got := fmt.Sprint(ask(t, answer, c.effect)); got != c.want {
+			t.Errorf("%T answered %d %s: got %s, want %s", c.effect, c.status, c.body, got, c.want)
+		}
+	}
+}
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -114,3 +114,33 @@
 	}
 	return fmt.Errorf("calling: %w", err)
 }
+
+// JSONService calls a service that takes and gives JSON at one address.
+type JSONService struct {
+	client  *Client
+	baseURL string
+	timeout time.Duration
+}
+
+// NewJSONService makes a JSONService whose calls end after timeout.
+func NewJSONService(addr string, timeout time.Duration, options ClientOptions) *JSONService {
+	return &JSONService{
+		client:  NewClient(options),
+		baseURL: BaseURL(addr),
+		timeout: timeout,
+	}
+}
+
+// Call makes a call; a nil body is none.
+func (s *JSONService) Call(method, path string, body []byte) (Response, error) {
+	return s.client.Do(Request{
+		Method:      method,
+		URL:         s.baseURL + path,
+		ContentType: JSON,
+		Body:        body,
+		Timeout:     s.timeout,
+	})
+}
+
+// BaseURL is the URL of an address with a port, without a path.
+func BaseURL(addr string) string { return "http://" + addr }
--- a/internal/wire/cloud.go
+++ b/internal/wire/cloud.go
@@ -14,6 +14,7 @@
 // BadMachineTypeError is the error of a machine type that can't run anything.
 type BadMachineTypeError struct{ Name string }
 
+// Error names the type.
 func (e *BadMachineTypeError) Error() string {
 	return fmt.Sprintf("machine type %q makes no sense", e.Name)
 }
--- a/internal/wire/submission.go
+++ b/internal/wire/submission.go
@@ -47,6 +47,7 @@
 	Problem string
 }
 
+// Error is the field and its problem.
 func (e *InvalidFieldError) Error() string { return e.Field + " " + e.Problem }
 
 // The problems that several fields may have.
--- a/internal/wire/worker.go
+++ b/internal/wire/worker.go
@@ -30,6 +30,7 @@
 	State string
 }
 
+// Error names the task and its state.
 func (e *UnknownTaskError) Error() string {
 	return fmt.Sprintf("report with task %q in state %q", e.Task, e.State)
 }
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -49,7 +49,7 @@
 func (w *Workers) order(orders core.Orders) core.OrdersReply {
 	return w.send(orders.Addr, wire.Request{
 		Method:      http.MethodPost,
-		URL:         "http://" + orders.Addr + "/orders",
+		URL:         wire.BaseURL(orders.Addr) + "/orders",
 		ContentType: wire.JSON,
 		Body:        wire.EncodeOrders(orders),
 		Timeout:     callTimeout,
@@ -59,7 +59,7 @@
 func (w *Workers) inspect(inspect core.Inspect) core.OrdersReply {
 	return w.send(inspect.Addr, wire.Request{
 		Method:  http.MethodGet,
-		URL:     "http://" + inspect.Addr + "/inspect",
+		URL:     wire.BaseURL(inspect.Addr) + "/inspect",
 		Timeout: callTimeout,
 	})
 }
