Sockets, peers: a named share of busy connections, messages of tests a field a line

One bare factor was left, and two tests wrote whole messages on a line. Behaviour and assertions are unchanged. Run: go vet, staticcheck, and go test -race of peers, sockets and e2e, passed.

--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -26,8 +26,15 @@
 		h.ServeHTTP(w, httptest.NewRequest("POST", path, bytes.NewReader(body)))
 		return w.Code, w.Body.Bytes()
 	}
-	m := core.PeerMsg{Version: 1, From: "n1", Ping: &core.Ping{Boot: "b", StoreOK: true, Parts: []core.PartTerm{{Part: 2, Term: 7}},
-		Heard: map[core.NodeID]int64{"n2": 40}, Groups: []core.GroupOffer{{Key: "groups/g", Mark: 9, To: 1, Kinds: []core.KindCount{{Type: "x", N: 3}}}}}}
+	offer := core.GroupOffer{Key: "groups/g", Mark: 9, To: 1, Kinds: []core.KindCount{{Type: "x", N: 3}}}
+	ping := &core.Ping{
+		Boot:    "b",
+		StoreOK: true,
+		Parts:   []core.PartTerm{{Part: 2, Term: 7}},
+		Heard:   map[core.NodeID]int64{"n2": 40},
+		Groups:  []core.GroupOffer{offer},
+	}
+	m := core.PeerMsg{Version: 1, From: "n1", Ping: ping}
 	b, err := Encode(m)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/sockets/front.go
+++ b/internal/sockets/front.go
@@ -15,6 +15,10 @@
 	transferTimeout = 15 * time.Second
 )
 
+// busyEighths is the share, in eighths of the limit, above which users'
+// connections are closed after each answer.
+const busyEighths = 7
+
 // Front counts the connections of workers and users and closes idle users'
 // ones when there are too many. A worker's connection is never closed for that.
 type Front struct {
@@ -122,12 +126,12 @@
 }
 
 // markUser notes that a connection is a user's; true when it should be closed
-// after the answer, since more than seven eighths of the connections are taken.
+// after the answer, since most of the connections are taken.
 func (f *Front) markUser(entry *connection) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	entry.user = true
-	return f.limit > 0 && len(f.open) > f.limit/8*7
+	return f.limit > 0 && len(f.open) > f.limit/8*busyEighths
 }
 
 // Open is how many connections there are.
