--- a/internal/core/maintenance.go
+++ b/internal/core/maintenance.go
@@ -31,58 +31,121 @@
 		}
 	}
 	c.callMachines(ms)
-	idle := c.idleJudge()
+	s := &machineSweeping{core: c, reporting: reporting, useless: c.idleJudge()}
 	for _, m := range ms {
-		if m.spot && !m.booting {
-			c.spotLosses.served(sweepEvery)
-		}
-		silent := c.silentFor(m)
-		hangs := c.hangsWithCancelled(m)
-		if c.storeLost(second) && !m.returned && (hangs || c.ignoresStop(m)) {
-			c.returnUnrecorded(m)
-		}
-		if m.returning {
-			if m.returned && !m.calling {
-				c.returnSoon()
-			}
-			continue
-		}
-		if c.storeLost(second) {
-			continue
+		s.sweep(m)
+	}
+}
+
+// machineSweeping is one look at the machines held here.
+type machineSweeping struct {
+	core      *Core
+	reporting bool                // reports of some machines come in
+	useless   func(*machine) bool // an idle machine is of no use to any part
+}
+
+// sweep looks after one machine.
+func (s *machineSweeping) sweep(m *machine) {
+	c := s.core
+	if m.spot && !m.booting {
+		c.spotLosses.served(sweepEvery)
+	}
+	if c.storeLost(second) && !m.returned && (c.hangsWithCancelled(m) || c.ignoresStop(m)) {
+		c.returnUnrecorded(m)
+	}
+	if m.returning {
+		if m.returned && !m.calling {
+			c.returnSoon()
 		}
-		c.checkPace(m)
-		t := c.types[m.typ]
-		switch {
-		case m.booting:
-			patience := Time((t.BootS*c.cfg.Tuning.BootPatience + 5) * float64(second))
-			if t.BootS > 0 && c.now-m.since > patience {
-				c.returnMachine(m, "never came up")
-			}
-		case hangs:
-			// A machine that hangs with a cancelled job's tasks must be gone
-			// before its cancellation's time is up.
-			c.returnMachine(m, "silent with cancelled tasks")
-		case c.ignoresStop(m):
-			c.returnMachine(m, "does not stop a cancelled task")
-		case !m.acked && !m.bumping && m.session > 0 && c.now-max(m.unackedAt, c.process.resumedAt) > c.cfg.Lease+5*second && silent < 3*c.cfg.Lease && c.now-m.since > c.cfg.Lease:
-			// Its reports come, but nothing that is sent to it has an effect.
-			c.returnMachine(m, "deaf")
-		case m.unlisted && silent > 5*c.cfg.ReportEvery/2 && reporting:
-			c.lostSpot(m)
-			c.returnMachine(m, "silent and not listed")
-		case silent > c.cfg.Lease+5*second && (reporting || silent > 3*c.cfg.Lease) && c.now-m.since > c.cfg.Lease:
-			c.lostSpot(m)
-			c.returnMachine(m, "silent")
-		case m.draining && len(m.assigns) == 0 && c.now > m.noticeAt:
-			c.returnMachine(m, "drained")
-		case m.draining && m.noticeAt > 0 && m.liveTasks() == 0:
-			c.returnMachine(m, "notice")
-		case m.yield && m.liveTasks() == 0 && c.now-m.idleSince > 4*second && idle(m):
-			c.returnMachine(m, "retired")
-		case m.liveTasks() == 0 && c.now-m.idleSince > c.cfg.Tuning.IdleReturn && idle(m) && silent < 3*c.cfg.ReportEvery:
-			c.returnMachine(m, "idle")
+		return
+	}
+	if c.storeLost(second) {
+		return
+	}
+	c.checkPace(m)
+	if m.booting {
+		if s.bootsTooLong(m) {
+			c.returnMachine(m, "never came up")
 		}
+		return
+	}
+	if why := s.stuckWithCancelled(m); why != "" {
+		c.returnMachine(m, why)
+		return
+	}
+	if why := s.silence(m); why != "" {
+		c.lostSpot(m)
+		c.returnMachine(m, why)
+		return
+	}
+	if why := s.unneeded(m); why != "" {
+		c.returnMachine(m, why)
+	}
+}
+
+func (s *machineSweeping) bootsTooLong(m *machine) bool {
+	c := s.core
+	t := c.types[m.typ]
+	patience := Time((t.BootS*c.cfg.Tuning.BootPatience + 5) * float64(second))
+	return t.BootS > 0 && c.now-m.since > patience
+}
+
+// stuckWithCancelled says why a machine can't be relied on to stop tasks, or "".
+// One that hangs with a cancelled job's tasks must be gone before its
+// cancellation's time is up.
+func (s *machineSweeping) stuckWithCancelled(m *machine) string {
+	switch {
+	case s.core.hangsWithCancelled(m):
+		return "silent with cancelled tasks"
+	case s.core.ignoresStop(m):
+		return "does not stop a cancelled task"
+	case s.ignoresToken(m):
+		return "deaf"
+	}
+	return ""
+}
+
+// ignoresToken tells whether a machine's reports come, but nothing that is sent
+// to it has an effect.
+func (s *machineSweeping) ignoresToken(m *machine) bool {
+	c := s.core
+	if m.acked || m.bumping || m.session == 0 {
+		return false
+	}
+	unacked := c.now - max(m.unackedAt, c.process.resumedAt)
+	return unacked > c.cfg.Lease+5*second && c.silentFor(m) < 3*c.cfg.Lease && c.now-m.since > c.cfg.Lease
+}
+
+// silence says how a machine counts as lost that is not heard any more, or "".
+func (s *machineSweeping) silence(m *machine) string {
+	c := s.core
+	silent, lease := c.silentFor(m), c.cfg.Lease
+	switch {
+	case m.unlisted && silent > 5*c.cfg.ReportEvery/2 && s.reporting:
+		return "silent and not listed"
+	case silent > lease+5*second && (s.reporting || silent > 3*lease) && c.now-m.since > lease:
+		return "silent"
+	}
+	return ""
+}
+
+// unneeded says why a machine without tasks is to be given back, or "".
+func (s *machineSweeping) unneeded(m *machine) string {
+	c := s.core
+	idleFor := c.now - m.idleSince
+	switch {
+	case m.draining && len(m.assigns) == 0 && c.now > m.noticeAt:
+		return "drained"
+	case m.liveTasks() > 0:
+		return ""
+	case m.draining && m.noticeAt > 0:
+		return "notice"
+	case m.yield && idleFor > 4*second && s.useless(m):
+		return "retired"
+	case idleFor > c.cfg.Tuning.IdleReturn && s.useless(m) && c.silentFor(m) < 3*c.cfg.ReportEvery:
+		return "idle"
 	}
+	return ""
 }
 
 // callMachines calls those that have not acknowledged their token, and those
