--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -26,14 +26,14 @@
 	w       writer
 	storeUp storeHealth
 
-	parts    []*part             // by number
-	jobs     map[JobID]*job      // jobs of held parts
-	known    map[JobID]*knownJob // what is known of all jobs: part, final state
+	parts    []*part // by number
+	jobs     jobRegistry
 	machines map[MachineID]*machine
 	groups   map[string]*group // of held parts
 	owners   map[MachineID]ownerNote
 	peers    map[NodeID]*peer
 	teams    map[string]*team
+	releases releaseRegistry
 	types    map[string]MachineType
 	listed   cloudView
 	kept     []MachineType // the catalogue in the store
@@ -41,20 +41,9 @@
 	keptRead bool
 	keeping  bool
 
-	accepting    []*acceptance // submissions that wait for their record
-	looking      []*acceptance // and of which it is to be read whether others took them
-	acceptWrites int           // writes queued for them
-	acceptSeq    int
-	accepted     map[JobID]Mark // by a record of several, the first one's revision
-	acceptsEpoch Epoch
-	acceptsRead  bool
-	askQueue     map[NodeID][]waitingView
-	askPending   map[NodeID]bool
-	jobsEpoch    Epoch
-	dependents   map[JobID][]JobID // jobs that await a job
-	freshQ       []func(bool)
-	freshening   bool
-	freshAt      Time
+	acceptances  acceptances
+	jobReads     jobReads
+	ownerQueries ownerQueries
 	partsEpoch   Epoch
 	counters     Counters
 	classes      map[string]*classStats
@@ -106,19 +95,6 @@
 	part Part
 }
 
-type knownJob struct {
-	part   Part
-	final  Status
-	stored bool // its own record says so; else it follows from that of a job that it needs
-	tasks  int
-	team   string
-	need   Res      // of a cancelled job
-	spec   *JobSpec // while it is unfinished, and its record was seen
-	awaits []JobID
-	prio   Priority // its own, or that of one that needs it
-	by     float64  // when it has to be done for itself and all that need it, as time of day; 0: any time
-}
-
 type ownerNote struct {
 	part Part
 	at   Time
@@ -127,11 +103,22 @@
 // New makes a Core. Nothing happens before the first Step.
 func New(cfg Config) *Core {
 	c := &Core{
-		cfg: cfg, calls: map[CallID]func(any){}, jobs: map[JobID]*job{}, known: map[JobID]*knownJob{},
-		machines: map[MachineID]*machine{}, groups: map[string]*group{}, accepted: map[JobID]Mark{}, dependents: map[JobID][]JobID{}, inspecting: map[MachineID]bool{}, owners: map[MachineID]ownerNote{}, peers: map[NodeID]*peer{},
-		teams: map[string]*team{}, types: map[string]MachineType{}, askQueue: map[NodeID][]waitingView{},
-		askPending: map[NodeID]bool{}, strays: map[MachineID]Time{}, classes: map[string]*classStats{},
+		cfg:          cfg,
+		calls:        map[CallID]func(any){},
+		jobs:         newJobRegistry(),
+		machines:     map[MachineID]*machine{},
+		groups:       map[string]*group{},
+		acceptances:  acceptances{revisions: map[JobID]Mark{}},
+		inspecting:   map[MachineID]bool{},
+		owners:       map[MachineID]ownerNote{},
+		peers:        map[NodeID]*peer{},
+		ownerQueries: newOwnerQueries(),
+		teams:        map[string]*team{},
+		types:        map[string]MachineType{},
+		strays:       map[MachineID]Time{},
+		classes:      map[string]*classStats{},
 	}
+	c.releases = newReleaseRegistry(cfg.Self)
 	c.w.init(c)
 	for i := range cfg.Nodes {
 		c.parts = append(c.parts, &part{id: Part(i), home: cfg.Nodes[i], refusals: map[rentOption]int{}})
@@ -147,7 +134,7 @@
 		}
 	}
 	c.divideCloud()
-	c.cloud.have = c.cloud.cap
+	c.cloud.bucket.Fill()
 	c.nextList = c.firstList()
 	c.after(0, c.boot)
 	return c
@@ -340,29 +327,6 @@
 	}
 }
 
-// bucket is a token bucket.
-type bucket struct {
-	rate, cap, have float64
-	at              Time
-}
-
-func (b *bucket) refill(now Time) {
-	b.have += b.rate * float64(now-b.at) / float64(second)
-	if b.have > b.cap {
-		b.have = b.cap
-	}
-	b.at = now
-}
-
-func (b *bucket) take(now Time, n float64) bool {
-	b.refill(now)
-	if b.have < n {
-		return false
-	}
-	b.have -= n
-	return true
-}
-
 // boot starts everything that runs on its own.
 func (c *Core) boot() {
 	t := c.cfg.Tuning
@@ -440,11 +404,11 @@
 	cpus := func(a Amount) int { return int(a / 1_000_000) }
 	c.logf("info", "load", "cpus", cpus(room), "spot", cpus(spot), "idle", cpus(idle), "running", cpus(running), "fetching", cpus(fetching), "ready", cpus(ready),
 		"recording", cpus(recording), "ended", cpus(ended), "waiting", cpus(waiting), "booting", cpus(booting), "groups", len(c.groups),
-		"group_bytes", sizes/max(len(c.groups), 1), "puts_share", int(c.w.puts.rate*10)/10)
+		"group_bytes", sizes/max(len(c.groups), 1), "puts_share", int(c.w.puts.Rate()*10)/10)
 	c.logf("info", "stats", "reports", k.Reports, "submits", k.Submits, "queries", k.Queries, "cancels", k.Cancels,
 		"orders", k.Orders, "txns", k.Txns, "puts", k.Puts, "claims", k.Kinds[prioClaim], "rentals", k.Kinds[prioRent], "accepts", k.Kinds[prioAccept], "starts", k.Kinds[prioStart],
 		"outcomes", k.Kinds[prioDone], "lazy", k.Kinds[prioLazy], "conflicts", k.Conflicts, "gets", k.Gets,
-		"peer_calls", k.PeerCalls, "cloud_calls", k.CloudCalls, "parts", held, "jobs", len(c.jobs),
+		"peer_calls", k.PeerCalls, "cloud_calls", k.CloudCalls, "parts", held, "jobs", len(c.jobs.held),
 		"machines", len(c.machines), "queue", c.w.depth(), "inflight", c.w.inflight)
 }
 
