--- a/internal/sockets/sockets_test.go
+++ b/internal/sockets/sockets_test.go
@@ -60,6 +60,9 @@
 		if r.Close {
 			t.Errorf("user %d was told to close while there was room", i)
 		}
+		// The server notes that a connection is idle only after its answer has
+		// arrived; the order in which they became idle is what is tested below.
+		awaitIdleUsers(t, f, i+1)
 		users = append(users, c)
 	}
 	r, err := ask(t, dial(), "/v2/x") // the eighth of eight
@@ -151,3 +154,19 @@
 		}
 	}
 }
+
+// awaitIdleUsers waits until so many users' connections are known to be idle.
+func awaitIdleUsers(t *testing.T, f *Front, want int) {
+	t.Helper()
+	idle := func() int {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.idle.Len()
+	}
+	const patience = 5 * time.Second
+	for end := time.Now().Add(patience); idle() != want; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d users' connections are idle, want %d", idle(), want)
+		}
+	}
+}
