--- a/internal/core/groups.go
+++ b/internal/core/groups.go
@@ -2,10 +2,11 @@
 
 import (
 	"fmt"
-	"slices"
 	"sort"
 	"strconv"
 	"strings"
+
+	"stairrelay/internal/grouprecord"
 )
 
 // A record of its own per machine would cost a put per wave of starts on each;
@@ -21,7 +22,7 @@
 	mark Mark
 	ms   map[MachineID]*machine
 
-	w        bool   // a write is queued or on its way
+	writing  bool   // a write is queued or on its way
 	sent     bool   // it is on its way: what it lists is settled until it is answered
 	wait     *write // it is queued
 	again    int    // the priority of the next write that is wanted, or prios
@@ -50,13 +51,18 @@
 	return l
 }
 
-// groupMachines is how many machines a record is made for: with a handful of
-// tasks each they take about half of the value limit.
-func (c *Core) groupMachines() int { return max(c.cfg.ValueBytes/80, 4) }
+// valueLimit decides how large the groups' records get.
+func (c *Core) valueLimit() grouprecord.ValueLimit { return grouprecord.ValueLimit(c.cfg.ValueBytes) }
+
+// groupMachines is how many machines a record is made for.
+func (c *Core) groupMachines() int { return c.valueLimit().Machines() }
+
+// length is how long the group's record may be by now.
+func (g *group) length() int { return g.size + g.added }
 
 // room tells whether the record can list one more task of a job.
 func (c *Core) room(g *group, j *job) bool {
-	return g.size+g.added+len(j.spec.ID)+28 <= c.cfg.ValueBytes*17/20
+	return c.valueLimit().HasRoom(g.length(), j.spec.ID)
 }
 
 // snapshot remembers what a built record says, for when it is stored.
@@ -76,21 +82,21 @@
 // there is nothing left to list.
 func (c *Core) snap(part Part, ms []*machine, nonce string) ([]byte, *snapshot) {
 	s := &snapshot{ms: make([]machineSnap, 0, len(ms))}
-	lines := make([]listedMachine, 0, len(ms))
+	lines := make([]grouprecord.Machine, 0, len(ms))
 	for _, m := range ms {
 		if m.dead {
 			s.left = append(s.left, m)
 			continue
 		}
 		x := machineSnap{m: m, bump: m.bumping, ret: m.returning}
-		line := listedMachine{id: m.id, kind: groupKind{m.typ, m.zone, m.spot}, addr: m.addr, returned: m.returning, booting: m.booting}
+		line := grouprecord.Machine{ID: m.id, Kind: m.kind(), Address: m.addr, Returned: m.returning, Booting: m.booting}
 		for _, a := range m.sorted() {
 			if a.gone {
 				x.out = append(x.out, a)
 				continue
 			}
 			x.in = append(x.in, a)
-			line.tasks = append(line.tasks, listedTask{a.task, a.attempt})
+			line.Tasks = append(line.Tasks, grouprecord.Task{ID: a.task, Attempt: a.attempt})
 		}
 		s.ms = append(s.ms, x)
 		lines = append(lines, line)
@@ -98,72 +104,135 @@
 	// An emptied group's key is kept, with nothing listed: once it were absent,
 	// a late copy of the transaction that created it would be carried out again.
 	// The next claim, which fences such copies, drops it.
-	v := encodeGroup(part, lines, nonce)
+	v := grouprecord.Encode(grouprecord.Record{Part: part, Machines: lines, Nonce: nonce})
 	s.size = len(v)
 	return v, s
 }
 
+// bumpWeight is how many times its size a machine counts whose token is to be
+// raised: it starts nothing until then, and the leases of its tasks run on.
+const bumpWeight = 4
+
+// cpusWaiting counts the CPUs that wait for the groups' records: of tasks that
+// may start, here or elsewhere, once the record says so, and of machines that
+// can be used, or offered, only after it.
+func (c *Core) cpusWaiting(groups ...*group) float64 {
+	var sum Amount
+	for _, g := range groups {
+		for _, m := range g.ms {
+			size := c.types[m.typ].Cap.CPU
+			if m.bumping {
+				sum += bumpWeight * size
+			} else if m.yield {
+				sum += size
+			}
+			for _, a := range m.assigns {
+				if a.phase == aRecording || a.gone && a.j.active() {
+					sum += a.need.CPU
+				}
+			}
+		}
+	}
+	return float64(sum) / 1e6
+}
+
 // writeMachine stores which tasks may be on a machine, with the rest of its
 // group. All that changes while the write waits its turn goes into the same put.
 func (c *Core) writeMachine(m *machine, prio int) { c.writeGroup(m.g, prio) }
 
+// groupWrite is the write of one group's record.
+type groupWrite struct {
+	core  *Core
+	part  *part
+	claim Epoch
+	group *group
+	prio  int
+	snap  *snapshot // of the last record built
+}
+
+// writeGroup stores a group's record. One that is on its way already is followed
+// by another.
 func (c *Core) writeGroup(g *group, prio int) {
-	if g.w {
+	if g.writing {
 		g.again = min(g.again, prio)
-		c.w.promote(g.key(), prio)
+		c.writer.promote(g.key(), prio)
 		return
 	}
-	g.w, g.again = true, prios
+	g.writing, g.again = true, prios
 	p := c.parts[g.part]
-	claim := p.claim
-	var s *snapshot
+	w := &groupWrite{core: c, part: p, claim: p.claim, group: g, prio: prio}
 	g.wait = &write{
-		part: g.part, keys: []string{g.key()},
-		build: func(nonce string) ([]TxnOp, []Mark) {
-			g.wait = nil
-			if c.groups[g.id] != g {
-				g.w = false
-				return nil, nil
-			}
-			g.sent, g.again, g.added = true, prios, 0
-			var v []byte
-			v, s = c.snap(g.part, g.list(), nonce)
-			g.size = s.size
-			return []TxnOp{{g.key(), v}}, []Mark{g.mark}
-		},
-		ok: func(e Epoch) {
-			g.w, g.sent = false, false
-			if c.groups[g.id] != g || p.claim != claim || !p.held {
-				return
-			}
-			g.mark = Mark(e)
-			c.groupStored(g, s, e)
-			c.writeAgain(g)
-		},
-		conflict: func() {
-			g.w, g.sent = false, false
-			if c.groups[g.id] == g {
-				c.checkGroup(g)
-			}
-		},
-		tooLarge: func() {
-			g.w, g.sent = false, false
-			if c.groups[g.id] != g || p.claim != claim || !p.held {
-				return
-			}
-			if g.again = min(g.again, prio); len(g.ms) > 1 {
-				again := g.again
-				c.splitGroup(p, g)
-				g.again = again
-				return
-			}
-			c.after(second, func() { c.writeAgain(g) })
-		},
-		lost: func() { g.w, g.sent = false, false },
+		part:        g.part,
+		keys:        []string{g.key()},
+		cpusWaiting: func() float64 { return c.cpusWaiting(g) },
+		build:       w.build,
+		ok:          w.stored,
+		conflict:    w.refused,
+		tooLarge:    w.tooLarge,
+		lost:        g.endWrite,
+	}
+	c.writer.add(prio, g.wait)
+}
+
+// endWrite notes that no write of the record is under way any more.
+func (g *group) endWrite() { g.writing, g.sent = false, false }
+
+// current tells whether the group is still held under the claim of the write.
+func (w *groupWrite) current() bool {
+	return w.core.groups[w.group.id] == w.group && w.part.heldUnder(w.claim)
+}
+
+func (w *groupWrite) build(nonce string) ([]TxnOp, []Mark) {
+	c, g := w.core, w.group
+	g.wait = nil
+	if c.groups[g.id] != g {
+		g.writing = false
+		return nil, nil
+	}
+	g.sent, g.again, g.added = true, prios, 0
+	var v []byte
+	v, w.snap = c.snap(g.part, g.list(), nonce)
+	g.size = w.snap.size
+	return []TxnOp{{g.key(), v}}, []Mark{g.mark}
+}
+
+func (w *groupWrite) stored(e Epoch) {
+	w.group.endWrite()
+	if !w.current() {
+		return
+	}
+	w.group.mark = Mark(e)
+	w.core.groupStored(w.group, w.snap, e)
+	w.core.writeAgain(w.group)
+}
+
+// refused follows a conflict with another writer.
+func (w *groupWrite) refused() {
+	w.group.endWrite()
+	if w.core.groups[w.group.id] == w.group {
+		w.core.checkGroup(w.group)
+	}
+}
+
+// tooLarge follows the store's refusal of a record by its length: the group is
+// split, or tried again where it has one machine.
+func (w *groupWrite) tooLarge() {
+	c, g := w.core, w.group
+	g.endWrite()
+	if !w.current() {
+		return
+	}
+	g.again = min(g.again, w.prio)
+	if len(g.ms) > 1 {
+		again := g.again
+		c.splitGroup(w.part, g)
+		g.again = again
+		return
 	}
-	c.w.add(prio, g.wait)
+	c.after(second, func() { c.writeAgain(g) })
 }
 
+// writeAgain queues the write that was wanted while one was on its way.
 func (c *Core) writeAgain(g *group) {
 	if g.again < prios && c.groups[g.id] == g {
 		c.writeGroup(g, g.again)
@@ -188,7 +257,7 @@
 			if !a.j.active() {
 				c.setGone(m, a) // cancelled meanwhile, never sent
 			} else {
-				c.poke(m)
+				c.orderSoon(m)
 			}
 		}
 		for _, a := range x.out {
@@ -222,271 +291,39 @@
 	return c.cfg.Boot + "-" + strconv.FormatUint(uint64(p.claim), 10) + "-" + strconv.Itoa(c.groupSeq)
 }
 
-// regroup moves machines of a part into one group, a new one if to is nil, by
-// one transaction on all the groups concerned. done gets the group, or nil.
-func (c *Core) regroup(p *part, ms []*machine, to *group, prio int, done func(*group)) {
-	var from []*group
-	for _, m := range ms {
-		if m.g.sent || m.g == to {
-			done(nil)
-			return
-		}
-		if !slices.Contains(from, m.g) {
-			from = append(from, m.g)
-		}
-	}
-	if len(from) == 0 || len(from)+1 > c.cfg.TxnOps || to != nil && to.sent {
-		done(nil)
-		return
-	}
-	claim := p.claim
-	id := c.groupName(p)
-	all := slices.Clone(from)
-	if to != nil {
-		id = to.id
-		all = append(all, to)
-	}
-	var keys []string
-	for _, g := range all {
-		// A write that still waits its turn says nothing that this one won't.
-		if g.wait != nil {
-			c.w.cancel(g.wait)
-			g.wait = nil
-		}
-		g.w, g.sent, g.again = true, true, prios
-		keys = append(keys, g.key())
-	}
-	if to == nil {
-		keys = append(keys, "groups/"+id)
-	}
-	free := func() {
-		for _, g := range all {
-			g.w, g.sent = false, false
-		}
-	}
-	var moving []*machine
-	var snaps []*snapshot
-	c.w.add(prio, &write{
-		part: p.id, keys: keys,
-		build: func(nonce string) ([]TxnOp, []Mark) {
-			moving, snaps = nil, nil
-			var ops []TxnOp
-			var marks []Mark
-			for _, m := range ms {
-				if c.machines[m.id] == m && m.g != to && slices.Contains(from, m.g) {
-					moving = append(moving, m)
-				}
-			}
-			for _, g := range from {
-				rest := slices.DeleteFunc(g.list(), func(m *machine) bool { return slices.Contains(moving, m) })
-				g.again, g.added = prios, 0
-				v, s := c.snap(p.id, rest, nonce)
-				ops, marks, snaps = append(ops, TxnOp{g.key(), v}), append(marks, g.mark), append(snaps, s)
-			}
-			mark, into := Mark(0), slices.Clone(moving)
-			if to != nil {
-				mark = to.mark
-				to.again, to.added = prios, 0
-				into = append(into, to.list()...)
-			}
-			sort.Slice(into, func(i, k int) bool { return into[i].id < into[k].id })
-			v, s := c.snap(p.id, into, nonce)
-			snaps = append(snaps, s)
-			if len(v) > c.cfg.ValueBytes*17/20 || len(moving) == 0 {
-				free()
-				for _, g := range all {
-					c.writeGroup(g, prioStart)
-				}
-				done(nil)
-				return nil, nil
-			}
-			return append(ops, TxnOp{"groups/" + id, v}), append(marks, mark)
-		},
-		ok: func(e Epoch) {
-			free()
-			if !p.held || p.claim != claim {
-				done(nil)
-				return
-			}
-			if to == nil {
-				to = c.newGroup(p, id, 0)
-				all = append(all, to)
-			}
-			for _, m := range moving {
-				delete(m.g.ms, m.id)
-				m.g = to
-				to.ms[m.id] = m
-			}
-			again := prios
-			for _, g := range all {
-				again = min(again, g.again)
-			}
-			for i, g := range append(slices.Clone(from), to) {
-				g.mark, g.size = Mark(e), snaps[i].size
-				c.groupStored(g, snaps[i], e)
-				if g.again = again; len(g.ms) > 0 { // what was asked of one may now concern the other
-					c.writeAgain(g)
-				}
-			}
-			done(to)
-		},
-		conflict: func() {
-			free()
-			for _, g := range all {
-				if c.groups[g.id] == g {
-					c.checkGroup(g)
-				}
-			}
-			done(nil)
-		},
-		lost: func() {
-			free()
-			done(nil)
-		},
-	})
-}
-
-// splitGroup moves machines of a group into new ones, by one transaction on all
-// of them: into two, or as many as a transaction may write where the record is
-// far too large, as one that was written under higher limits may be.
-func (c *Core) splitGroup(p *part, g *group) {
-	if g.sent || len(g.ms) < 2 {
-		return
-	}
-	n := min(max((g.size+g.added)/(c.cfg.ValueBytes/2), 2, g.bins), c.cfg.TxnOps, len(g.ms))
-	if g.wait != nil {
-		c.w.cancel(g.wait)
-		g.wait = nil
-	}
-	g.w, g.sent, g.again = true, true, prios
-	keys := []string{g.key()}
-	var ids []string
-	for range n - 1 {
-		id := c.groupName(p)
-		ids, keys = append(ids, id), append(keys, "groups/"+id)
-	}
-	claim := p.claim
-	free := func() { g.w, g.sent = false, false }
-	var snaps []*snapshot
-	var bins [][]*machine
-	c.w.add(prioStart, &write{
-		part: p.id, keys: keys,
-		build: func(nonce string) ([]TxnOp, []Mark) {
-			if c.groups[g.id] != g {
-				free()
-				return nil, nil
-			}
-			g.again, g.added = prios, 0
-			bins, snaps = c.bins(g.list(), n), nil
-			var ops []TxnOp
-			var marks []Mark
-			for i, ms := range bins {
-				v, s := c.snap(p.id, ms, nonce)
-				mark := Mark(0)
-				if i == 0 {
-					mark = g.mark
-				}
-				ops, marks, snaps = append(ops, TxnOp{keys[i], v}), append(marks, mark), append(snaps, s)
-			}
-			return ops, marks
-		},
-		ok: func(e Epoch) {
-			free()
-			if c.groups[g.id] != g || !p.held || p.claim != claim {
-				return
-			}
-			again := g.again
-			for i, ms := range bins {
-				to := g
-				if i > 0 {
-					to = c.newGroup(p, ids[i-1], 0)
-					for _, m := range ms {
-						delete(g.ms, m.id)
-						m.g = to
-						to.ms[m.id] = m
-					}
-				}
-				to.mark, to.size = Mark(e), snaps[i].size
-				c.groupStored(to, snaps[i], e)
-				if to.again = again; len(to.ms) > 0 { // what was asked of the whole may concern each
-					c.writeAgain(to)
-				}
-			}
-		},
-		conflict: func() {
-			free()
-			if c.groups[g.id] == g {
-				c.checkGroup(g)
-			}
-		},
-		// Still too large for the store: tasks end, and the record gets shorter.
-		tooLarge: func() {
-			free()
-			g.bins = 2 * n // what the store takes now is less than the settings say
-			c.after(second, func() {
-				if c.groups[g.id] == g && p.held && p.claim == claim {
-					c.writeGroup(g, prioStart)
-				}
-			})
-		},
-		lost: free,
-	})
-}
-
-// bins divides machines so that their records are about equally long.
-func (c *Core) bins(ms []*machine, n int) [][]*machine {
-	length := func(m *machine) int { return 40 + 16*len(m.assigns) }
-	rest := 0
-	for _, m := range ms {
-		rest += length(m)
-	}
-	out := make([][]*machine, n)
-	i, sum := 0, 0
-	for k, m := range ms {
-		if i < n-1 && len(out[i]) > 0 && (sum+length(m)/2 > rest/(n-i) || len(ms)-k <= n-1-i) {
-			rest -= sum
-			i, sum = i+1, 0
-		}
-		out[i] = append(out[i], m)
-		sum += length(m)
-	}
-	return out[:i+1]
-}
-
 // tidyGroups keeps records well under the value limit, and few: every group
 // with a change costs a put.
 func (c *Core) tidyGroups(p *part) {
+	limit := c.valueLimit()
 	var small []*group
 	for _, id := range sortedKeys(c.groups) {
 		g := c.groups[id]
 		if g.part != p.id || g.sent || g.offer != nil || len(g.ms) == 0 {
 			continue
 		}
-		if size := g.size + g.added; size > c.cfg.ValueBytes*4/5 && len(g.ms) > 1 {
+		if size := g.length(); limit.TooLong(size) && len(g.ms) > 1 {
 			c.splitGroup(p, g)
-		} else if size < c.cfg.ValueBytes*3/5 {
+		} else if limit.Short(size) {
 			small = append(small, g)
 		}
 	}
-	sort.SliceStable(small, func(i, k int) bool { return small[i].size+small[i].added < small[k].size+small[k].added })
-	size, n := 0, 0
-	var move []*machine
-	var into *group
+	sort.SliceStable(small, func(i, k int) bool { return small[i].length() < small[k].length() })
+	sizes := make([]grouprecord.Size, len(small))
 	for i, g := range small {
-		size, n = size+g.size+g.added, n+len(g.ms)
-		if size > c.cfg.ValueBytes*7/10 || n > 2*c.groupMachines() || i == c.cfg.TxnOps-1 {
-			break
-		}
-		if into != nil {
-			move = append(move, into.list()...)
-		}
-		into = g // the largest of them stays
+		sizes[i] = grouprecord.Size{Bytes: g.length(), Machines: len(g.ms)}
 	}
-	if len(move) > 0 {
-		// With the starts: most of these groups have a write waiting, which this
-		// one makes needless, and each less saves a put per wave from now on.
-		c.regroup(p, move, into, prioStart, func(*group) {})
+	n := limit.Joinable(sizes, c.cfg.TxnOps)
+	if n < 2 {
+		return
+	}
+	into := small[n-1] // the largest of them stays
+	var move []*machine
+	for _, g := range small[:n-1] {
+		move = append(move, g.list()...)
 	}
+	// With the starts: most of these groups have a write waiting, which this
+	// one makes needless, and each less saves a put per wave from now on.
+	c.regroup(p, move, into, prioStart, func(*group) {})
 }
 
 // checkGroup follows a conflict on a group's record, or a worker that has seen
@@ -505,13 +342,13 @@
 		switch r.Out {
 		case Missing:
 		case OK:
-			part, _, err := decodeGroup(r.KV.Value)
+			rec, err := grouprecord.Decode(r.KV.Value)
 			if err != nil {
 				c.broken(c.parts[g.part], g.key(), err.Error())
 				return
 			}
-			if part == g.part {
-				if r.KV.Mark > g.mark && !g.w {
+			if rec.Part == g.part {
+				if r.KV.Mark > g.mark && !g.writing {
 					c.suspect(c.parts[g.part], g.key(), "changed by another writer")
 					return
 				}
@@ -527,7 +364,7 @@
 				c.writeGroup(g, prioStart)
 				return
 			}
-			to = part
+			to = rec.Part
 		default:
 			c.after(second, func() {
 				if c.groups[g.id] == g {
@@ -559,7 +396,7 @@
 			c.freeTask(a)
 		}
 		if to >= 0 && int(to) < len(c.parts) {
-			c.owners[m.id] = ownerNote{to, c.now}
+			c.owners.note(m.id, to, c.now)
 		}
 	}
 }
@@ -567,7 +404,8 @@
 // learnGroup takes a group's record over from an earlier holder.
 func (c *Core) learnGroup(kv KV, p *part) {
 	id := strings.TrimPrefix(kv.Key, "groups/")
-	part, ms, err := decodeGroup(kv.Value)
+	rec, err := grouprecord.Decode(kv.Value)
+	part, ms := rec.Part, rec.Machines
 	if err != nil || part < 0 || int(part) >= len(c.parts) {
 		// Whose it is may be unreadable too; then each part that is taken over
 		// clears it, and the first to do so is enough.
@@ -595,7 +433,7 @@
 	for i := range ms {
 		// The same by machine: another part held here may have taken the group
 		// and joined it with others since it was read. The later write counts.
-		if x := c.machines[ms[i].id]; x != nil && x.part != p.id {
+		if x := c.machines[ms[i].ID]; x != nil && x.part != p.id {
 			if uint64(x.token) > uint64(kv.Mark) {
 				return
 			}
@@ -606,12 +444,12 @@
 	g.size = len(kv.Value)
 	for _, l := range ms {
 		// The claim is later than every move of a machine of the part.
-		m := c.machines[l.id]
+		m := c.machines[l.ID]
 		if m == nil { // else listed twice: whatever either lists counts
 			m = c.addMachine(g, l, Token(p.claim))
 		}
-		m.returning, m.returned = m.returning || l.returned, m.returned || l.returned
-		for _, t := range l.tasks {
+		m.returning, m.returned = m.returning || l.Returned, m.returned || l.Returned
+		for _, t := range l.Tasks {
 			if why := c.learnTask(m, t, p); why != "" {
 				c.setAside(p, kv, why)
 				return
@@ -643,7 +481,7 @@
 		}
 		return []TxnOp{{kv.Key, nil}}, []Mark{kv.Mark}
 	}
-	c.w.add(prioLazy, x)
+	c.writer.add(prioLazy, x)
 }
 
 // claimOf reads from a group's key the claim under which it was made.
@@ -658,7 +496,7 @@
 
 // dropKey removes a part's key when there is time.
 func (c *Core) dropKey(p *part, key string, mark Mark) {
-	c.w.add(prioLazy, &write{
+	c.writer.add(prioLazy, &write{
 		part: p.id, keys: []string{key},
 		build:    func(string) ([]TxnOp, []Mark) { return []TxnOp{{key, nil}}, []Mark{mark} },
 		ok:       func(Epoch) {},
@@ -668,9 +506,9 @@
 
 // learnTask takes in a task that an earlier holder's record lists. It returns
 // what makes no sense about it.
-func (c *Core) learnTask(m *machine, t listedTask, p *part) string {
+func (c *Core) learnTask(m *machine, t grouprecord.Task, p *part) string {
 	m.stored++
-	jid := t.task.Job
+	jid := t.ID.Job
 	j := c.jobs.held[jid]
 	if j == nil {
 		k := c.jobs.known[jid]
@@ -685,22 +523,22 @@
 			return "" // done: what the worker still shows is reaped
 		}
 	}
-	if t.task.Index >= len(j.state) {
+	if t.ID.Index >= len(j.state) {
 		return "lists a task beyond its job"
 	}
-	if j.state[t.task.Index] >= tDone {
+	if j.state[t.ID.Index] >= tDone {
 		return ""
 	}
-	a := &assign{task: t.task, mach: m.id, j: j, attempt: t.attempt, phase: aDoubt, need: j.spec.Need, stop: j.final != ""}
+	a := &assign{task: t.ID, mach: m.id, j: j, attempt: t.Attempt, phase: aDoubt, need: j.spec.Need, stop: j.final != ""}
 	m.addAssign(a)
-	if j.state[t.task.Index] == tPending {
-		j.setPlaced(t.task.Index, a)
+	if j.state[t.ID.Index] == tPending {
+		j.setPlaced(t.ID.Index, a)
 	}
 	return ""
 }
 
-func (c *Core) noteOwners(part Part, ms []listedMachine) {
+func (c *Core) noteOwners(part Part, ms []grouprecord.Machine) {
 	for i := range ms {
-		c.owners[ms[i].id] = ownerNote{part, c.now}
+		c.owners.note(ms[i].ID, part, c.now)
 	}
 }
--- a/internal/core/guards_test.go
+++ b/internal/core/guards_test.go
@@ -4,6 +4,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"stairrelay/internal/grouprecord"
 )
 
 // TestPauses: however often a part has changed hands or its records made no
@@ -45,12 +47,12 @@
 		built++
 		return []TxnOp{{"b", []byte(`{}`)}}, []Mark{0}
 	}}
-	c.w.add(prioStart, &write{part: NoPart, keys: []string{"a"}, build: func(string) ([]TxnOp, []Mark) {
-		c.w.add(prioStart, second)
+	c.writer.add(prioStart, &write{part: NoPart, keys: []string{"a"}, build: func(string) ([]TxnOp, []Mark) {
+		c.writer.add(prioStart, second)
 		return nil, nil // no longer wanted
 	}})
-	c.w.pump()
-	c.w.pump()
+	c.writer.pump()
+	c.writer.pump()
 	if built != 1 {
 		t.Errorf("the write queued meanwhile was built %d times", built)
 	}
@@ -65,9 +67,9 @@
 		for _, p := range c.parts {
 			p.held, p.claim = true, 30
 		}
-		l := listedMachine{id: "m-1", kind: groupKind{Type: "s", Zone: "a"}}
+		l := grouprecord.Machine{ID: "m-1", Kind: grouprecord.Kind{Type: "s", Zone: "a"}}
 		c.addMachine(c.newGroup(c.parts[0], "joined", 50), l, 50) // taken at revision 50
-		c.learnGroup(KV{Key: "groups/old", Value: encodeGroup(1, []listedMachine{l}, "n"), Mark: mark}, c.parts[1])
+		c.learnGroup(KV{Key: "groups/old", Value: grouprecord.Encode(grouprecord.Record{Part: 1, Machines: []grouprecord.Machine{l}, Nonce: "n"}), Mark: mark}, c.parts[1])
 		m := c.machines["m-1"]
 		if m == nil || m.part != want || len(c.parts[0].ms)+len(c.parts[1].ms) != 1 {
 			t.Errorf("read at %d: the parts hold %d and %d machines, want one in part %d", mark, len(c.parts[0].ms), len(c.parts[1].ms), want)
@@ -83,13 +85,14 @@
 	c := New(Config{Self: "n0", Nodes: []NodeID{"n0"}, ValueBytes: 4096, TxnOps: 12, Tuning: DefaultTuning()})
 	p := c.parts[0]
 	v, s := c.snap(0, nil, "n-1")
-	part, ms, err := decodeGroup(v)
+	rec, err := grouprecord.Decode(v)
+	part, ms := rec.Part, rec.Machines
 	if v == nil || err != nil || part != 0 || len(ms) != 0 || nonceOf(v) != "n-1" || len(s.ms) != 0 {
 		t.Fatalf("an emptied group is written as %q: %v", v, err)
 	}
 	p.held, p.claim, p.mark = true, 30, 30
 	c.learnGroup(KV{Key: "groups/b1-12-1", Value: v, Mark: 20}, p)
-	q := c.w.queues[prioLazy]
+	q := c.writer.queues[prioLazy]
 	if len(q) != 1 || q[0].keys[0] != "groups/b1-12-1" || len(c.groups) != 0 {
 		t.Fatalf("the next claim queues %d writes and knows %d groups", len(q), len(c.groups))
 	}
@@ -99,7 +102,7 @@
 	// The claim that made it is in force, or the key doesn't say which that was.
 	c.learnGroup(KV{Key: "groups/b1-30-1", Value: v, Mark: 20}, p)
 	c.learnGroup(KV{Key: "groups/g", Value: v, Mark: 20}, p)
-	for _, x := range c.w.queues[prioLazy][1:] {
+	for _, x := range c.writer.queues[prioLazy][1:] {
 		if ops, _ := x.build("n-3"); ops != nil {
 			t.Errorf("%v is dropped though a copy of its creation may come", ops)
 		}
@@ -113,15 +116,20 @@
 	for _, watched := range []Outcome{OK, NotDone} {
 		c := New(Config{Self: "n0", Nodes: []NodeID{"n0"}, StoreRPS: 100, WriteRPS: 100, ValueBytes: 4096, TxnOps: 12, Tuning: DefaultTuning()})
 		record := func(key string, ids ...MachineID) KV {
-			var ms []listedMachine
+			var ms []grouprecord.Machine
 			for _, id := range ids {
-				ms = append(ms, listedMachine{id: id, kind: groupKind{"small", "a", false}})
+				ms = append(ms, grouprecord.Machine{ID: id, Kind: grouprecord.Kind{Type: "small", Zone: "a", Spot: false}})
 			}
-			return KV{Key: "groups/" + key, Value: encodeGroup(0, ms, "w"), Mark: 7}
+			return KV{Key: "groups/" + key, Value: grouprecord.Encode(grouprecord.Record{Part: 0, Machines: ms, Nonce: "w"}), Mark: 7}
 		}
 		asked, ended := false, false
 		var got map[MachineID]bool
-		c.readOwners(func(_ map[groupKind]bool, listed map[MachineID]bool) { ended, got = true, listed })
+		c.readRecorded(func(rec *recordedMachines) {
+			ended = true
+			if rec != nil {
+				got = rec.listed
+			}
+		})
 		for i := 0; i < len(c.out); i++ {
 			switch f := c.out[i].(type) {
 			case StoreList:
@@ -161,7 +169,7 @@
 	g := c.newGroup(p, "g", 1)
 	var ms []*machine
 	for _, id := range []MachineID{"m-1", "m-2", "m-3"} {
-		m := c.addMachine(g, listedMachine{id: id, kind: groupKind{"small", "a", false}, addr: "x"}, 5)
+		m := c.addMachine(g, grouprecord.Machine{ID: id, Kind: grouprecord.Kind{Type: "small", Zone: "a", Spot: false}, Address: "x"}, 5)
 		m.idleSince = 1000 * second // not what this is about
 		ms = append(ms, m)
 	}
@@ -222,7 +230,7 @@
 	rented := false
 	c.startRental(p, rentOption{"small", "a", true}, 2)
 	for range 3 {
-		c.w.pump()
+		c.writer.pump()
 		out := c.out
 		c.out = nil
 		for _, f := range out {
@@ -254,7 +262,7 @@
 			Teams: []Team{{Name: "red", Limit: Res{CPU: 100_000_000}}}, Tuning: DefaultTuning()})
 		c.types["small"] = MachineType{Name: "small", Cap: Res{CPU: 4_000_000, Mem: 16_000_000}, Zones: []string{"a"}}
 		p := c.parts[0]
-		m := c.addMachine(c.newGroup(p, "g", 1), listedMachine{id: "m-1", kind: groupKind{"small", "a", false}}, 5)
+		m := c.addMachine(c.newGroup(p, "g", 1), grouprecord.Machine{ID: "m-1", Kind: grouprecord.Kind{Type: "small", Zone: "a", Spot: false}}, 5)
 		m.acked = true
 		c.wall = 1_000_000
 		at := c.wall - 1000
@@ -292,7 +300,7 @@
 	}
 	var ms []*machine
 	for i, id := range []MachineID{"busy", "idle"} {
-		m := c.addMachine(g, listedMachine{id: id, kind: groupKind{"small", "a", false}, addr: string(id)}, 5)
+		m := c.addMachine(g, grouprecord.Machine{ID: id, Kind: grouprecord.Kind{Type: "small", Zone: "a", Spot: false}, Address: string(id)}, 5)
 		m.acked = true
 		put(m, i, aReady)
 		ms = append(ms, m)
@@ -302,9 +310,9 @@
 		for _, m := range ms {
 			m.ordersBusy = false
 			m.assigns[TaskID{Job: "j-1", Index: slices.Index(ms, m)}].phase = aReady
-			c.poke(m)
+			c.orderSoon(m)
 		}
-		c.out, c.load = nil, l
+		c.out, c.process.load = nil, l
 		c.pushOrders()
 		for _, f := range c.out {
 			to = append(to, f.(Orders).Addr)
@@ -317,10 +325,10 @@
 	if to := called(Load{Busy: 0.9}); len(to) != 1 || to[0] != "idle" {
 		t.Errorf("strained, starts are called to %v", to)
 	}
-	if d := c.pause(placePause); d <= placePause || d > second {
+	if d := c.process.pause(placePause); d <= placePause || d > second {
 		t.Errorf("strained, placements are %v apart", time.Duration(d))
 	}
-	c.load = Load{Lag: 2 * second}
+	c.process.load = Load{Lag: 2 * second}
 	if c.overloaded(BestEffort) == 0 || c.overloaded(Normal) == 0 || c.overloaded(Production) != 0 {
 		t.Errorf("2 s behind: refused for %d, %d, %d s", c.overloaded(BestEffort), c.overloaded(Normal), c.overloaded(Production))
 	}
@@ -328,10 +336,10 @@
 
 // TestSuits: of two machines that are equal otherwise, work that would lose much
 // on a spot machine gets the ordinary one and work that saves leaves it that;
-// where nothing much is at stake the kind does not matter.
+// where no great loss is to be expected the kind does not matter.
 func TestSuits(t *testing.T) {
 	c := sevenCores()
-	c.spotLost, c.spotTime = 10, 20_000 // two an hour
+	c.spotLosses.lost, c.spotLosses.seconds = 10, 20_000 // two an hour
 	c.types["small"] = MachineType{Name: "small", FetchGBs: 0.25}
 	p, spot, own := c.parts[0], &machine{spot: true}, &machine{}
 	like := func(run, checkpoint float64) *job {
@@ -342,7 +350,7 @@
 		t.Error("60 s that can't be saved are sent to a spot machine")
 	}
 	if c.suits(p, short, own) != c.suits(p, short, spot) || c.suits(p, saves, own) != c.suits(p, saves, spot) {
-		t.Error("the kind of machine matters where nothing is at stake")
+		t.Error("the kind of machine matters where no loss is to be expected")
 	}
 	c.cfg.Objectives = []Objective{{Kind: "deadline", Class: "tight", Times: 1}, {Kind: "finished", Class: "c", WithinS: 80}}
 	due := like(15, 0)
@@ -355,11 +363,11 @@
 	if due.spec.Class, due.spec.DeadlineS = "tight", 40; c.suits(p, due, spot) || !c.suits(p, short, spot) {
 		t.Error("a job that could not make its deadline with a task begun anew goes to spot machines, or one with time to spare does not")
 	}
-	if p.atStake = true; c.suits(p, saves, own) || !c.suits(p, saves, spot) {
+	if p.avoidSpot = true; c.suits(p, saves, own) || !c.suits(p, saves, spot) {
 		t.Error("work that saves does not leave the ordinary machine to others")
 	}
-	if c.risky(long) || !c.risky(like(150, 0)) {
-		t.Error("a new fetch of 6 s is not weighed against what is at stake")
+	if c.ordinaryWorthFetch(long) || !c.ordinaryWorthFetch(like(150, 0)) {
+		t.Error("a new fetch of 6 s is not weighed against the expected loss")
 	}
 }
 
@@ -376,9 +384,9 @@
 		p := c.parts[0]
 		p.held, p.ready = true, true
 		g := c.newGroup(p, "g", 1)
-		m := c.addMachine(g, listedMachine{id: "m-1", kind: groupKind{"small", "a", false}}, 5)
+		m := c.addMachine(g, grouprecord.Machine{ID: "m-1", Kind: grouprecord.Kind{Type: "small", Zone: "a", Spot: false}}, 5)
 		for c.now < 8*second {
-			c.lastReport = c.now
+			c.workerContact.lastReport = c.now
 			if !x.silent {
 				m.heard = c.now
 			}
--- a/internal/core/seven_test.go
+++ b/internal/core/many_controllers_test.go
@@ -1,6 +1,10 @@
 package core
 
-import "testing"
+import (
+	"testing"
+
+	"stairrelay/internal/grouprecord"
+)
 
 // TestCloudRateByNeed: where one of seven controllers has all the work it gets
 // most of the cloud's rate, the idle ones keep enough to begin with, and
@@ -57,14 +61,14 @@
 func TestNoDebtAfterCut(t *testing.T) {
 	c := sevenCores()
 	x := &txn{then: make([]TxnOp, 20), part: NoPart}
-	before := c.w.puts.Level()
-	c.w.send(x)
+	before := c.writer.puts.Level()
+	c.writer.send(x)
 	for i, out := range []Outcome{Unknown, NotDone, Unknown, Throttled, Unknown} {
-		c.w.answered(x, TxnReply{Out: out})
-		c.w.inflight--
-		c.w.send(x)
-		if c.w.puts.Level() < before-21 {
-			t.Fatalf("after %d tries %.0f puts in debt", i+2, -c.w.puts.Level())
+		c.writer.answered(x, TxnReply{Out: out})
+		c.writer.inflight--
+		c.writer.send(x)
+		if c.writer.puts.Level() < before-21 {
+			t.Fatalf("after %d tries %.0f puts in debt", i+2, -c.writer.puts.Level())
 		}
 	}
 }
@@ -108,7 +112,7 @@
 			owned = false // returned; the list shows it for 16 s more
 		}
 		if c.now < 86*second && c.now%(8*second) == 0 {
-			c.heardOf(Listed{ID: "m-000007", Type: "small", Zone: "a", AgeS: 500})
+			c.seenInList(Listed{ID: "m-000007", Type: "small", Zone: "a", AgeS: 500})
 		}
 		queue := c.Step(c.now+second/2, 0, Tick{})
 		for len(queue) > 0 {
@@ -119,7 +123,7 @@
 				reads++
 				r := ListReply{Out: OK}
 				if f.Prefix == "groups/" && owned {
-					r.Items = []KV{{Key: "groups/x", Value: encodeGroup(3, []listedMachine{{id: "m-000007", kind: groupKind{"small", "a", false}}}, "n")}}
+					r.Items = []KV{{Key: "groups/x", Value: grouprecord.Encode(grouprecord.Record{Part: 3, Machines: []grouprecord.Machine{{ID: "m-000007", Kind: grouprecord.Kind{Type: "small", Zone: "a", Spot: false}}}, Nonce: "n"})}}
 				}
 				queue = append(queue, c.Step(c.now, 0, Reply{Call: f.Call, Body: r})...)
 			case Log:
@@ -145,15 +149,15 @@
 	p.held, p.ready = true, true
 	g := c.newGroup(p, "g", 1)
 	for i := range manyMachines {
-		m := c.addMachine(g, listedMachine{id: MachineID(rune('a' + i)), kind: groupKind{"small", "a", false}}, 5)
+		m := c.addMachine(g, grouprecord.Machine{ID: MachineID(rune('a' + i)), Kind: grouprecord.Kind{Type: "small", Zone: "a", Spot: false}}, 5)
 		m.since = 0
 	}
-	c.awakeAt = 0 // the step to 30 s was no standstill
-	c.lastReport = c.now - 3*second
+	c.process.resumedAt = 0 // the step to 30 s was no standstill
+	c.workerContact.lastReport = c.now - 3*second
 	if !c.workersOK() {
 		t.Error("workers count as lost while reports may still be on their way")
 	}
-	c.lastReport = c.now - 4*second
+	c.workerContact.lastReport = c.now - 4*second
 	if c.workersOK() {
 		t.Error("20 machines silent for 4 s, reports each 2.5 s: the workers count as in reach")
 	}
--- a/internal/core/moves.go
+++ b/internal/core/moves.go
@@ -1,8 +1,10 @@
 package core
 
 import (
-	"sort"
 	"strings"
+
+	"stairrelay/internal/grouprecord"
+	"stairrelay/internal/sharing"
 )
 
 // Idle machines move between parts by groups: one part offers, the other takes.
@@ -27,13 +29,13 @@
 	var out []GroupOffer
 	for _, id := range sortedKeys(c.groups) {
 		g := c.groups[id]
-		if g.offer == nil || g.w {
+		if g.offer == nil || g.writing {
 			continue
 		}
-		n := map[groupKind]int{}
-		var kinds []groupKind
+		n := map[grouprecord.Kind]int{}
+		var kinds []grouprecord.Kind
 		for _, m := range g.list() {
-			k := groupKind{m.typ, m.zone, m.spot}
+			k := m.kind()
 			if n[k] == 0 {
 				kinds = append(kinds, k)
 			}
@@ -54,14 +56,14 @@
 	for _, g := range c.groups {
 		if g.offer != nil && c.now > g.offer.until {
 			g.offer = nil
-			c.placing = true
+			c.placement.request()
 		}
 	}
 }
 
 // offerIdle offers a part's idle machines to those that lack some. They are
 // gathered into groups of their own, so that one write moves many.
-func (c *Core) offerIdle(p *part, loads map[Part]PartLoad, want map[Part]Amount) {
+func (c *Core) offerIdle(p *part, plan *sharing.Plan) {
 	if c.now < p.offerAfter {
 		return
 	}
@@ -69,17 +71,6 @@
 	if len(idle) == 0 {
 		return
 	}
-	lacking, lacks := make([]Part, 0, len(loads)), map[Part]Amount{}
-	for q, l := range loads {
-		if q != p.id && want[q] > l.Have {
-			lacking = append(lacking, q)
-			lacks[q] = want[q] - l.Have
-		}
-	}
-	sort.Slice(lacking, func(i, k int) bool {
-		a, b := lacking[i], lacking[k]
-		return lacks[a] > lacks[b] || lacks[a] == lacks[b] && a < b
-	})
 	work := c.unplaced(p)
 	var spare []*machine
 	for _, m := range idle {
@@ -87,13 +78,14 @@
 			spare = append(spare, m)
 		}
 	}
-	for _, id := range sortedKeys(c.groups) {
-		if g := c.groups[id]; g.part == p.id && g.offer != nil {
-			lacks[g.offer.to] -= c.cpus(g)
+	offered := map[Part]Amount{}
+	for _, g := range c.groups {
+		if g.part == p.id && g.offer != nil {
+			offered[g.offer.to] += c.cpus(g)
 		}
 	}
-	for _, q := range lacking {
-		lack := lacks[q]
+	for _, recipient := range plan.Recipients(p.id) {
+		lack := recipient.Amount - offered[recipient.Part]
 		var ms []*machine
 		groups := map[*group]bool{}
 		for len(spare) > 0 && lack > 0 && len(ms) < c.groupMachines() && (len(groups) < c.cfg.TxnOps-1 || groups[spare[0].g]) {
@@ -109,7 +101,7 @@
 		p.offerAfter = c.now + second
 		offer := func(g *group) {
 			if g != nil {
-				g.offer = &groupOffer{to: q, until: c.now + 5*second}
+				g.offer = &groupOffer{to: recipient.Part, until: c.now + 5*second}
 			}
 		}
 		if len(groups) == 1 && len(ms) == len(ms[0].g.ms) {
@@ -176,17 +168,18 @@
 		if r.Out != OK || r.KV.Mark != mark || !p.held || p.claim != claim {
 			return
 		}
-		part, ms, err := decodeGroup(r.KV.Value)
+		rec, err := grouprecord.Decode(r.KV.Value)
+		part, ms := rec.Part, rec.Machines
 		if err != nil || part == p.id || len(ms) == 0 {
 			return
 		}
 		for _, m := range ms {
-			if len(m.tasks) > 0 || m.returned {
+			if len(m.Tasks) > 0 || m.Returned {
 				return
 			}
 		}
 		if g := c.groups[id]; g != nil { // held here too
-			if g.w || g.mark != mark || g.offer == nil {
+			if g.writing || g.mark != mark || g.offer == nil {
 				return
 			}
 			for _, m := range g.ms {
@@ -197,10 +190,10 @@
 			c.groupMoved(g, p.id)
 		}
 		size := 0
-		c.w.add(prioRent, &write{
+		c.writer.add(prioRent, &write{
 			part: p.id, keys: []string{key},
 			build: func(nonce string) ([]TxnOp, []Mark) {
-				v := encodeGroup(p.id, ms, nonce)
+				v := grouprecord.Encode(grouprecord.Record{Part: p.id, Machines: ms, Nonce: nonce})
 				size = len(v)
 				return []TxnOp{{key, v}}, []Mark{mark}
 			},
@@ -211,12 +204,12 @@
 				g := c.newGroup(p, id, Mark(e))
 				g.size = size
 				for _, l := range ms {
-					if c.machines[l.id] == nil {
+					if c.machines[l.ID] == nil {
 						c.addMachine(g, l, Token(e))
 					}
 				}
 				c.logf("debug", "took idle machines", "group", id, "machines", len(ms), "part", int(p.id), "from", int(part))
-				c.placing = true
+				c.placement.request()
 				c.machineSweep()
 			},
 			conflict: func() {},
--- a/internal/core/holes_test.go
+++ b/internal/core/store_writes_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"testing"
+
+	"stairrelay/internal/grouprecord"
 )
 
 // TestLateCopyAfterDrop: a group that one part made and another took and
@@ -11,7 +13,7 @@
 func TestLateCopyAfterDrop(t *testing.T) {
 	b := newBench()
 	p, q := b.parts[0], b.parts[1]
-	b.enlist(p, []listedMachine{{id: "m-1", kind: groupKind{"small", "a", false}, addr: "m-1"}}, func() {})
+	b.enlist(p, []grouprecord.Machine{{ID: "m-1", Kind: grouprecord.Kind{Type: "small", Zone: "a", Spot: false}, Address: "m-1"}}, func() {})
 	b.play(100 * milli)
 	if len(b.txns) == 0 || len(b.groups) != 1 {
 		t.Fatalf("%d transactions, %d groups", len(b.txns), len(b.groups))
@@ -58,7 +60,7 @@
 		t.Errorf("answered %+v, want 201", b.told)
 	}
 	b.play(5 * second)
-	if n := len(b.w.queues[prioAccept]); n != 0 || b.acceptances.names > 3 {
+	if n := len(b.writer.queues[prioAccept]); n != 0 || b.acceptances.names > 3 {
 		t.Errorf("nothing waits to be accepted, but %d writes are queued, after %d", n, b.acceptances.names)
 	}
 }
@@ -111,12 +113,12 @@
 func TestConditionsOfBurst(t *testing.T) {
 	b := newBench()
 	b.play(second)
-	inflight := b.w.inflight
-	b.w.inflight = maxInflight // the store is slow
+	inflight := b.writer.inflight
+	b.writer.inflight = maxInflight // the store is slow
 	for i := range ReqID(60) {
 		b.onSubmit(Submit{Req: 1 + i, Job: JobSpec{ID: JobID(fmt.Sprintf("j-%03d", i)), Team: "red", Tasks: 1, Need: Res{CPU: 1_000_000, Mem: 1_000_000}}})
 	}
-	b.w.inflight = inflight
+	b.writer.inflight = inflight
 	b.play(second)
 	for _, f := range b.txns {
 		if len(f.When) > 4*b.cfg.TxnOps {
--- a/internal/core/writer.go
+++ b/internal/core/writer.go
@@ -1,9 +1,9 @@
 package core
 
 import (
+	"cmp"
 	"encoding/json"
 	"slices"
-	"strconv"
 
 	"stairrelay/internal/ratelimit"
 )
@@ -31,7 +31,10 @@
 	also []Cond
 	// mostAlso is how many of them build may come to set.
 	mostAlso int
-	ok       func(Epoch)
+	queuedAt Time
+	// cpusWaiting counts the CPUs that stand idle until the write is done; nil: none.
+	cpusWaiting func() float64
+	ok          func(Epoch)
 	// unsure is set before ok when a late copy may yet come.
 	unsure bool
 	// alone: the store called a transaction with it malformed.
@@ -62,7 +65,7 @@
 // unknown is sent again unchanged: its conditions on the marks of the keys it
 // sets make a late copy harmless, and its nonce shows whether it was applied.
 type writer struct {
-	c        *Core
+	core     *Core
 	queues   [prios][]*write
 	busy     map[string]bool
 	inflight int
@@ -81,17 +84,8 @@
 // and reports and records grow until then.
 const lazyShare = 0.25
 
-type storeHealth struct {
-	lastOK  Time
-	failing bool
-	since   Time // of the failing
-	okSince Time
-	waiting int  // requests without an answer yet, but for watches
-	quiet   Time // since when there have been some and none was answered
-}
-
 func (w *writer) init(c *Core) {
-	w.c = c
+	w.core = c
 	w.busy = map[string]bool{}
 	w.setShare(len(c.cfg.Nodes))
 	w.puts.Fill()
@@ -101,7 +95,7 @@
 // setShare divides the store's limits among the controllers that are alive.
 func (w *writer) setShare(live int) {
 	w.live = max(live, 1)
-	requests := w.c.cfg.StoreRPS * (w.c.cfg.Tuning.BudgetShare / float64(w.live))
+	requests := w.core.cfg.StoreRPS * (w.core.cfg.Tuning.BudgetShare / float64(w.live))
 	w.reqs.SetRate(requests, requests)
 	w.divide()
 }
@@ -119,7 +113,7 @@
 // most of the rate lie idle while one part's starts wait. All know each other's
 // demand from their calls; where they differ for a moment the store refuses.
 func (w *writer) divide() {
-	c := w.c
+	c := w.core
 	rate := c.shareByNeed(c.cfg.WriteRPS*c.cfg.Tuning.BudgetShare, w.demand, func(g *Ping) float64 { return g.Puts })
 	w.puts.SetRate(rate, max(rate, float64(c.cfg.TxnOps)))
 }
@@ -132,7 +126,29 @@
 	return n
 }
 
-func (w *writer) add(prio int, x *write) { w.queues[prio] = append(w.queues[prio], x) }
+func (w *writer) add(prio int, x *write) {
+	x.queuedAt = w.core.now
+	w.queues[prio] = append(w.queues[prio], x)
+}
+
+// orderStarts puts those writes of starts first for which most CPUs have waited
+// longest, by put: a record with little to start waits until more can share its
+// put. Each ages, so none waits for ever.
+func (w *writer) orderStarts() {
+	queue := w.queues[prioStart]
+	if len(queue) < 2 || w.puts.Level() < 1 {
+		return
+	}
+	rank := make(map[*write]float64, len(queue))
+	for _, x := range queue {
+		cpus := 1.0
+		if x.cpusWaiting != nil {
+			cpus += x.cpusWaiting()
+		}
+		rank[x] = cpus * (w.core.now - x.queuedAt).Seconds() / float64(len(x.keys))
+	}
+	slices.SortStableFunc(queue, func(a, b *write) int { return cmp.Compare(rank[b], rank[a]) })
+}
 
 // cancel takes back a write whose turn has not come.
 func (w *writer) cancel(x *write) {
@@ -176,116 +192,17 @@
 	}
 }
 
-func (w *writer) gather() *txn {
-	c := w.c
-	w.puts.Refill(c.now)
-	w.reqs.Refill(c.now)
-	if w.depth() == 0 {
-		return nil
-	}
-	if w.reqs.Level() < 1 {
-		w.wakeIn(second / 20)
-		return nil
-	}
-	if q := w.queues[prioLazy]; w.credit >= 1 && len(q) > 0 {
-		w.credit = 0
-		w.queues[prioLazy] = q[1:]
-		w.queues[prioStart] = append([]*write{q[0]}, w.queues[prioStart]...)
-	}
-	w.seq++
-	t := &txn{nonce: c.cfg.Boot + "-" + strconv.Itoa(w.seq), part: NoPart, prio: prios}
-	budget, bytes := w.puts.Level(), 0
-	used := map[string]bool{}
-	for prio := 0; prio < prios; prio++ {
-		// Checkpoint writes leave some of the budget to what may come next.
-		if prio == prioLazy && budget < w.puts.Capacity()/3 {
-			if len(w.queues[prio]) > 0 {
-				w.wakeIn(second / 10)
-			}
-			break
-		}
-		q := w.queues[prio]
-		w.queues[prio] = nil // what a build adds comes behind the rest
-		var rest []*write
-		for i, x := range q {
-			if len(t.then) >= c.cfg.TxnOps || t.prio != prios && prio > max(t.prio, prioAccept)+1 {
-				rest = append(rest, q[i:]...)
-				break
-			}
-			if float64(len(x.keys)) > budget {
-				w.wakeIn(second / 10)
-				rest = append(rest, q[i:]...)
-				break
-			}
-			clash := x.part != NoPart && t.part != NoPart && x.part != t.part || len(t.then)+len(x.keys) > c.cfg.TxnOps ||
-				len(t.when)+len(x.keys)+max(x.mostAlso, len(x.also))+1 > condsPerOp*c.cfg.TxnOps ||
-				len(t.writes) > 0 && (x.alone || t.writes[0].alone)
-			for _, k := range x.keys {
-				clash = clash || w.busy[k] || used[k]
-			}
-			if clash || bytes > 40_000 {
-				rest = append(rest, x)
-				continue
-			}
-			// Without the claim there is no mark of ours to make the write
-			// conditional on: the one in the books is the new holder's.
-			if x.part != NoPart && prio != prioClaim && !c.parts[x.part].held {
-				if x.lost != nil {
-					x.lost()
-				}
-				continue
-			}
-			ops, marks := x.build(t.nonce)
-			if ops == nil {
-				continue
-			}
-			for j, op := range ops {
-				t.when = append(t.when, Cond{op.Key, marks[j]})
-				used[op.Key] = true
-				bytes += len(op.Value) + len(op.Key) + 80
-			}
-			t.then = append(t.then, ops...)
-			t.when = append(t.when, x.also...)
-			t.kinds[prio] += len(ops)
-			t.writes = append(t.writes, x)
-			budget -= float64(len(ops))
-			if x.part != NoPart {
-				t.part = x.part
-			}
-			if prio < t.prio {
-				t.prio = prio
-			}
-		}
-		w.queues[prio] = append(rest, w.queues[prio]...)
-	}
-	if len(t.writes) == 0 {
-		return nil
-	}
-	if t.part != NoPart && t.prio != prioClaim {
-		p := c.parts[t.part]
-		t.pmark = p.mark
-		t.when = append(t.when, Cond{p.key(), p.mark})
-	}
-	for k := range used {
-		w.busy[k] = true
-	}
-	return t
-}
-
-// condsPerOp is how many conditions the protocol allows per change that a
-// transaction may make.
-const condsPerOp = 4
-
+// wakeIn has the queues looked at again after a time.
 func (w *writer) wakeIn(d Time) {
 	if w.wake {
 		return
 	}
 	w.wake = true
-	w.c.after(d, func() { w.wake = false })
+	w.core.after(d, func() { w.wake = false })
 }
 
 func (w *writer) send(t *txn) {
-	c := w.c
+	c := w.core
 	w.inflight++
 	w.puts.Spend(float64(len(t.then)))
 	w.sent += len(t.then)
@@ -299,7 +216,7 @@
 	for i, n := range t.kinds {
 		c.counters.Kinds[i] += n
 	}
-	c.storeAsked()
+	c.storeHealth.sent(c.now)
 	c.emit(StoreTxn{Call: c.call(func(b any) { w.answered(t, b.(TxnReply)) }), When: t.when, Then: t.then})
 }
 
@@ -317,14 +234,14 @@
 
 func (w *writer) retry(t *txn) {
 	d := 100 * milli << min(t.tries, 4)
-	w.c.after(d, func() {
+	w.core.after(d, func() {
 		w.inflight--
 		w.send(t)
 	})
 }
 
 func (w *writer) answered(t *txn, r TxnReply) {
-	c := w.c
+	c := w.core
 	c.storeResult(r.Out)
 	switch r.Out {
 	case OK:
@@ -370,11 +287,11 @@
 		x.ok(e)
 	}
 	if t.part != NoPart { // a claim, or a write on condition of one
-		p := w.c.parts[t.part]
+		p := w.core.parts[t.part]
 		if t.prio == prioClaim {
-			w.c.proven(p, Mark(e), t.sentAt)
+			w.core.proven(p, Mark(e), t.sentAt)
 		} else {
-			w.c.proven(p, t.pmark, t.sentAt)
+			w.core.proven(p, t.pmark, t.sentAt)
 		}
 	}
 }
@@ -382,7 +299,7 @@
 // failed sorts the writes of a refused transaction into those whose own keys
 // were changed by another, those whose part is lost, and the innocent.
 func (w *writer) failed(t *txn, keys []string) {
-	c := w.c
+	c := w.core
 	bad := map[string]bool{}
 	for _, k := range keys {
 		bad[k] = true
@@ -419,7 +336,7 @@
 // nonce tells; one alone may have been changed since, as a new job's record is
 // by the job's owner.
 func (w *writer) readBack(t *txn, failed []string) {
-	c := w.c
+	c := w.core
 	var keys []string
 	for _, o := range t.then {
 		if o.Value != nil {
@@ -457,67 +374,3 @@
 	}
 	return x.W
 }
-
-// get reads a key through the request budget's books.
-func (c *Core) get(key string, fn func(GetReply)) {
-	c.w.reqs.Refill(c.now)
-	c.w.reqs.Spend(1)
-	c.counters.Gets++
-	c.storeAsked()
-	c.emit(StoreGet{Call: c.call(func(b any) {
-		r := b.(GetReply)
-		c.storeResult(r.Out)
-		fn(r)
-	}), Key: key})
-}
-
-func (c *Core) list(prefix string, fn func(ListReply)) {
-	c.w.reqs.Spend(1)
-	c.counters.Gets++
-	c.storeAsked()
-	c.emit(StoreList{Call: c.call(func(b any) {
-		r := b.(ListReply)
-		c.storeResult(r.Out)
-		fn(r)
-	}), Prefix: prefix})
-}
-
-// storeAsked notes a request that the store should answer soon.
-func (c *Core) storeAsked() {
-	if c.storeUp.waiting++; c.storeUp.waiting == 1 {
-		c.storeUp.quiet = c.now
-	}
-}
-
-// storeSilent tells whether the store owes answers and has given none for
-// longer than the slow ones take. A cut that holds packets shows so long before
-// any request is given up, and on a controller that asks for little only now.
-func (c *Core) storeSilent() bool {
-	return c.storeLost(second/4) || c.storeUp.waiting > 0 && c.now-c.storeUp.quiet > storeSlow
-}
-
-// storeSlow is well above the few hundred milliseconds that some answers take.
-const storeSlow = 600 * milli
-
-func (c *Core) storeResult(o Outcome) {
-	c.storeUp.waiting, c.storeUp.quiet = c.storeUp.waiting-1, c.now
-	switch o {
-	case NotDone, Unknown:
-		if !c.storeUp.failing {
-			c.storeUp.failing, c.storeUp.since = true, c.now
-		}
-	case Throttled:
-		c.w.reqs.Lower(-1)
-	default:
-		if c.storeUp.failing || c.storeUp.lastOK == 0 || c.now-c.storeUp.lastOK > 3*second {
-			c.storeUp.okSince = c.now
-		}
-		c.storeUp.failing = false
-		c.storeUp.lastOK = c.now
-	}
-}
-
-// storeLost tells whether the store has not served this node for a while.
-func (c *Core) storeLost(d Time) bool {
-	return c.storeUp.failing && c.now-c.storeUp.since > d
-}
