--- a/internal/core/share.go
+++ b/internal/core/share.go
@@ -11,25 +11,40 @@
 // This file tells it the parts' loads, lets a part that has more give machines
 // up, and stops less important work.
 
+// loadCache keeps the loads of the parts held here as last worked out: many ask
+// for them within one interval.
+//
+// It is void once a part held here has changed.
+type loadCache struct {
+	loads   []PartLoad
+	at      Time // when they were worked out; 0: never
+	changes int  // of the parts held here until then
+}
+
+// valid tells whether the loads are those of the parts held now, and new enough.
+func (l *loadCache) valid(now Time, changes int) bool {
+	return l.at > 0 && now-l.at < second/4 && l.changes == changes
+}
+
 // loads describes the parts held here.
 func (c *Core) loads() []PartLoad {
-	if c.loadsAt > 0 && c.now-c.loadsAt < second/4 && c.loadsEpoch == c.claims {
-		return c.lastLoads
+	if c.loadCache.valid(c.now, c.holdingChanges) {
+		return c.loadCache.loads
 	}
-	c.loadsAt, c.loadsEpoch = c.now, c.claims
+	c.loadCache.at, c.loadCache.changes = c.now, c.holdingChanges
 	var out []PartLoad
 	for _, p := range c.parts {
 		if p.held && p.ready {
 			out = append(out, c.loadOf(p))
 		}
 	}
-	c.lastLoads = out
+	c.loadCache.loads = out
 	return out
 }
 
 func (c *Core) loadOf(p *part) PartLoad {
 	l := PartLoad{Part: p.id}
-	for _, m := range p.ms {
+	for _, m := range p.machines {
 		if m.returning || m.draining {
 			continue
 		}
@@ -39,17 +54,17 @@
 		}
 		l.Have += c.types[m.typ].Cap.CPU
 		for _, a := range m.assigns {
-			if a.live() && a.j.active() {
-				l.Demand[a.j.prio] += a.need.CPU
+			if a.live() && a.job.active() {
+				l.Demand[a.job.prio] += a.need.CPU
 			}
 		}
 	}
 	for _, w := range c.unplaced(p) {
-		prio := w.j.prio
+		prio := w.job.prio
 		if w.first {
 			prio = max(prio, Urgent) // it goes before all else
 		}
-		l.Demand[prio] += w.j.spec.Need.CPU * Amount(w.n)
+		l.Demand[prio] += w.job.spec.Need.CPU * Amount(w.tasks)
 	}
 	return l
 }
@@ -105,7 +120,7 @@
 // pick from.
 func (c *Core) resetYield(p *part, spare Amount) []*machine {
 	var ms []*machine
-	for _, m := range p.ms {
+	for _, m := range p.machines {
 		if m.yield && spare <= 0 {
 			c.placement.request()
 		}
@@ -167,7 +182,7 @@
 func (c *Core) typicalNeed(p *part) Res {
 	var sum Res
 	var n Amount
-	for _, j := range p.js {
+	for _, j := range p.jobs {
 		if k := Amount(j.pending() + j.placed); j.active() && !j.waiting && k > 0 {
 			sum = sum.plus(Res{j.spec.Need.CPU * k, j.spec.Need.GPU * k, j.spec.Need.Mem * k})
 			n += k
@@ -186,13 +201,13 @@
 		return
 	}
 	for _, a := range m.assigns {
-		if a.live() && (a.j.prio >= top || a.j.spec.CheckpntS == 0 || c.spared(a.j)) {
+		if a.live() && (a.job.prio >= top || a.job.spec.CheckpntS == 0 || c.spared(a.job)) {
 			return
 		}
 	}
 	for _, a := range m.sorted() {
 		if a.live() && a.phase == aSeen {
-			c.stopTask(m, a, a.j.spec.SaveS+1)
+			c.stopTask(m, a, a.job.spec.SaveS+1)
 		}
 	}
 }
@@ -203,12 +218,12 @@
 // victim again, for ever.
 func (c *Core) preempt(p *part, jobs []*job, owed map[*job]bool, use map[string]Res) {
 	var ms []*machine // with work that could give way
-	for _, m := range p.ms {
+	for _, m := range p.machines {
 		if !c.usable(m) {
 			continue
 		}
 		for _, a := range m.assigns {
-			if a.phase == aSeen && !a.gone && a.j.spec.CheckpntS > 0 {
+			if a.phase == aSeen && !a.gone && a.job.spec.CheckpntS > 0 {
 				ms = append(ms, m)
 				break
 			}
@@ -249,7 +264,7 @@
 				if j.spec.Need.fits(free) {
 					break
 				}
-				if a.phase != aSeen || a.gone || a.j.spec.CheckpntS == 0 || !c.givesWay(a.j, j, owed, use) {
+				if a.phase != aSeen || a.gone || a.job.spec.CheckpntS == 0 || !c.givesWay(a.job, j, owed, use) {
 					continue
 				}
 				if a.stop { // already on its way out
@@ -271,7 +286,7 @@
 				n++
 			}
 			for _, a := range stop {
-				c.stopTask(m, a, a.j.spec.SaveS+1)
+				c.stopTask(m, a, a.job.spec.SaveS+1)
 			}
 			if n >= j.pending() {
 				break
@@ -311,12 +326,12 @@
 			if need.CPU <= room.CPU && need.GPU <= room.GPU {
 				return
 			}
-			if a.phase != aSeen || a.gone || a.j.spec.Team != j.spec.Team || a.j.prio >= j.prio || a.j.spec.CheckpntS == 0 || c.spared(a.j) {
+			if a.phase != aSeen || a.gone || a.job.spec.Team != j.spec.Team || a.job.prio >= j.prio || a.job.spec.CheckpntS == 0 || c.spared(a.job) {
 				continue
 			}
 			room = room.plus(a.need)
 			if !a.stop {
-				c.stopTask(m, a, a.j.spec.SaveS+1)
+				c.stopTask(m, a, a.job.spec.SaveS+1)
 				j.preemptAt = c.now + 8*second
 			}
 		}
