The present write rate is used until the state service refuses it

Change: settings hand both rates on; a controller shares the present one until the first transaction of its own that gets 429, and from then on the lower. Such a transaction was not carried out and is sent again as before. Bytes and changes a transaction stay at the lower limits: a larger record would need a split once they fall.

--- a/internal/core/meeting_guards_test.go
+++ b/internal/core/meeting_guards_test.go
@@ -55,6 +55,7 @@
 	// lose tells whether a transaction's answer is lost.
 	lose      func(StoreTxn) bool
 	refuse    func(StoreTxn) bool // as malformed; nil: none
+	throttle  func(StoreTxn) bool // as beyond the rate; nil: none
 	failWatch bool
 }
 
@@ -85,6 +86,8 @@
 				b.txns = append(b.txns, f)
 				if b.refuse != nil && b.refuse(f) {
 					b.calls[f.Call](TxnReply{Out: Invalid})
+				} else if b.throttle != nil && b.throttle(f) {
+					b.calls[f.Call](TxnReply{Out: Throttled})
 				} else if r := b.store.txn(f); b.lose(f) {
 					b.calls[f.Call](TxnReply{Out: Unknown})
 				} else {
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -290,13 +290,15 @@
 	Lease        Time
 	CancelWithin Time
 	StoreRPS     float64
-	WriteRPS     float64
+	WriteRPS     float64 // the lowest that the settings name for now or later
 	ValueBytes   int
 	TxnOps       int
 	CloudRPS     float64
 	ListLag      Time
 	Boot         string // unique to this process
 	Tuning       Tuning
+	// PresentWriteRPS is used in place of a lower WriteRPS until the store refuses it.
+	PresentWriteRPS float64
 }
 
 // DefaultTuning holds the design's starting values.
--- a/internal/core/writer.go
+++ b/internal/core/writer.go
@@ -70,6 +70,7 @@
 	inflight int
 	seq      int
 	puts     bucket
+	writeRPS float64 // that the store allows all controllers together, as far as is known
 	reqs     bucket
 	wake     bool
 	live     int     // controllers that are alive
@@ -95,6 +96,7 @@
 func (w *writer) init(c *Core) {
 	w.c = c
 	w.busy = map[string]bool{}
+	w.writeRPS = max(c.cfg.WriteRPS, c.cfg.PresentWriteRPS)
 	w.setShare(len(c.cfg.Nodes))
 	w.puts.have, w.reqs.have = w.puts.cap, w.reqs.cap
 }
@@ -121,7 +123,7 @@
 // demand from their calls; where they differ for a moment the store refuses.
 func (w *writer) divide() {
 	c := w.c
-	w.puts.rate = c.shareByNeed(c.cfg.WriteRPS*c.cfg.Tuning.BudgetShare, w.demand, func(g *Ping) float64 { return g.Puts })
+	w.puts.rate = c.shareByNeed(w.writeRPS*c.cfg.Tuning.BudgetShare, w.demand, func(g *Ping) float64 { return g.Puts })
 	w.puts.cap = max(w.puts.rate, float64(c.cfg.TxnOps))
 }
 
@@ -363,6 +365,9 @@
 		w.finish(t)
 		w.failed(t, r.Failed)
 	case Throttled, NotDone:
+		if r.Out == Throttled {
+			w.rateRefused()
+		}
 		w.refund(t) // not carried out: it cost nothing
 		w.retry(t)
 	case Invalid:
@@ -388,6 +393,16 @@
 	}
 }
 
+// rateRefused keeps to the lower of the limits that the settings name, once the
+// store has refused more than that.
+func (w *writer) rateRefused() {
+	if w.writeRPS > w.c.cfg.WriteRPS {
+		w.c.logf("info", "store refuses the present write rate", "per_second", w.writeRPS, "from_now", w.c.cfg.WriteRPS)
+		w.writeRPS = w.c.cfg.WriteRPS
+		w.divide()
+	}
+}
+
 func (w *writer) applied(t *txn, e Epoch) {
 	for _, x := range t.writes {
 		x.unsure = t.unsure
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -229,6 +229,7 @@
 			"in an outage of the state service a cancelled task may run on past cancel_s. A cancel_s of %g would do",
 			cl.Workers.LeaseS, cl.Workers.CancelS, float64(e)/1e9, float64(core.LeastEntitlement)/1e9, need))
 	}
+	k.PresentWriteRPS = cl.State.WriteRPS
 	k.StoreRPS, k.WriteRPS, k.ValueBytes, k.TxnOps = cl.State.RPS, writeRPS, int(valueKB*1024), txnOps
 	if s.CoreShare < 0 || math.IsNaN(s.CoreShare) {
 		return nil, errors.New("cluster.machine_limits.core_share: below 0")
