--- a/internal/settings/platform.go
+++ b/internal/settings/platform.go
@@ -124,9 +124,11 @@
 func positive(x float64) bool { return x > 0 && !math.IsInf(x, 1) }
 
 // readStateLimits takes in the limits of the state service. Those to come hold
-// without notice from some moment on, so the lower of both holds all the time.
+// without notice from some moment on, so the lower of both holds all the time,
+// but for the rate of changes: the present one may be used until it is refused.
 func (s *Settings) readStateLimits(file *platformFile) error {
 	state := file.Cluster.State
+	s.Core.PresentWriteRPS = state.WriteRPS
 	if state.Next != nil {
 		if err := checkNextState(state.Next); err != nil {
 			return err
