--- a/internal/core/writer.go
+++ b/internal/core/writer.go
@@ -71,6 +71,7 @@
 	inflight int
 	seq      int
 	puts     ratelimit.TokenBucket
+	writeRPS float64 // that the store allows all controllers together, as far as is known
 	reqs     ratelimit.TokenBucket
 	wake     bool
 	live     int     // controllers that are alive
@@ -87,6 +88,7 @@
 func (w *writer) init(c *Core) {
 	w.core = c
 	w.busy = map[string]bool{}
+	w.writeRPS = max(c.cfg.WriteRPS, c.cfg.PresentWriteRPS)
 	w.setShare(len(c.cfg.Nodes))
 	w.puts.Fill()
 	w.reqs.Fill()
@@ -114,7 +116,7 @@
 // demand from their calls; where they differ for a moment the store refuses.
 func (w *writer) divide() {
 	c := w.core
-	rate := c.shareByNeed(c.cfg.WriteRPS*c.cfg.Tuning.BudgetShare, w.demand, func(g *Ping) float64 { return g.Puts })
+	rate := c.shareByNeed(w.writeRPS*c.cfg.Tuning.BudgetShare, w.demand, func(g *Ping) float64 { return g.Puts })
 	w.puts.SetRate(rate, max(rate, float64(c.cfg.TxnOps)))
 }
 
@@ -256,6 +258,9 @@
 		w.finish(t)
 		w.failed(t, r.Failed)
 	case Throttled, NotDone:
+		if r.Out == Throttled {
+			w.rateRefused()
+		}
 		w.refund(t) // not carried out: it cost nothing
 		w.retry(t)
 	case Invalid:
@@ -281,6 +286,16 @@
 	}
 }
 
+// rateRefused keeps to the lower of the limits that the settings name, once the
+// store has refused more than that.
+func (w *writer) rateRefused() {
+	if w.writeRPS > w.core.cfg.WriteRPS {
+		w.core.logf("info", "store refuses the present write rate", "per_second", w.writeRPS, "from_now", w.core.cfg.WriteRPS)
+		w.writeRPS = w.core.cfg.WriteRPS
+		w.divide()
+	}
+}
+
 func (w *writer) applied(t *txn, e Epoch) {
 	for _, x := range t.writes {
 		x.unsure = t.unsure
--- a/internal/standin/release.go
+++ b/internal/standin/release.go
@@ -235,9 +235,11 @@
 }
 
 // configOf is the configuration that a controller's release makes of the
-// settings: the production release ignores the limits to come.
+// settings: the production release ignores the limits to come, the current one
+// uses the present write rate until it is refused.
 func (w *World) configOf(n *Node) core.Config {
 	cfg := w.cfg
+	cfg.PresentWriteRPS = w.limitsBefore.WriteRPS
 	if n.Release == ProductionRelease {
 		cfg.WriteRPS, cfg.ValueBytes, cfg.TxnOps = w.limitsBefore.WriteRPS, w.limitsBefore.ValueBytes, w.limitsBefore.TxnOps
 	}
