Move the order of jobs and of machines into package placement

The rank of a waiting job, whether a machine should fetch another image now and which machine of several gets a task were decided inside the walks over a part's jobs and slots. placement has RankJob and JobRank, Fetches and ImageState, and Candidate; core gathers the facts (rankFacts, candidates). The numbers 4, 2, 8 and 16 in these rules have names and reasons. suits takes the kind of machine rather than a machine, as that is all it looks at, and is asked twice for a job rather than at each comparison; its test asks the same.

--- a/internal/core/guards_test.go
+++ b/internal/core/guards_test.go
@@ -336,7 +336,7 @@
 	c := sevenCores()
 	c.spotLost, c.spotTime = 10, 20_000 // two an hour
 	c.types["small"] = MachineType{Name: "small", FetchGBs: 0.25}
-	p, spot, own := c.parts[0], &machine{spot: true}, &machine{}
+	p, spot, own := c.parts[0], true, false
 	like := func(run, checkpoint float64) *job {
 		return &job{spec: JobSpec{Spot: true, RuntimeS: run, CheckpntS: checkpoint, ImageGB: 1.5, Class: "c"}}
 	}
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"stairrelay/internal/grouprecord"
+	"stairrelay/internal/placement"
 )
 
 // classStats is what is learned of a class: estimates are often wrong the
@@ -100,15 +101,12 @@
 	return max(run-time.Duration(c.now-a.runAt).Seconds(), run*0.1)
 }
 
-// never is the latest start of a job that can't meet any aim any more.
-const never = 1e18
-
 // latestStart is when a job's waiting tasks must start to meet the first of
 // its aims that can still be met, as milliseconds of the time of day: its own
 // deadline, or what the objectives say of its class.
 func (c *Core) latestStart(j *job) float64 {
 	at, run := float64(j.since), c.expectedRun(j)*1000
-	best, known := float64(never), false
+	best, known := float64(placement.Never), false
 	consider := func(start float64) {
 		known = true
 		if start >= float64(c.wall)-500 {
@@ -213,11 +211,8 @@
 // rankJobs works out the order in which a part's jobs are served.
 func (c *Core) rankJobs(p *part) {
 	type ranked struct {
-		j     *job
-		late  bool
-		owed  bool // within its team's guarantee, as are its earlier unfinished jobs
-		tier  int
-		start float64
+		j    *job
+		rank placement.JobRank
 	}
 	room := Amount(1_000_000)
 	for _, m := range p.ms {
@@ -225,53 +220,36 @@
 	}
 	p.owed = c.withinGuarantee(p)
 	p.atStake = slices.ContainsFunc(p.js, func(j *job) bool { return j.active() && !j.waiting && c.spares(j) })
-	q := make([]ranked, 0, len(p.js))
+	queue := make([]ranked, 0, len(p.js))
 	for _, j := range p.js {
 		// What is held back for a moment may be let go before the next ranking.
 		if !j.active() || j.waiting || j.pending() == 0 && j.placed == 0 {
 			continue
 		}
-		r := ranked{j: j, start: c.latestStart(j), owed: p.owed[j]}
-		at, horizon := float64(j.since), c.horizon(j)
-		if j.prio >= Urgent {
-			r.tier = int(j.prio)
-		}
-		if r.start == never {
-			r.start = at
-			if r.late = float64(c.wall) < at+4*horizon; !r.late {
-				r.tier = max(r.tier, int(Urgent))
-			}
-		} else {
-			alone := float64(j.pending()) * float64(j.spec.Need.CPU) / float64(room) * c.expectedRun(j)
-			r.start += min(c.cfg.Tuning.SmallFirst*1000*alone, 2*horizon)
-		}
+		facts := c.rankFacts(j, p.owed[j], room)
 		if !j.judged && c.waits(j) {
-			j.judged, j.owedFirst = true, r.owed
+			j.judged, j.owedFirst = true, facts.Owed
 		}
-		q = append(q, r)
+		queue = append(queue, ranked{j, placement.RankJob(facts, c.cfg.Tuning.SmallFirst)})
 	}
-	slices.SortStableFunc(q, func(x, y ranked) int {
-		switch {
-		case x.tier != y.tier:
-			return y.tier - x.tier
-		case x.owed != y.owed:
-			return before(x.owed)
-		case x.late != y.late:
-			return before(y.late)
-		}
-		return cmp.Compare(x.start, y.start)
-	})
-	p.order, p.orderAt = make([]*job, len(q)), c.now
-	for i := range q {
-		p.order[i] = q[i].j
+	slices.SortStableFunc(queue, func(a, b ranked) int { return a.rank.Compare(b.rank) })
+	p.order, p.orderAt = make([]*job, len(queue)), c.now
+	for i := range queue {
+		p.order[i] = queue[i].j
 	}
 }
 
-func before(first bool) int {
-	if first {
-		return -1
+// rankFacts gathers what a job's rank follows from. room is the part's CPUs.
+func (c *Core) rankFacts(j *job, owed bool, room Amount) placement.JobFacts {
+	return placement.JobFacts{
+		Priority:    j.prio,
+		Owed:        owed,
+		Now:         float64(c.wall),
+		Since:       float64(j.since),
+		LatestStart: c.latestStart(j),
+		Horizon:     c.horizon(j),
+		Alone:       float64(j.pending()) * float64(j.spec.Need.CPU) / float64(room) * c.expectedRun(j),
 	}
-	return 1
 }
 
 // withinGuarantee tells which jobs fit into their team's guarantee along with
@@ -333,18 +311,11 @@
 
 // slot is a machine with room.
 type slot struct {
-	m     *machine
-	free  Res
-	kind  int // its index among the kinds of the slots
-	fetch []fetch
-	busy  Amount // CPUs of the tasks that wait for their image
-	size  Amount // of the whole machine
-}
-
-// fetch is an image that a machine is getting.
-type fetch struct {
-	image string
-	prio  Priority
+	m       *machine
+	free    Res
+	kind    int // its index among the kinds of the slots
+	fetches placement.Fetches
+	size    Amount // CPUs of the whole machine
 }
 
 // slots lists the machines with room, and their kinds: what a job may use is
@@ -388,37 +359,15 @@
 	return l, kinds
 }
 
-func (s *slot) fetching(j *job) {
-	s.busy += j.spec.Need.CPU
-	for i := range s.fetch {
-		if s.fetch[i].image == j.spec.Image {
-			s.fetch[i].prio = max(s.fetch[i].prio, j.prio)
-			return
-		}
-	}
-	s.fetch = append(s.fetch, fetch{j.spec.Image, j.prio})
-}
+// fetching notes that a task of a job waits for its image there.
+func (s *slot) fetching(j *job) { s.fetches.Add(j.spec.Image, j.prio, j.spec.Need.CPU) }
 
-// rank says how well a machine suits a job: it has the image, is getting it,
-// or has room; -1: not now.
-func (s *slot) rank(j *job) int {
+// image says how soon the machine can start a job for its image.
+func (s *slot) image(j *job) placement.ImageState {
 	if s.m.hasImage(j.spec.Image) {
-		return 2
-	}
-	other := false
-	for _, f := range s.fetch {
-		if f.image == j.spec.Image {
-			return 1
-		}
-		other = other || f.prio >= min(j.prio, Urgent)
+		return placement.ImageCached
 	}
-	// Two fetches share the machine's rate: one after the other lets the first
-	// start sooner and the second no later. But a machine that takes many tasks
-	// would stand nearly idle while a few of one job wait for their image.
-	if other && (s.busy*8 >= s.size || s.size < 16*j.spec.Need.CPU) {
-		return -1
-	}
-	return 0
+	return s.fetches.State(j.spec.Image, j.prio, j.spec.Need.CPU, s.size)
 }
 
 // placePause is the least time between two placements: what happens within it
@@ -489,33 +438,7 @@
 	if u := use[j.spec.Team].plus(j.spec.Need); !any || u.CPU > limit.CPU || u.GPU > limit.GPU {
 		return
 	}
-	type choice struct {
-		s    *slot
-		rank int
-	}
-	var fit []choice
-	for i := range slots {
-		s := &slots[i]
-		if !allowed[s.kind] || !j.spec.Need.fits(s.free) || !c.room(s.m.g, j) || c.avoids(j, s.m) || !c.mayUse(j, s.m) {
-			continue
-		}
-		if r := s.rank(j); r >= 0 {
-			fit = append(fit, choice{s, r})
-		}
-	}
-	risky := c.risky(j)
-	slices.SortStableFunc(fit, func(a, b choice) int {
-		if risky && a.s.m.spot != b.s.m.spot {
-			return before(!a.s.m.spot)
-		}
-		if a.rank != b.rank {
-			return b.rank - a.rank
-		}
-		if x, y := c.suits(p, j, a.s.m), c.suits(p, j, b.s.m); x != y {
-			return before(x)
-		}
-		return cmp.Compare(b.s.free.CPU, a.s.free.CPU)
-	})
+	fit := c.candidates(p, j, slots, allowed)
 	zones := c.zonesOf(j)
 	for _, f := range fit {
 		m, last := f.s.m, TaskID{}
@@ -543,7 +466,7 @@
 			zones[m.zone]++
 			use[j.spec.Team] = u
 			f.s.free = f.s.free.minus(j.spec.Need)
-			if f.rank == 0 {
+			if f.Image == placement.ImageAbsent {
 				f.s.fetching(j)
 			}
 			n--
@@ -555,6 +478,36 @@
 	}
 }
 
+// candidate is a slot that a job's tasks may go to.
+type candidate struct {
+	placement.Candidate
+	s *slot
+}
+
+// candidates lists the slots that a job's tasks may go to, the best first.
+// allowed tells it by their kinds.
+func (c *Core) candidates(p *part, j *job, slots []slot, allowed []bool) []candidate {
+	var fit []candidate
+	for i := range slots {
+		s := &slots[i]
+		if !allowed[s.kind] || !j.spec.Need.fits(s.free) || !c.room(s.m.g, j) || c.avoids(j, s.m) || !c.mayUse(j, s.m) {
+			continue
+		}
+		if image := s.image(j); image != placement.ImageBlocked {
+			fit = append(fit, candidate{placement.Candidate{Image: image, Spot: s.m.spot, Free: s.free.CPU}, s})
+		}
+	}
+	spotSuits, ordinarySuits := c.suits(p, j, true), c.suits(p, j, false)
+	for i := range fit {
+		if fit[i].Suited = ordinarySuits; fit[i].Spot {
+			fit[i].Suited = spotSuits
+		}
+	}
+	risky := c.risky(j)
+	slices.SortStableFunc(fit, func(a, b candidate) int { return a.Compare(&b.Candidate, risky) })
+	return fit
+}
+
 // listedBytes is about how much longer a record gets by a task: one that follows
 // on the task placed before on the same machine only widens its range.
 func listedBytes(j *job, m *machine, t, last TaskID) int {
@@ -635,14 +588,15 @@
 // it is dear: only one to which the cheaper ones are a risk.
 func (c *Core) mayUse(j *job, m *machine) bool { return !m.retire || !m.spot && c.risky(j) }
 
-// suits tells which of two machines that are equal otherwise a job should have:
-// one that spares its time an ordinary one; where others have, what saves makes room
-// for them and goes to spot machines. Else neither matters.
-func (c *Core) suits(p *part, j *job, m *machine) bool {
+// suits tells whether a job should have a spot machine, or an ordinary one,
+// rather than another that is equal otherwise: a job that spares its time should
+// have an ordinary one; where there are such, what saves makes room for them and
+// goes to spot machines. Else neither matters.
+func (c *Core) suits(p *part, j *job, spot bool) bool {
 	if j.spec.CheckpntS > 0 {
-		return m.spot || !p.atStake
+		return spot || !p.atStake
 	}
-	return !m.spot || !c.spares(j)
+	return !spot || !c.spares(j)
 }
 
 // keepMachine picks the machine that is kept free for a starving job: the one
