--- a/internal/core/random_test.go
+++ b/internal/core/random_test.go
@@ -130,46 +130,62 @@
 func playDay(t *testing.T, seed uint64, cfg core.Config) map[string]int {
 	var w *standin.World
 	w = standin.NewWorld(seed, cfg, testCloud(func() *standin.World { return w }))
+	if len(cfg.Nodes) == 3 { // else no machine is up at the start
+		addMachines(w)
+	}
+	runTroubles(t, w, cfg, func(teams []string, until core.Time) {
+		plan(w, teams, until)
+		planTogether(w, until, cfg.CancelWithin)
+		planPipelines(w, teams, until)
+	})
+	if len(w.Jobs) == 0 {
+		t.Error("no job was submitted: the day tests nothing")
+	}
+	for _, j := range largest(w) {
+		if begun := j.Began; !j.AskedCancel && (begun == 0 || begun-j.Submitted > 240*sec) {
+			t.Errorf("%s, the largest of class %s, began %v after its submission", j.Spec.ID, j.Spec.Class, time.Duration(begun-j.Submitted))
+		}
+	}
+	return w.Faults
+}
+
+// addMachines puts a small machine into each zone, up at once.
+func addMachines(w *standin.World) {
+	for _, zone := range []string{"a", "b", "c"} {
+		w.AddMachine("small", zone, false)
+	}
+}
+
+// runTroubles plays a day with late messages and the troubles that are planned
+// for it, and then until the work should be done. No rule may be broken and no
+// job left.
+func runTroubles(t *testing.T, w *standin.World, cfg core.Config, plans func(teams []string, until core.Time)) {
+	t.Helper()
 	w.Late, w.Copies, w.SlowPeers = true, 0.03, 0.03
 	if os.Getenv("STAIRRELAY_LOG") != "" {
 		w.Log = func(s string) { t.Log(time.Duration(w.Now), s) }
 	}
-	if len(cfg.Nodes) == 3 { // else no machine is up at the start
-		for _, z := range []string{"a", "b", "c"} {
-			w.AddMachine("small", z, false)
-		}
-	}
 	var teams []string
-	for _, t := range cfg.Teams {
-		teams = append(teams, t.Name)
+	for _, team := range cfg.Teams {
+		teams = append(teams, team.Name)
 	}
-	troubles := 240 * sec
-	plan(w, teams, troubles)
-	planTogether(w, troubles, cfg.CancelWithin)
-	planPipelines(w, teams, troubles)
+	const troubles = 240 * sec
+	plans(teams, troubles)
 	w.Calmed = troubles + 40*sec
 	// The least important work of a team at its limit is through after some eight minutes
 	// where half of the machines died more than once.
 	w.Run(troubles + 540*sec)
-	for _, b := range w.Broken {
-		t.Error(b)
+	for _, broken := range w.Broken {
+		t.Error(broken)
 	}
-	if n := w.Unfinished(); n > 0 && !t.Failed() {
-		for _, j := range w.Jobs {
-			if !j.Told.Final() {
-				t.Errorf("%s (%d tasks, spot %v, same %v, scatter %v) is still %q", j.Spec.ID, j.Spec.Tasks, j.Spec.Spot, j.Spec.SamePlace, j.Spec.Scatter, j.Told)
-			}
-		}
+	if w.Unfinished() == 0 || t.Failed() {
+		return
 	}
-	if len(w.Jobs) == 0 {
-		t.Error("no job was submitted: the day tests nothing")
-	}
-	for _, j := range largest(w) {
-		if begun := j.Began; !j.AskedCancel && (begun == 0 || begun-j.Submitted > 240*sec) {
-			t.Errorf("%s, the largest of class %s, began %v after its submission", j.Spec.ID, j.Spec.Class, time.Duration(begun-j.Submitted))
+	for _, j := range w.Jobs {
+		if !j.Told.Final() {
+			t.Errorf("%s (%d tasks, spot %v, same %v, scatter %v) is still %q", j.Spec.ID, j.Spec.Tasks, j.Spec.Spot, j.Spec.SamePlace, j.Spec.Scatter, j.Told)
 		}
 	}
-	return w.Faults
 }
 
 // largest lists each class's largest job, by what its tasks need in all.
--- a/internal/core/upgrade_test.go
+++ b/internal/core/upgrade_test.go
@@ -1,11 +1,9 @@
 package core_test
 
 import (
-	"os"
 	"strconv"
 	"sync"
 	"testing"
-	"time"
 
 	"stairrelay/internal/core"
 	"stairrelay/internal/standin"
@@ -65,29 +63,12 @@
 	cfg := upgradeConfig()
 	var w *standin.World
 	w = standin.NewUpgradeWorld(seed, cfg, limitsBeforeUpgrade, testCloud(func() *standin.World { return w }))
-	w.Late, w.Copies, w.SlowPeers = true, 0.03, 0.03
-	if os.Getenv("STAIRRELAY_LOG") != "" {
-		w.Log = func(s string) { t.Log(time.Duration(w.Now), s) }
-	}
-	for _, zone := range []string{"a", "b", "c"} {
-		w.AddMachine("small", zone, false)
-	}
-	var teams []string
-	for _, team := range cfg.Teams {
-		teams = append(teams, team.Name)
-	}
-	const troubles = 240 * sec
-	plan(w, teams, troubles)
-	planPipelines(w, teams, troubles)
-	planUpgrade(w)
-	w.Calmed = troubles + 40*sec
-	w.Run(troubles + 540*sec)
-	for _, broken := range w.Broken {
-		t.Error(broken)
-	}
-	if left := w.Unfinished(); left > 0 && !t.Failed() {
-		t.Errorf("%d jobs are unfinished", left)
-	}
+	addMachines(w)
+	runTroubles(t, w, cfg, func(teams []string, until core.Time) {
+		plan(w, teams, until)
+		planPipelines(w, teams, until)
+		planUpgrade(w)
+	})
 	if !w.Upgraded() {
 		t.Error("a controller was left on the production release")
 	}
