A claim refused beside another write is sent again as a claim

Cause found by reading the paths on which a claim can end: a claim may share its transaction with acceptances. When one of those is refused, since another controller accepted the job meanwhile (a user's repeat after a crash), the claim was queued again one priority lower. As an ordinary write of a part that is not held it was then dropped without a word, and the controller counted as claiming that part for ever: it never claimed it again, and as it was alive no successor did.

TestClaimBesideConflict fails without it.

--- a/internal/core/writer.go
+++ b/internal/core/writer.go
@@ -31,6 +31,7 @@
 	also []Cond
 	// mostAlso is how many of them build may come to set.
 	mostAlso int
+	prio     int // of the queue that it was last added to
 	queuedAt Time
 	// cpusWaiting counts the CPUs that stand idle until the write is done; nil: none.
 	cpusWaiting func() float64
@@ -129,10 +130,22 @@
 }
 
 func (w *writer) add(prio int, x *write) {
-	x.queuedAt = w.core.now
+	x.prio, x.queuedAt = prio, w.core.now
 	w.queues[prio] = append(w.queues[prio], x)
 }
 
+// requeue adds a write again that was refused because of another in its
+// transaction: one step behind, so that the other one does not take it along at
+// once. A claim stays a claim, since any other write is dropped while its part
+// is not held.
+func (w *writer) requeue(x *write) {
+	if x.prio == prioClaim {
+		w.add(prioClaim, x)
+		return
+	}
+	w.add(min(x.prio+1, prioLazy), x)
+}
+
 // orderStarts puts those writes of starts first for which most CPUs have waited
 // longest, by put: a record with little to start waits until more can share its
 // put. Each ages, so none waits for ever.
@@ -272,7 +285,7 @@
 			switch {
 			case len(t.writes) > 1:
 				x.alone = true
-				w.add(t.prio, x)
+				w.add(x.prio, x)
 			case x.tooLarge != nil:
 				x.tooLarge()
 			default:
@@ -341,7 +354,7 @@
 		if hit {
 			x.conflict()
 		} else {
-			w.add(min(t.prio+1, prioLazy), x)
+			w.requeue(x)
 		}
 	}
 }
