--- a/internal/core/moves.go
+++ b/internal/core/moves.go
@@ -1,8 +1,6 @@
 package core
 
 import (
-	"strings"
-
 	"stairrelay/internal/grouprecord"
 	"stairrelay/internal/sharing"
 )
@@ -157,62 +155,3 @@
 		}
 	}
 }
-
-// takeGroup moves a group of idle machines here by a conditional write on a
-// record that lists no task. The revision of this write is the machines'
-// token: it lies above all earlier ones.
-func (c *Core) takeGroup(p *part, key string, mark Mark) {
-	claim := p.claim
-	id := strings.TrimPrefix(key, "groups/")
-	c.get(key, func(r GetReply) {
-		if r.Out != OK || r.KV.Mark != mark || !p.held || p.claim != claim {
-			return
-		}
-		rec, err := grouprecord.Decode(r.KV.Value)
-		part, ms := rec.Part, rec.Machines
-		if err != nil || part == p.id || len(ms) == 0 {
-			return
-		}
-		for _, m := range ms {
-			if len(m.Tasks) > 0 || m.Returned {
-				return
-			}
-		}
-		if g := c.groups[id]; g != nil { // held here too
-			if g.writing || g.mark != mark || g.offer == nil {
-				return
-			}
-			for _, m := range g.machines {
-				if len(m.assigns) > 0 {
-					return
-				}
-			}
-			c.groupMoved(g, p.id)
-		}
-		size := 0
-		c.writer.add(prioRent, &write{
-			part: p.id, keys: []string{key},
-			build: func(nonce string) ([]TxnOp, []Mark) {
-				v := grouprecord.Encode(grouprecord.Record{Part: p.id, Machines: ms, Nonce: nonce})
-				size = len(v)
-				return []TxnOp{{key, v}}, []Mark{mark}
-			},
-			ok: func(e Epoch) {
-				if !p.held || p.claim != claim || c.groups[id] != nil {
-					return
-				}
-				g := c.newGroup(p, id, Mark(e))
-				g.size = size
-				for _, l := range ms {
-					if c.machines[l.ID] == nil {
-						c.addMachine(g, l, Token(e))
-					}
-				}
-				c.logf("debug", "took idle machines", "group", id, "machines", len(ms), "part", int(p.id), "from", int(part))
-				c.placement.request()
-				c.machineSweep()
-			},
-			conflict: func() {},
-		})
-	})
-}
