Nothing of a group is written while its record is read after a conflict

Cause: writes queued between a conflict and the reading that follows it conflicted in their turn, and a check that found a write queued drew no conclusion: with work coming and going this went on without end, three requests of the store a round, and the group's starts were never recorded. How a record comes to differ from the books is not known to have happened; it is what 'impossible record' is for.

Change: a write that is wanted meanwhile waits for the reading. TestRecordCheckEnds fails without it.

--- a/internal/core/groups.go
+++ b/internal/core/groups.go
@@ -151,8 +151,14 @@
 }
 
 // writeGroup stores a group's record. One that is on its way already is followed
-// by another.
+// by another. While its record is being read after a conflict nothing is written:
+// a write at a revision that is known to be wrong would conflict again, and that
+// one's check would be told nothing for the next, without end.
 func (c *Core) writeGroup(g *group, prio int) {
+	if g.checking {
+		g.again = min(g.again, prio)
+		return
+	}
 	if g.writing {
 		g.again = min(g.again, prio)
 		c.writer.promote(g.key(), prio)
@@ -333,6 +339,7 @@
 		if c.groups[g.id] != g {
 			return
 		}
+		defer c.writeAgain(g)
 		to := NoPart
 		switch r.Out {
 		case Missing:
