Operators are told of a part that makes no progress

Need: a part that nobody serves while every controller is alive, or whose holder gets nowhere with it, showed in no log.

Change: at each checkpoint a controller looks whether each part has a holder that says so, whether its records are stored and whether waiting tasks that fit on its machines are started. After 15 checkpoints in a row without that it logs 'part makes no progress' with the reason, and counts the part in the stats line (stalled_parts).

--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -416,6 +416,7 @@
 		}
 	}
 	c.checkpointGroups()
+	c.watchProgress()
 }
 
 func (c *Core) heldJobs() []*job {
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -48,6 +48,8 @@
 	rentedAt   Time
 
 	confirmations confirmations
+	progress      partProgress
+	storedTxns    uint64 // transactions of the part that were stored
 }
 
 type partRecord struct {
--- a/internal/core/stats.go
+++ b/internal/core/stats.go
@@ -123,6 +123,7 @@
 		"peer_calls", counts.PeerCalls,
 		"cloud_calls", counts.CloudCalls,
 		"parts", c.heldParts(),
+		"stalled_parts", c.stalledParts(),
 		"jobs", len(c.jobs.held),
 		"machines", len(c.machines),
 		"queue", c.writer.depth(),
