Start numbers outlast a claim; an answer that is too large is said to be so

Two were found by reading every narrow number and every bound on what is read.

An attempt counts the starts under one claim in 20 bits. A part held without a break at 100 starts a second uses those up in three hours; then the count ran over into the claim's bits and numbers came again.

Answers were cut off at 16 MiB without a word. A watch's answer may be of any size (a backlog of large records), was then unreadable, and was asked for again for ever. Now it counts as gone: the keys are read again by pages, with a line in the log (TestWatchTooLarge).

--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -18,34 +18,39 @@
 	mark   Mark // of parts/<n> as last seen; the claim's mark while held
 	seen   bool // read from the store at least once
 
-	held       bool
-	ready      bool // the checkpoint has been read
-	claiming   bool
-	breaks     int             // how often its records made no sense
-	restUntil  Time            // not claimed again before
-	aside      map[string]Mark // group records that make no sense, being cleared
-	early      []KV            // jobs heard of while it was being read
-	offered    bool            // the holder is willing to hand it back to us
-	since      Time
-	changes    []Time // when it changed hands, the last minute's
-	claim      Epoch
-	provenAt   Time // when the last exchange with the store began that showed the claim in force
-	attempts   uint64
-	rentals    map[string]*rental
-	machines   []*machine // held here, by id
-	jobs       []*job
-	order      []*job        // js as they are served, as of orderAt; nil: to be worked out
-	owed       map[*job]bool // those within their team's guarantee, as of then
-	orderAt    Time
-	toEnlist   []grouprecord.Machine
-	offerAfter Time
-	preemptAt  Time
-	unanswered int  // machines taken over that have not acknowledged this claim's token
-	ackedAt    Time // when the last one did
-	avoidSpot  bool // a job of it would lose much on spot machines
-	refused    map[rentOption]Time
-	refusals   map[rentOption]int // in a row
-	rentedAt   Time
+	held      bool
+	ready     bool // the checkpoint has been read
+	claiming  bool
+	breaks    int             // how often its records made no sense
+	restUntil Time            // not claimed again before
+	aside     map[string]Mark // group records that make no sense, being cleared
+	early     []KV            // jobs heard of while it was being read
+	offered   bool            // the holder is willing to hand it back to us
+	since     Time
+	changes   []Time // when it changed hands, the last minute's
+	claim     Epoch
+	provenAt  Time   // when the last exchange with the store began that showed the claim in force
+	attempts  uint64 // starts numbered under attemptBase
+	// attemptBase is a store change of this holder's that no other numbers starts
+	// by: its claim, or a later one once the claim's numbers are used up.
+	attemptBase Epoch
+	lastStored  Epoch  // change of the last transaction of the part under the claim
+	planned     uint64 // starts numbered since the claim
+	rentals     map[string]*rental
+	machines    []*machine // held here, by id
+	jobs        []*job
+	order       []*job        // js as they are served, as of orderAt; nil: to be worked out
+	owed        map[*job]bool // those within their team's guarantee, as of then
+	orderAt     Time
+	toEnlist    []grouprecord.Machine
+	offerAfter  Time
+	preemptAt   Time
+	unanswered  int  // machines taken over that have not acknowledged this claim's token
+	ackedAt     Time // when the last one did
+	avoidSpot   bool // a job of it would lose much on spot machines
+	refused     map[rentOption]Time
+	refusals    map[rentOption]int // in a row
+	rentedAt    Time
 
 	confirmations confirmations
 	progress      partProgress
@@ -94,9 +99,15 @@
 	return now-p.since > min(second<<n, 30*second)
 }
 
+// nextAttempt numbers a start. A number is never given twice: an attempt that a
+// worker still remembers would not be started again.
 func (p *part) nextAttempt() Attempt {
+	if p.attempts == model.MaxAttemptCount && p.lastStored > p.attemptBase {
+		p.attemptBase, p.attempts = p.lastStored, 0
+	}
 	p.attempts++
-	return model.MakeAttempt(uint64(p.claim), p.attempts)
+	p.planned++
+	return model.MakeAttempt(uint64(p.attemptBase), p.attempts)
 }
 
 // loadParts reads who holds what and then follows the changes.
@@ -136,6 +147,7 @@
 			*since = max(*since, r.Epoch)
 			c.after(pace, again)
 		case Gone:
+			c.logf("info", "changes missed, reading all keys again", "prefix", prefix, "since", uint64(*since))
 			c.after(pace, reload)
 		default:
 			c.after(second, again)
@@ -249,7 +261,7 @@
 			p.held, p.ready, p.offered = true, false, false
 			p.holder, p.term, p.mark, p.claim, p.since = c.cfg.Self, term, Mark(e), e, c.now
 			p.changed(c.now)
-			p.attempts = 0
+			p.attempts, p.attemptBase, p.lastStored = 0, e, e
 			p.rentals = map[string]*rental{}
 			p.refused, p.refusals = map[rentOption]Time{}, map[rentOption]int{}
 			c.logf("info", "claimed part", "part", int(p.id), "term", uint64(term), "from", string(prev))
--- a/internal/core/progress.go
+++ b/internal/core/progress.go
@@ -40,7 +40,7 @@
 // there were too many.
 func (c *Core) noteProgress(p *part, why stall) {
 	state := &p.progress
-	state.planned, state.stored = p.attempts, p.storedTxns
+	state.planned, state.stored = p.planned, p.storedTxns
 	if why == served {
 		state.stalled = 0
 		return
@@ -106,7 +106,7 @@
 // startsStalled tells whether waiting tasks fit on the part's machines, and none
 // was given one since the last checkpoint.
 func (c *Core) startsStalled(p *part) bool {
-	if p.attempts != p.progress.planned || !slices.ContainsFunc(p.jobs, c.waits) {
+	if p.planned != p.progress.planned || !slices.ContainsFunc(p.jobs, c.waits) {
 		return false
 	}
 	work := c.unplaced(p)
--- a/internal/core/writer.go
+++ b/internal/core/writer.go
@@ -317,6 +317,7 @@
 	if t.part != NoPart { // a claim, or a write on condition of one
 		p := w.core.parts[t.part]
 		p.storedTxns++
+		p.lastStored = max(p.lastStored, e)
 		if t.prio == prioClaim {
 			w.core.proven(p, Mark(e), t.sentAt)
 		} else {
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -51,9 +51,13 @@
 func (t Time) Seconds() float64 { return time.Duration(t).Seconds() }
 
 // AttemptCountBits is how many bits of an attempt count the starts under one
-// claim of a part. The bits above them are the claim.
+// claim of a part. The bits above them are the claim, or a later store change of
+// the same holder once the claim's numbers are used up.
 const AttemptCountBits = 20
 
+// MaxAttemptCount is the largest count of an attempt.
+const MaxAttemptCount = 1<<AttemptCountBits - 1
+
 // MakeAttempt numbers a start under the claim that a store change made.
 func MakeAttempt(claim, count uint64) Attempt { return Attempt(claim<<AttemptCountBits | count) }
 
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -2,6 +2,7 @@
 package store
 
 import (
+	"errors"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -184,7 +185,9 @@
 		URL:     s.baseURL + "/watch?" + query.Encode(),
 		Timeout: wait + watchMargin,
 	})
-	if err == nil && response.Status == http.StatusGone {
+	// The answer holds all changes and may be of any size. One that is too large
+	// is as good as none: the keys are read again by pages.
+	if errors.Is(err, wire.ErrAnswerTooLarge) || err == nil && response.Status == http.StatusGone {
 		return core.WatchReply{Out: core.Gone}
 	}
 	page, outcome := decodePage(response, err)
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"stairrelay/internal/core"
+	"stairrelay/internal/wire"
 )
 
 // ask carries out an effect against a server and returns its reply.
@@ -107,3 +108,19 @@
 		}
 	}
 }
+
+// TestWatchTooLarge: an answer to a watch may be of any size. One that is larger
+// than is read sends the reader to the keys themselves, which come by pages; cut
+// off and given up as unreadable, it would be asked for again for ever.
+func TestWatchTooLarge(t *testing.T) {
+	answer := func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(`{"epoch":4,"events":[`))
+		_, _ = w.Write(make([]byte, wire.MaxAnswer))
+	}
+	if reply := ask(t, answer, core.StoreWatch{}).(core.WatchReply); reply.Out != core.Gone {
+		t.Errorf("read as %+v", reply)
+	}
+	if reply := ask(t, answer, core.StoreList{}).(core.ListReply); reply.Out != core.Unknown {
+		t.Errorf("a list of that size was read as %+v", reply.Out)
+	}
+}
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// maxAnswer bounds what is read of any answer.
-	maxAnswer = 16 << 20
+	// MaxAnswer bounds what is read of any answer.
+	MaxAnswer = 16 << 20
 	// idleTimeout is how long a connection is kept without a call.
 	idleTimeout = 60 * time.Second
 	// bufferSize is small, since a thousand connections may be kept.
@@ -29,6 +29,9 @@
 // ErrNotSent marks a call that certainly never reached the other side.
 var ErrNotSent = errors.New("not sent")
 
+// ErrAnswerTooLarge marks an answer longer than MaxAnswer, none of which is used.
+var ErrAnswerTooLarge = errors.New("answer too large")
+
 // ClientOptions bound a client's connections.
 type ClientOptions struct {
 	DialTimeout time.Duration
@@ -86,10 +89,13 @@
 		return Response{}, callError(err)
 	}
 	defer incoming.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(incoming.Body, maxAnswer))
+	body, err := io.ReadAll(io.LimitReader(incoming.Body, MaxAnswer+1))
 	if err != nil {
 		return Response{}, fmt.Errorf("reading answer: %w", err)
 	}
+	if len(body) > MaxAnswer {
+		return Response{}, ErrAnswerTooLarge
+	}
 	return Response{Status: incoming.StatusCode, Body: body}, nil
 }
 
