The cloud's machine list is read page by page within the share of calls

Cause: all pages were read at once, eight or nine at 4,000 machines, by every controller each 8 s. Five controllers then ask for 5.6 pages a second of 6 that the cloud allows, a burst of nine is over what it takes at 4 a second, and one refused page discarded the whole list.

Change: each page is a call out of the controller's share, waits for it, and is asked for again after a 429.

--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -46,7 +46,7 @@
 	case core.CloudReturn:
 		go func() { c.reply(effect.Call, c.returnMachines(effect)) }()
 	case core.CloudList:
-		go func() { c.reply(effect.Call, c.list()) }()
+		go func() { c.reply(effect.Call, c.list(effect.Since)) }()
 	}
 }
 
@@ -99,36 +99,22 @@
 	return core.ReturnReply{Out: core.OK}
 }
 
-// list reads all pages of the machine list.
-func (c *Cloud) list() core.CloudListReply {
-	var machines []core.Listed
-	lastID := ""
-	for {
-		page, outcome := c.page(lastID)
-		if outcome != core.OK {
-			return core.CloudListReply{Out: outcome}
-		}
-		machines = append(machines, page.Machines...)
-		if !page.More || len(page.Machines) == 0 {
-			return core.CloudListReply{Out: core.OK, Items: machines}
-		}
-		lastID = string(page.Machines[len(page.Machines)-1].ID)
-	}
-}
-
-// page reads the page that follows a machine; the first has no such machine.
-func (c *Cloud) page(lastID string) (wire.MachinePage, core.Outcome) {
+// list reads the page of the machine list that follows a machine.
+func (c *Cloud) list(since core.MachineID) core.CloudListReply {
 	query := url.Values{"page": {strconv.Itoa(pageSize)}}
-	if lastID != "" {
-		query.Set("since", lastID)
+	if since != "" {
+		query.Set("since", string(since))
 	}
 	response, err := c.service.Call(http.MethodGet, "/rentals?"+query.Encode(), nil)
-	if err != nil || response.Status != http.StatusOK {
-		return wire.MachinePage{}, core.NotDone
+	switch {
+	case err == nil && response.Status == http.StatusTooManyRequests:
+		return core.CloudListReply{Out: core.Throttled}
+	case err != nil || response.Status != http.StatusOK:
+		return core.CloudListReply{Out: core.NotDone}
 	}
 	page, err := wire.DecodeMachines(response.Body)
 	if err != nil {
-		return wire.MachinePage{}, core.Unknown
+		return core.CloudListReply{Out: core.Unknown}
 	}
-	return page, core.OK
+	return core.CloudListReply{Out: core.OK, Items: page.Machines, More: page.More}
 }
--- a/internal/cloud/cloud_test.go
+++ b/internal/cloud/cloud_test.go
@@ -28,7 +28,8 @@
 	}
 }
 
-// TestListPages: the machine list is read to its last page.
+// TestListPages: each page of the machine list is asked for after the last
+// machine of the one before, and says whether another follows.
 func TestListPages(t *testing.T) {
 	pages := map[string]string{
 		"":    `{"coaches":[{"id":"m-1"}],"truncated":true}`,
@@ -41,13 +42,14 @@
 		}
 		_, _ = w.Write([]byte(pages[r.URL.Query().Get("since")]))
 	}
-	reply := ask(t, serve, core.CloudList{}).(core.CloudListReply)
-	var ids []string
-	for _, machine := range reply.Items {
-		ids = append(ids, string(machine.ID))
-	}
-	if reply.Out != core.OK || strings.Join(ids, " ") != "m-1 m-2 m-3" {
-		t.Errorf("read %+v", reply)
+	for _, page := range []struct {
+		since, want core.MachineID
+		more        bool
+	}{{"", "m-1", true}, {"m-1", "m-2", true}, {"m-2", "m-3", false}} {
+		reply := ask(t, serve, core.CloudList{Since: page.since}).(core.CloudListReply)
+		if reply.Out != core.OK || len(reply.Items) != 1 || reply.Items[0].ID != page.want || reply.More != page.more {
+			t.Errorf("after %q: %+v", page.since, reply)
+		}
 	}
 }
 
@@ -71,7 +73,8 @@
 		{core.CloudReturn{}, 503, ``, fmt.Sprint(core.ReturnReply{Out: core.Unknown})},
 		{core.CloudTypes{}, 503, ``, fmt.Sprint(core.TypesReply{Out: core.NotDone})},
 		{core.CloudTypes{}, 200, `{"fleets":[{"name":"x","vcpus":0}]}`, fmt.Sprint(core.TypesReply{Out: core.Unknown})},
-		{core.CloudList{}, 429, ``, fmt.Sprint(core.CloudListReply{Out: core.NotDone})},
+		{core.CloudList{}, 429, ``, fmt.Sprint(core.CloudListReply{Out: core.Throttled})},
+		{core.CloudList{}, 503, ``, fmt.Sprint(core.CloudListReply{Out: core.NotDone})},
 		{core.CloudList{}, 200, `[]`, fmt.Sprint(core.CloudListReply{Out: core.Unknown})},
 	} {
 		answer := func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/core/amend.go
+++ b/internal/core/amend.go
@@ -43,9 +43,8 @@
 		return
 	}
 	c.mustCallCloud()
-	c.emit(CloudList{Call: c.call(func(b any) {
-		r := b.(CloudListReply)
-		if r.Out != OK {
+	c.readList(func(listedByCloud []Listed, ok bool) {
+		if !ok {
 			again(2 * second)
 			return
 		}
@@ -66,14 +65,14 @@
 				}
 			}
 			var lost []MachineID
-			for _, x := range r.Items {
+			for _, x := range listedByCloud {
 				if !listed[x.ID] {
 					lost = append(lost, x.ID)
 				}
 			}
 			c.returnLost(p, claim, lost, again)
 		})
-	})})
+	})
 }
 
 func (c *Core) returnLost(p *part, claim Epoch, lost []MachineID, again func(Time)) {
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -164,8 +164,12 @@
 		Call CallID
 		IDs  []MachineID
 	}
-	// CloudList reads the whole machine list.
-	CloudList struct{ Call CallID }
+	// CloudList reads the page of the machine list that follows a machine; the
+	// first has no such machine.
+	CloudList struct {
+		Call  CallID
+		Since MachineID
+	}
 	// TypesReply answers CloudTypes.
 	TypesReply struct {
 		Out   Outcome
@@ -182,6 +186,7 @@
 	CloudListReply struct {
 		Out   Outcome
 		Items []Listed
+		More  bool // another page follows
 	}
 	// Orders sends commands straight to a worker.
 	Orders struct {
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -114,3 +114,15 @@
 	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
 	return list
 }
+
+// listPage is the most machines that a page of the list holds.
+const listPage = 500
+
+// Page is the page of the list that follows a machine, and whether another does.
+func (c *Cloud) Page(now core.Time, since core.MachineID) (page []core.Listed, more bool) {
+	list := c.List(now)
+	first := sort.Search(len(list), func(i int) bool { return list[i].ID > since })
+	list = list[first:]
+	more = len(list) > listPage
+	return list[:min(len(list), listPage)], more
+}
--- a/internal/standin/effects.go
+++ b/internal/standin/effects.go
@@ -79,8 +79,8 @@
 			w.reply(n, gen, f.Call, w.delay(), core.CloudListReply{Out: core.NotDone})
 			return
 		}
-		items := w.Cloud.List(w.Now)
-		w.reply(n, gen, f.Call, w.cfg.ListLag/2, core.CloudListReply{Out: core.OK, Items: items})
+		items, more := w.Cloud.Page(w.Now, f.Since)
+		w.reply(n, gen, f.Call, w.cfg.ListLag/2, core.CloudListReply{Out: core.OK, Items: items, More: more})
 	case core.Orders:
 		w.orders(n, f)
 	case core.Inspect:
--- a/internal/standin/region_cloud.go
+++ b/internal/standin/region_cloud.go
@@ -122,17 +122,20 @@
 	Age    float64        `json:"ageS"`
 }
 
-func (r *Region) serveMachines(w http.ResponseWriter, _ *http.Request) {
+func (r *Region) serveMachines(w http.ResponseWriter, request *http.Request) {
 	forms := []machineForm{}
+	truncated := false
 	r.Locked(func() {
-		for _, machine := range r.Cloud.List(r.now()) {
+		var page []core.Listed
+		page, truncated = r.Cloud.Page(r.now(), core.MachineID(request.URL.Query().Get("since")))
+		for _, machine := range page {
 			forms = append(forms, r.machineForm(machine))
 		}
 	})
 	writeJSON(w, http.StatusOK, struct {
 		Machines  []machineForm `json:"coaches"`
 		Truncated bool          `json:"truncated"`
-	}{Machines: forms})
+	}{Machines: forms, Truncated: truncated})
 }
 
 func (r *Region) machineForm(machine core.Listed) machineForm {
