Messages between controllers stay within what the other takes

Cause: up to 50 records of a job went into one message whatever their size, and questions without bound; a controller answers 400 to more than 1 MiB, and the sender took that for silence. A call that lists more than there can be was gone through entry by entry: a count of 2^62 offered machines would have held the process up for good.

--- a/internal/core/failuredetector.go
+++ b/internal/core/failuredetector.go
@@ -22,7 +22,7 @@
 	c, p := d.core, d.peer
 	timeout, begun := d.timeout(), c.now
 	c.ask(p.id, timeout, PeerMsg{Ping: c.makePing(p)}, func(r PeerReply) {
-		if r.Out == OK && r.Msg.Ping != nil {
+		if r.Out == OK && r.Msg.Ping != nil && c.makesSense(p, r.Msg.Ping) {
 			d.missed = 0
 			c.heardPing(p, *r.Msg.Ping, begun)
 			c.after(c.cfg.Tuning.PingEvery, d.call)
--- a/internal/core/moves.go
+++ b/internal/core/moves.go
@@ -30,6 +30,9 @@
 		if g.offer == nil || g.writing {
 			continue
 		}
+		if len(out) == maxOffers {
+			break
+		}
 		n := map[grouprecord.Kind]int{}
 		var kinds []grouprecord.Kind
 		for _, m := range g.list() {
--- a/internal/core/notices.go
+++ b/internal/core/notices.go
@@ -15,10 +15,24 @@
 	noticePause   = 20 * milli
 	noticeTimeout = second
 	noticeRetries = 3
-	// maxNotices is how many jobs a message tells of.
-	maxNotices = 50
+	// A message tells of so many jobs, and has about so many bytes of records: a
+	// quarter of what a controller takes. One record, whatever its size, always goes.
+	maxNotices     = 50
+	maxNoticeBytes = 256 << 10
 )
 
+// batch lists the jobs that the next message tells of.
+func (s *notices) batch() []KV {
+	bytes := 0
+	for i, kv := range s.waiting {
+		bytes += len(kv.Key) + len(kv.Value)
+		if i == maxNotices || i > 0 && bytes > maxNoticeBytes {
+			return s.waiting[:i]
+		}
+	}
+	return s.waiting
+}
+
 // tell passes a stored job to its owner.
 func (c *Core) tell(part Part, kv KV) {
 	p := c.peers[c.parts[part].holder]
@@ -34,7 +48,7 @@
 
 func (c *Core) sendNotices(p *peer, tries int) {
 	s := &p.notices
-	batch := s.waiting[:min(len(s.waiting), maxNotices)]
+	batch := s.batch()
 	c.ask(p.id, noticeTimeout, PeerMsg{Tell: &Tell{Keys: batch}}, func(r PeerReply) {
 		if r.Out != OK && tries < noticeRetries && !p.failed {
 			c.sendNotices(p, tries+1)
--- a/internal/core/ownerqueries.go
+++ b/internal/core/ownerqueries.go
@@ -29,12 +29,21 @@
 	return true
 }
 
-// take returns the questions for the message that is sent now.
-func (s *ownerQueries) take(to NodeID) []ownerQuery {
-	batch := s.waiting[to]
+// maxQueries is how many jobs a message asks about.
+const maxQueries = 1000
+
+// take returns the questions for the message that is sent now; more: others
+// wait for another, which has been scheduled.
+func (s *ownerQueries) take(to NodeID) (batch []ownerQuery, more bool) {
+	waiting := s.waiting[to]
+	n := min(len(waiting), maxQueries)
+	if n < len(waiting) {
+		s.waiting[to] = waiting[n:]
+		return waiting[:n], true
+	}
 	delete(s.waiting, to)
 	s.scheduled[to] = false
-	return batch
+	return waiting, false
 }
 
 // queryPause is how long questions to a controller are gathered, and
@@ -52,7 +61,10 @@
 }
 
 func (c *Core) sendOwnerQueries(p *peer) {
-	batch := c.ownerQueries.take(p.id)
+	batch, more := c.ownerQueries.take(p.id)
+	if more {
+		c.after(queryPause, func() { c.sendOwnerQueries(p) })
+	}
 	ids := make([]JobID, len(batch))
 	for i, q := range batch {
 		ids[i] = q.id
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -24,10 +24,11 @@
 	notices  notices         // of stored jobs, for it
 	taken    map[string]Mark // groups of its that we have tried to take, at which mark
 	failedAt Time
-	wroteAt  Time // when a record it wrote was last seen
-	beat     Mark // of its nodes/<id>
-	beatRead bool // since it failed
-	aliveAt  Time // when a new sign of life of it came after it had failed
+	wroteAt  Time   // when a record it wrote was last seen
+	beat     Mark   // of its nodes/<id>
+	beatRead bool   // since it failed
+	aliveAt  Time   // when a new sign of life of it came after it had failed
+	nonsense string // what was wrong with its last call that made no sense
 }
 
 func (c *Core) ask(to NodeID, timeout Time, m PeerMsg, fn func(PeerReply)) {
@@ -215,6 +216,10 @@
 	}
 	switch {
 	case m.Ping != nil:
+		if !c.makesSense(p, m.Ping) {
+			c.refuse(e.Req, 400, 0, p.nonsense)
+			return
+		}
 		c.takePing(p, *m.Ping)
 		reply(PeerMsg{Ping: c.makePing(p)})
 	case m.Tell != nil:
--- a/internal/peers/codec.go
+++ b/internal/peers/codec.go
@@ -19,6 +19,9 @@
 	maxNesting  = 16
 )
 
+// ErrTooLarge is the error of a message longer than MaxFrame.
+var ErrTooLarge = errors.New("message too large")
+
 // ErrNoSender is the error of a message that does not say what it is or whose.
 var ErrNoSender = errors.New("message without version or sender")
 
@@ -43,6 +46,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("encoding message: %w", err)
 	}
+	if len(frame) > MaxFrame {
+		return nil, fmt.Errorf("%w: %d bytes", ErrTooLarge, len(frame))
+	}
 	return frame, nil
 }
 
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"log/slog"
 	"net/http/httptest"
 	"reflect"
@@ -59,3 +60,11 @@
 		}
 	}
 }
+
+// TestMessageTooLarge: a message that no controller would take is not sent.
+func TestMessageTooLarge(t *testing.T) {
+	tell := &core.Tell{Keys: []core.KV{{Key: "jobs/j", Value: make([]byte, MaxFrame)}}}
+	if _, err := Encode(core.PeerMsg{Version: 1, From: "n1", Tell: tell}); !errors.Is(err, ErrTooLarge) {
+		t.Errorf("error %v", err)
+	}
+}
