A controller serves more workers than it may have connections

Change: above fifteen sixteenths of the connections workers too are told to close after their answer, so that each has one for the length of a report; a new connection makes room by closing an idle user's or, if there is none, the worker's that has just had its answer. A report that is too large is logged once.

--- a/cmd/stairrelay/controller.go
+++ b/cmd/stairrelay/controller.go
@@ -64,7 +64,7 @@
 		return err
 	}
 	front := sockets.NewFront(plan.Front)
-	frontHandler := users.Handler(eng, front.Users, workers.Handler(eng, log))
+	frontHandler := users.Handler(eng, front.Users, front.Workers(workers.Handler(eng, log)))
 	back := sockets.NewFront(0)
 	backHandler := peers.Handler(eng, log)
 	idleTimeout := max(idleReports*time.Duration(config.Core.ReportEvery), leastIdleTimeout)
--- a/internal/sockets/front.go
+++ b/internal/sockets/front.go
@@ -15,31 +15,51 @@
 	transferTimeout = 15 * time.Second
 )
 
-// busyEighths is the share, in eighths of the limit, above which users'
-// connections are closed after each answer.
-const busyEighths = 7
+// The shares, in sixteenths of the limit, above which connections are closed
+// after each answer: first users', then workers' too. With more workers than
+// connections each then has one for the length of a report.
+const (
+	sixteenths    = 16
+	usersClosed   = 14
+	workersClosed = 15
+)
 
-// Front counts the connections of workers and users and closes idle users'
-// ones when there are too many. A worker's connection is never closed for that.
+// Front counts the connections of workers and users, and has them closed when
+// there are too many: after an answer, or idle ones to make room for a new one.
 type Front struct {
 	limit int // 0: none
 	mu    sync.Mutex
 	open  map[net.Conn]*connection
-	idle  *list.List // users' connections, the longest idle first
+	// The idle connections, the longest idle first.
+	idleUsers, idleWorkers *list.List
 }
 
 type connection struct {
 	net.Conn
-	user    bool
-	idlePos *list.Element // in Front.idle; nil: not there
+	role    role
+	idlePos *list.Element // in one of the lists of idle ones; nil: not there
 }
 
+// role says whose connection it is, as far as its requests have shown.
+type role uint8
+
+const (
+	unknownRole role = iota
+	userRole
+	workerRole
+)
+
 // connectionKey is the key of a request's connection in its context.
 type connectionKey struct{}
 
 // NewFront makes a Front for at most so many connections; 0: no limit.
 func NewFront(limit int) *Front {
-	return &Front{limit: limit, open: map[net.Conn]*connection{}, idle: list.New()}
+	return &Front{
+		limit:       limit,
+		open:        map[net.Conn]*connection{},
+		idleUsers:   list.New(),
+		idleWorkers: list.New(),
+	}
 }
 
 // Server makes a server whose connections are counted. A connection that says
@@ -84,54 +104,84 @@
 	case http.StateNew:
 		f.makeRoom()
 	case http.StateIdle:
-		if entry.user {
-			entry.idlePos = f.idle.PushBack(entry)
+		if idle := f.idleOf(entry); idle != nil {
+			entry.idlePos = idle.PushBack(entry)
 		}
 	case http.StateClosed, http.StateHijacked:
 		delete(f.open, conn)
 	}
 }
 
+// idleOf is the list of idle connections of an entry's role; nil: none is kept.
+func (f *Front) idleOf(entry *connection) *list.List {
+	switch entry.role {
+	case userRole:
+		return f.idleUsers
+	case workerRole:
+		return f.idleWorkers
+	default:
+		return nil
+	}
+}
+
 func (f *Front) removeIdle(entry *connection) {
 	if entry.idlePos != nil {
-		f.idle.Remove(entry.idlePos)
+		f.idleOf(entry).Remove(entry.idlePos)
 		entry.idlePos = nil
 	}
 }
 
-// makeRoom closes the user's connection that has been idle the longest if there
-// are too many connections. The server reports the close by connState; until
+// makeRoom closes an idle connection if there are too many: the user's that has
+// been idle the longest, else the worker's that has been idle the shortest, whose
+// next report is farthest off. The server reports the close by connState; until
 // then the next new connection must not count on the same one, so it leaves the
 // list here.
 func (f *Front) makeRoom() {
 	if f.limit <= 0 || len(f.open) <= f.limit {
 		return
 	}
-	if oldest := f.idle.Front(); oldest != nil {
-		entry := oldest.Value.(*connection)
-		f.removeIdle(entry)
-		_ = entry.Close()
+	idle := f.idleUsers.Front()
+	if idle == nil {
+		idle = f.idleWorkers.Back()
+	}
+	if idle == nil {
+		return
 	}
+	entry := idle.Value.(*connection)
+	f.removeIdle(entry)
+	_ = entry.Close()
 }
 
 // Users marks the connections of those that handler serves as users'. While
 // most of the connections are taken they are told to close.
 func (f *Front) Users(handler http.Handler) http.Handler {
+	return f.marked(userRole, usersClosed, handler)
+}
+
+// Workers marks the connections of those that handler serves as workers'. While
+// nearly all connections are taken they are told to close.
+func (f *Front) Workers(handler http.Handler) http.Handler {
+	return f.marked(workerRole, workersClosed, handler)
+}
+
+// marked gives the connections of those that handler serves a role, and tells
+// them to close above a share of the limit.
+func (f *Front) marked(role role, closedAbove int, handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if entry, ok := r.Context().Value(connectionKey{}).(*connection); ok && f.markUser(entry) {
+		if entry, ok := r.Context().Value(connectionKey{}).(*connection); ok && f.mark(entry, role, closedAbove) {
 			w.Header().Set("Connection", "close")
 		}
 		handler.ServeHTTP(w, r)
 	})
 }
 
-// markUser notes that a connection is a user's; true when it should be closed
-// after the answer, since most of the connections are taken.
-func (f *Front) markUser(entry *connection) bool {
+// mark notes whose a connection is; true when it should be closed after the
+// answer, since more than a share of the connections is taken.
+func (f *Front) mark(entry *connection, role role, closedAbove int) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	entry.user = true
-	return f.limit > 0 && len(f.open) > f.limit/8*busyEighths
+	entry.role = role
+	return f.limit > 0 && len(f.open) > f.limit*closedAbove/sixteenths
 }
 
 // Open is how many connections there are.
--- a/internal/sockets/sockets_test.go
+++ b/internal/sockets/sockets_test.go
@@ -140,7 +140,7 @@
 		near, other := net.Pipe()
 		far = append(far, other)
 		f.connState(near, http.StateNew)
-		f.open[near].user = true
+		f.open[near].role = userRole
 		f.connState(near, http.StateIdle)
 	}
 	for range 2 {
@@ -161,7 +161,7 @@
 	idle := func() int {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		return f.idle.Len()
+		return f.idleUsers.Len()
 	}
 	const patience = 5 * time.Second
 	for end := time.Now().Add(patience); idle() != want; time.Sleep(time.Millisecond) {
--- a/internal/workers/handler.go
+++ b/internal/workers/handler.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"sync"
 
@@ -26,6 +27,7 @@
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, wire.MaxBody))
 	if err != nil {
+		h.logMalformed(r.RemoteAddr, err)
 		http.Error(w, "body unreadable or too large", http.StatusBadRequest)
 		return
 	}
@@ -51,8 +53,12 @@
 }
 
 func (h *handler) logMalformed(sender string, err error) {
-	if h.logged.add(sender + err.Error()) {
-		h.log.Info("malformed report", "from", sender, "error", err)
+	host, _, splitErr := net.SplitHostPort(sender) // its port differs with each connection
+	if splitErr != nil {
+		host = sender
+	}
+	if h.logged.add(host + err.Error()) {
+		h.log.Info("malformed report", "from", host, "error", err)
 	}
 }
 
