--- a/internal/core/bench_test.go
+++ b/internal/core/bench_test.go
@@ -36,36 +36,35 @@
 	}
 }
 
-// BenchmarkFleet measures a simulated second of 1,900 machines with several
-// thousand running tasks and hundreds of jobs waiting, as the largest
-// deployments have at half as many machines again. core-ms/s is what one core
-// takes of a second, us/step and allocs/step what one event costs it; the rest
-// is the stand-ins'.
+// BenchmarkFleet measures a simulated second of a fleet with some tasks running
+// on each machine and hundreds of jobs waiting. core-ms/s is what one core takes
+// of a second, us/step and allocs/step what one event costs it, bytes/machine
+// what the cores keep; the rest is the stand-ins'.
 func BenchmarkFleet(b *testing.B) {
-	for _, n := range []int{3, 5} {
-		b.Run(fmt.Sprintf("%d-controllers", n), func(b *testing.B) { benchFleet(b, n) })
+	for _, machines := range []int{500, 1000, 2000, 4000, 8000} {
+		b.Run(fmt.Sprintf("%d-machines", machines), func(b *testing.B) { benchFleet(b, 3, machines) })
 	}
 }
 
-func benchFleet(b *testing.B, nodes int) {
+func benchFleet(b *testing.B, nodes, machines int) {
 	cfg := testConfig()
 	cfg.Nodes, cfg.Teams = nil, nil
 	for i := range nodes {
 		cfg.Nodes = append(cfg.Nodes, core.NodeID(fmt.Sprintf("n%d", i)))
 	}
 	for i := range 6 {
-		cfg.Teams = append(cfg.Teams, core.Team{Name: fmt.Sprintf("t%d", i), Guarantee: core.Res{CPU: 1000 * cpu}, Limit: core.Res{CPU: 3000 * cpu}})
+		cfg.Teams = append(cfg.Teams, core.Team{Name: fmt.Sprintf("t%d", i), Guarantee: core.Res{CPU: cpu * core.Amount(machines) / 2}, Limit: core.Res{CPU: cpu * core.Amount(machines) * 3 / 2}})
 	}
 	cfg.ReportEvery, cfg.Lease = 5*sec, 26*sec
 	cfg.StoreRPS, cfg.WriteRPS, cfg.ValueBytes, cfg.TxnOps = 500, 100, 8192, 16
 	var w *standin.World
 	w = standin.NewWorld(1, cfg, testCloud(func() *standin.World { return w }))
 	w.Calm = true
-	for i := range 1900 {
+	for i := range machines {
 		w.AddMachine("small", []string{"a", "b", "c"}[i%3], false)
 	}
 	w.Run(10 * sec)
-	for i := range 900 {
+	for i := range machines * 9 / 19 {
 		s := core.JobSpec{ID: core.JobID(fmt.Sprintf("j-%06d", i)), Class: fmt.Sprintf("c%d", i%3), Team: cfg.Teams[i%6].Name, Priority: core.Priority(i % 3),
 			Tasks: 10 + 30*(i%7), Need: core.Res{CPU: cpu * core.Amount(1+i%2), Mem: 3 * cpu}, Image: fmt.Sprintf("img-%d", i%20), ImageGB: 1, RuntimeS: 25, Spot: true}
 		w.Submit(&standin.Job{Spec: s, Info: standin.JobInfo{Need: s.Need, Run: 25 * sec, Tasks: s.Tasks, Image: s.Image}})
