Sums of tasks are kept, and held reports looked at when they may have changed

Need: no event's cost may grow with the fleet. A placement (at most every 40 ms) summed the tasks of all machines of a part twice over, each event looked at all reports that were held back, and each half second sorted the tasks of every machine.

Of the held reports an event looks at those that came in or whose record was stored, and ten times a second at all. A machine's tasks are sorted only if one takes too long.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -85,7 +85,7 @@
 	c.releases = newReleaseRegistry(cfg.Self)
 	c.writer.init(c)
 	for i := range cfg.Nodes {
-		c.parts = append(c.parts, &part{id: Part(i), home: cfg.Nodes[i], refusals: map[rentOption]int{}})
+		c.parts = append(c.parts, &part{id: Part(i), home: cfg.Nodes[i], refusals: map[rentOption]int{}, use: teamUse{}})
 		if n := cfg.Nodes[i]; n != cfg.Self {
 			c.peers[n] = &peer{id: n}
 		}
--- a/internal/core/groups.go
+++ b/internal/core/groups.go
@@ -255,6 +255,9 @@
 			continue
 		}
 		m.stored = len(x.in)
+		if m.pending != 0 {
+			c.heldReports.changed = append(c.heldReports.changed, m)
+		}
 		for _, a := range x.in {
 			if a.phase != aRecording {
 				continue
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -355,7 +355,7 @@
 			continue
 		}
 		if a.phase == aEnded && a.cause == CauseDone && !a.gone && c.storedDone(a) {
-			a.gone = true
+			m.markGone(a)
 			m.reap[a.start()] = true
 		}
 	}
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -30,6 +30,7 @@
 	cause     Cause
 	need      Res
 	gone      bool // proven not to be on the machine; waits for the record to say so
+	counted   bool // in its machine's use
 	viaOrders bool
 	sentStamp Stamp
 	state     TaskState
@@ -79,6 +80,7 @@
 	stamp   Stamp
 	heard   Time
 	assigns map[TaskID]*assign
+	use     machineUse
 	reap    map[start]bool // ended, the record no longer lists it
 	kill    map[start]bool // running without being listed
 	stored  int            // tasks in the stored record
@@ -102,6 +104,7 @@
 	lateHits   int
 
 	pending      ReqID
+	reportHeld   bool // among the reports that wait for the next look at all
 	pendingStamp Stamp
 	deadline     Time
 	ordersBusy   bool
@@ -128,9 +131,13 @@
 		c.removeMachine(old)
 		m.assigns = old.assigns
 	}
+	p := c.parts[m.part]
+	m.use.teams = p.use
+	for _, a := range m.assigns {
+		m.use.count(a)
+	}
 	g.machines[m.id] = m
 	c.machines[m.id] = m
-	p := c.parts[m.part]
 	i := sort.Search(len(p.machines), func(i int) bool { return p.machines[i].id >= m.id })
 	p.machines = slices.Insert(p.machines, i, m)
 	delete(c.owners, m.id)
@@ -142,6 +149,9 @@
 		delete(c.machines, m.id)
 	}
 	delete(m.group.machines, m.id)
+	for _, a := range m.assigns {
+		m.use.uncount(a)
+	}
 	p := c.parts[m.part]
 	if i := slices.Index(p.machines, m); i >= 0 {
 		p.machines = slices.Delete(slices.Clone(p.machines), i, i+1) // somebody may be walking the old list
@@ -149,8 +159,12 @@
 }
 
 func (m *machine) addAssign(a *assign) {
+	if old := m.assigns[a.task]; old != nil { // the same task listed twice
+		m.use.uncount(old)
+	}
 	m.assigns[a.task] = a
 	a.job.on[a] = true
+	m.use.count(a)
 }
 
 // dropMachine forgets a machine that is no longer ours.
@@ -181,16 +195,6 @@
 	return l
 }
 
-func (m *machine) used() Res {
-	var r Res
-	for _, a := range m.assigns {
-		if a.live() {
-			r = r.plus(a.need)
-		}
-	}
-	return r
-}
-
 // busy tells whether a report has shown a task that is still running.
 func (m *machine) busy() bool {
 	for _, a := range m.assigns {
@@ -201,16 +205,6 @@
 	return false
 }
 
-func (m *machine) liveTasks() int {
-	n := 0
-	for _, a := range m.assigns {
-		if a.live() {
-			n++
-		}
-	}
-	return n
-}
-
 // removeAssign follows a stored record that no longer lists the task: from
 // here on it may be started elsewhere.
 func (c *Core) removeAssign(m *machine, a *assign) {
@@ -218,6 +212,7 @@
 		return
 	}
 	delete(m.assigns, a.task)
+	m.use.uncount(a)
 	if a.phase == aEnded {
 		m.reap[a.start()] = true
 	}
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -38,6 +38,7 @@
 	planned     uint64 // starts numbered since the claim
 	rentals     map[string]*rental
 	machines    []*machine // held here, by id
+	use         teamUse    // of their tasks
 	jobs        []*job
 	order       []*job        // js as they are served, as of orderAt; nil: to be worked out
 	owed        map[*job]bool // those within their team's guarantee, as of then
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -58,18 +58,15 @@
 		return
 	}
 	slow := m.timed >= 3 && m.pace > slowPace
+	if !slow && !c.anyLate(m) {
+		return
+	}
 	var late []*assign
 	for _, a := range m.sorted() {
-		if a.phase != aSeen || a.gone || a.runAt == 0 || a.state != Running || a.job.runs < 3 || a.job.restarted[a.task.Index] {
-			continue
-		}
-		if like := a.job.runSum / float64(a.job.runs); time.Duration(c.now-a.runAt).Seconds() > 2.5*like+5 {
+		if c.takesTooLong(a) {
 			late = append(late, a)
 		}
 	}
-	if !slow && len(late) == 0 {
-		return
-	}
 	if !slow {
 		m.lateHits++
 		if m.lateHits < 4 { // some seconds' patience: reports may be late, not the tasks
@@ -88,6 +85,25 @@
 	}
 }
 
+// takesTooLong tells whether a task has run far longer than its job's others.
+func (c *Core) takesTooLong(a *assign) bool {
+	if a.phase != aSeen || a.gone || a.runAt == 0 || a.state != Running || a.job.runs < 3 || a.job.restarted[a.task.Index] {
+		return false
+	}
+	like := a.job.runSum / float64(a.job.runs)
+	return time.Duration(c.now-a.runAt).Seconds() > 2.5*like+5
+}
+
+// anyLate tells whether any task of a machine takes too long.
+func (c *Core) anyLate(m *machine) bool {
+	for _, a := range m.assigns {
+		if c.takesTooLong(a) {
+			return true
+		}
+	}
+	return false
+}
+
 // expectedRun is a job's run time per task as far as is known.
 func (c *Core) expectedRun(j *job) float64 {
 	return j.spec.RuntimeS * c.class(j.spec.Class).ratio
@@ -274,35 +290,6 @@
 	return out
 }
 
-// teamUse sums what each team's tasks take, wherever they are or may be.
-func (c *Core) teamUse(p *part) map[string]Res {
-	type teamSum struct {
-		name string
-		res  Res
-	}
-	var sums []teamSum // a handful: found faster than in a map, which counts with thousands of tasks
-	for _, m := range p.machines {
-	tasks:
-		for _, a := range m.assigns {
-			if !a.live() {
-				continue
-			}
-			for i := range sums {
-				if s := &sums[i]; s.name == a.job.spec.Team {
-					s.res = s.res.plus(a.need)
-					continue tasks
-				}
-			}
-			sums = append(sums, teamSum{a.job.spec.Team, a.need})
-		}
-	}
-	use := make(map[string]Res, len(sums))
-	for _, s := range sums {
-		use[s.name] = s.res
-	}
-	return use
-}
-
 // usable tells whether new starts may go to a machine.
 func (c *Core) usable(m *machine) bool {
 	return m.acked && !m.booting && !m.draining && !m.returning && !m.unsure && !m.bumping && c.now >= m.notBefore &&
@@ -331,19 +318,15 @@
 		if !ok {
 			continue
 		}
-		s := slot{m: m, free: t.Cap, size: t.Cap.CPU, kind: -1}
+		s := slot{m: m, free: t.Cap.minus(m.used()), size: t.Cap.CPU, kind: -1}
+		if s.free.CPU < least {
+			continue
+		}
 		for _, a := range m.assigns {
-			if !a.live() {
-				continue
-			}
-			s.free = s.free.minus(a.need)
-			if a.runAt == 0 && !m.hasImage(a.job.spec.Image) {
+			if a.live() && a.runAt == 0 && !m.hasImage(a.job.spec.Image) {
 				s.fetching(a.job)
 			}
 		}
-		if s.free.CPU < least {
-			continue
-		}
 		k := m.kind()
 		for i := range kinds {
 			if kinds[i] == k {
@@ -427,7 +410,7 @@
 
 // placeJob starts up to n tasks of a job: on machines that have its image,
 // else are getting it, else have most free room.
-func (c *Core) placeJob(p *part, j *job, slots []slot, kinds []grouprecord.Kind, use map[string]Res, kept Res, n int) {
+func (c *Core) placeJob(p *part, j *job, slots []slot, kinds []grouprecord.Kind, use teamUse, kept Res, n int) {
 	allowed := make([]bool, len(kinds))
 	any := false
 	for i, k := range kinds {
--- a/internal/core/random_test.go
+++ b/internal/core/random_test.go
@@ -171,6 +171,7 @@
 	}
 	const troubles = 240 * sec
 	plans(teams, troubles)
+	checkSums(t, w)
 	w.Calmed = troubles + 40*sec
 	// The least important work of a team at its limit is through after some eight minutes
 	// where half of the machines died more than once.
@@ -188,6 +189,22 @@
 	}
 }
 
+// checkSums looks each second of a day whether the sums that the controllers keep
+// of their tasks are those of the tasks themselves.
+func checkSums(t *testing.T, w *standin.World) {
+	var check func()
+	check = func() {
+		for _, c := range w.Cores() {
+			if wrong := c.UseMismatch(); wrong != "" {
+				t.Errorf("%v: %s", time.Duration(w.Now), wrong)
+				return
+			}
+		}
+		w.After(sec, check)
+	}
+	w.After(sec, check)
+}
+
 // largest lists each class's largest job, by what its tasks need in all.
 func largest(w *standin.World) map[string]*standin.Job {
 	out := map[string]*standin.Job{}
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -47,17 +47,24 @@
 		c.workerContact.lastReport = c.now
 		c.placement.request()
 	}
-	c.heldReports.machines = append(c.heldReports.machines, m)
+	c.heldReports.changed = append(c.heldReports.changed, m)
 }
 
 // heldReports lists the machines whose reports have no answer yet, in the order
 // in which they came in. One whose report was answered otherwise has no pending
 // request, and is left out with the next release.
+//
+// All that are held are looked at ten times a second; in between only those that
+// have come in or whose record was stored since the last look.
 type heldReports struct {
-	machines      []*machine
-	wakeScheduled bool
+	machines  []*machine // held back at the last look
+	changed   []*machine // to be looked at with this event
+	scheduled bool       // the next look at all
 }
 
+// releasePause is the time between two looks at all reports that are held.
+const releasePause = 100 * milli
+
 // reportHold is how long a report's answer waits for the record that lists its
 // starts. The worker waits 4 s for it, and its lease counts from the sending.
 const reportHold = 600 * milli
@@ -79,21 +86,37 @@
 // releaseReports answers the reports whose machine has no start on its way to
 // the record; the others wait for it a moment, so that the answer carries it.
 func (c *Core) releaseReports() {
-	rest := c.heldReports.machines[:0]
-	for _, m := range c.heldReports.machines {
+	held := &c.heldReports
+	changed := held.changed
+	held.changed = nil
+	for _, m := range changed {
 		switch {
 		case m.pending == 0:
-		case c.awaitsRecord(m):
-			rest = append(rest, m)
-		default:
+		case !c.awaitsRecord(m):
 			c.answerReport(m)
+		case !m.reportHeld:
+			m.reportHeld = true
+			held.machines = append(held.machines, m)
 		}
 	}
-	c.heldReports.machines = rest
-	if len(rest) > 0 && !c.heldReports.wakeScheduled {
-		c.heldReports.wakeScheduled = true
-		c.after(100*milli, func() { c.heldReports.wakeScheduled = false })
+	c.scheduleRelease()
+}
+
+// scheduleRelease has all reports that are held looked at after a pause.
+func (c *Core) scheduleRelease() {
+	held := &c.heldReports
+	if len(held.machines) == 0 || held.scheduled {
+		return
 	}
+	held.scheduled = true
+	c.after(releasePause, func() {
+		held.scheduled = false
+		held.changed = append(held.changed, held.machines...)
+		for _, m := range held.machines {
+			m.reportHeld = false
+		}
+		held.machines = held.machines[:0]
+	})
 }
 
 // awaitsRecord tells whether a machine's answer waits for a start's record.
@@ -346,7 +369,7 @@
 	if a.gone {
 		return
 	}
-	a.gone = true
+	m.markGone(a)
 	if a.job.where[a.task.Index] == a && a.job.active() {
 		c.writeMachine(m, prioStart)
 		return
@@ -420,7 +443,7 @@
 
 func (c *Core) ended(m *machine, a *assign, t *TaskReport) {
 	j := a.job
-	a.phase, a.cause = aEnded, t.Cause
+	m.markEnded(a, t.Cause)
 	if t.Cause == CauseDone {
 		j.setDone(a.task.Index)
 		c.learnRuntime(m, a)
--- a/internal/core/returns.go
+++ b/internal/core/returns.go
@@ -119,7 +119,7 @@
 func (c *Core) machineGone(m *machine) {
 	m.dead = true
 	for _, a := range m.assigns {
-		a.gone = true
+		m.markGone(a)
 	}
 	c.writeMachine(m, prioStart)
 }
--- a/internal/core/share.go
+++ b/internal/core/share.go
@@ -216,7 +216,7 @@
 // room, and what another team borrows when a team lacks its guarantee. The
 // preempting job must rank before its victim: else the room would go to the
 // victim again, for ever.
-func (c *Core) preempt(p *part, jobs []*job, owed map[*job]bool, use map[string]Res) {
+func (c *Core) preempt(p *part, jobs []*job, owed map[*job]bool, use teamUse) {
 	var ms []*machine // with work that could give way
 	for _, m := range p.machines {
 		if !c.usable(m) {
@@ -301,7 +301,7 @@
 // givesWay tells whether a job's task may be stopped for another job: for a
 // more important urgent one, or, if it is beyond its own team's guarantee, for
 // one within its team's.
-func (c *Core) givesWay(victim, j *job, owed map[*job]bool, use map[string]Res) bool {
+func (c *Core) givesWay(victim, j *job, owed map[*job]bool, use teamUse) bool {
 	if c.spared(victim) {
 		return false
 	}
--- a/internal/standin/controllers.go
+++ b/internal/standin/controllers.go
@@ -131,3 +131,14 @@
 		}
 	})
 }
+
+// Cores lists the cores of the controllers that are up.
+func (w *World) Cores() []*core.Core {
+	var cores []*core.Core
+	for _, n := range w.Nodes {
+		if n.up {
+			cores = append(cores, n.core)
+		}
+	}
+	return cores
+}
