An offer's write keeps within a transaction

Cause: idle machines spread over many groups were gathered by one transaction on all their records, as many as its number of changes allows: fifteen of 6.5 KB are 98 KB, and the protocol takes 64 KiB. Such a write is refused each time and nothing moves. Not seen in a run; found by reckoning each write's bytes. Now the groups are taken up to 40 KB together. TestOfferWithinTransaction has twelve such records in one write without it.

--- a/internal/core/gather.go
+++ b/internal/core/gather.go
@@ -8,6 +8,7 @@
 
 const (
 	// maxGatheredBytes is how much a transaction may hold before nothing is added.
+	// The protocol takes 64 KiB.
 	maxGatheredBytes = 40_000
 	// opOverhead is what a change takes beside its key and value, roughly.
 	opOverhead = 80
--- a/internal/core/moves.go
+++ b/internal/core/moves.go
@@ -88,12 +88,19 @@
 	for _, recipient := range plan.Recipients(p.id) {
 		lack := recipient.Amount - offered[recipient.Part]
 		var ms []*machine
-		groups := map[*group]bool{}
-		for len(spare) > 0 && lack > 0 && len(ms) < c.groupMachines() && (len(groups) < c.cfg.TxnOps-1 || groups[spare[0].group]) {
+		groups, bytes := map[*group]bool{}, 0
+		for len(spare) > 0 && lack > 0 && len(ms) < c.groupMachines() {
 			m := spare[0]
+			if !groups[m.group] {
+				// All their records are rewritten in one transaction.
+				if len(groups) == c.cfg.TxnOps-1 || bytes+m.group.length() > maxGatheredBytes && len(groups) > 0 {
+					break
+				}
+				groups[m.group] = true
+				bytes += m.group.length()
+			}
 			spare = spare[1:]
 			ms = append(ms, m)
-			groups[m.group] = true
 			lack -= c.types[m.typ].Cap.CPU
 		}
 		if len(ms) == 0 {
