Settings that can't be meant are refused by field

Need: zero, negative, non-integral or absurd counts in the platform's file get one clear refusal. NaN passed for a guarantee, a lease of 1e300 s overflowed, memory below zero was taken for unlimited, a value limit beyond 64 KiB let records grow that no transaction takes.

--- a/internal/settings/platform.go
+++ b/internal/settings/platform.go
@@ -17,6 +17,10 @@
 	leastTxnOps  = 4
 	leastValueKB = 2
 	bytesPerKB   = 1024
+	// mostValueKB is the largest value that fits into a transaction beside its key
+	// and conditions: the protocol takes 64 KiB overall. A larger limit of the
+	// state service is of no use.
+	mostValueKB = 60
 	// fewConnections is the number of sockets below which a controller serves
 	// so few workers and users that its operators should know.
 	fewConnections = 256
@@ -40,6 +44,7 @@
 	steps := []func(*platformFile) error{
 		settings.readNodes,
 		checkAddresses,
+		checkSane,
 		checkRequiredAmounts,
 		settings.readStateLimits,
 		settings.readCloudLimits,
@@ -144,7 +149,7 @@
 	}
 	s.Core.StoreRPS = state.RPS
 	s.Core.WriteRPS = state.WriteRPS
-	s.Core.ValueBytes = int(state.ValueKB * bytesPerKB)
+	s.Core.ValueBytes = int(min(state.ValueKB, mostValueKB) * bytesPerKB)
 	s.Core.TxnOps = state.TxnOps
 	return nil
 }
@@ -198,8 +203,10 @@
 			return fieldErrorf("cluster.teams.name", "%q is missing or repeated", table.Name)
 		}
 		seen[table.Name] = true
-		if table.CPUs < 0 || table.GPUs < 0 || table.CPUsMax < 0 || table.GPUsMax < 0 {
-			return fieldErrorf("cluster.teams", "%s has an amount below 0", table.Name)
+		for _, amount := range []float64{table.CPUs, table.GPUs, table.CPUsMax, table.GPUsMax} {
+			if err := checkAmount(table.Name, amount); err != nil {
+				return err
+			}
 		}
 		team := teamOf(table)
 		if team.Limit.CPU < team.Guarantee.CPU || team.Limit.GPU < team.Guarantee.GPU {
@@ -255,12 +262,6 @@
 }
 
 func (s *Settings) checkMachineLimits(*platformFile) error {
-	if s.CoreShare < 0 || math.IsNaN(s.CoreShare) {
-		return fieldErrorf("cluster.machine_limits.core_share", "below 0")
-	}
-	if s.Connections < 0 {
-		return fieldErrorf("cluster.machine_limits.max_connections", "below 0")
-	}
 	if s.Connections > 0 && s.Connections < fewConnections {
 		plan := sockets.MakePlan(s.Connections, len(s.Peers))
 		s.warnf("cluster.machine_limits.max_connections: %d serves about %d workers and users at once", s.Connections, plan.Front)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -135,6 +135,15 @@
 		"no team name": {`name = "red"`, "", "cluster.teams.name"},
 		"too small":    {"txn_ops = 12", "txn_ops = 2", "txn_ops"},
 		"negative":     {"cpus = 4.0", "cpus = -4.0", "below 0"},
+		"endless":      {"cpus = 4.0", "cpus = inf", "cluster.teams"},
+		"no number":    {"cpus = 4.0", "cpus = nan", "cluster.teams"},
+		"zero lease":   {"lease_s = 12.0", "lease_s = 0.0", "cluster.workers.lease_s"},
+		"long lease":   {"lease_s = 12.0", "lease_s = 1e300", "cluster.workers.lease_s"},
+		"no whole":     {"txn_ops = 12", "txn_ops = 12.5", "txn_ops"},
+		"many nodes":   {"count = 2", "count = -2", "cluster.count"},
+		"huge value":   {"value_kb = 4.0", "value_kb = 1e20", "cluster.state.value_kb"},
+		"huge memory":  {"[cluster]", "[cluster.machine_limits]\nmem_mb = -1.0\n[cluster]", "cluster.machine_limits.mem_mb"},
+		"no sockets":   {"[cluster]", "[cluster.machine_limits]\nmax_connections = -5\n[cluster]", "cluster.machine_limits.max_connections"},
 	} {
 		p := write(t, "s.toml", strings.Replace(good, c.from, c.to, 1))
 		_, err := Load(p, "")
