--- a/internal/e2e/report_bench_test.go
+++ b/internal/e2e/report_bench_test.go
@@ -3,10 +3,13 @@
 import (
 	"bufio"
 	"context"
+	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"testing"
 	"time"
@@ -31,7 +34,7 @@
 // sender's part is in it too, made as small as possible. The core knows none
 // of the machines: what it does with those it knows is BenchmarkFleet's.
 func BenchmarkReport(b *testing.B) {
-	addr := serveReports(b)
+	addr, _ := serveReports(b, 5*benchConnections)
 	var senders []*reportSender
 	for range benchConnections {
 		senders = append(senders, dialReports(b, addr))
@@ -45,8 +48,9 @@
 }
 
 // serveReports starts a controller whose state service refuses everything:
-// after half a second reports get their 503 at once. It returns its address.
-func serveReports(b *testing.B) string {
+// after half a second reports get their 503 at once. It has so many connections
+// for workers and users. It returns its address, and counts what is open.
+func serveReports(b testing.TB, connections int) (string, *sockets.Front) {
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	config := core.Config{
 		Self:        "n0",
@@ -81,11 +85,11 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	front := sockets.NewFront(5 * benchConnections)
-	server := front.Server(users.Handler(eng, front.Users, workers.Handler(eng, log)), time.Minute)
+	front := sockets.NewFront(connections)
+	server := front.Server(users.Handler(eng, front.Users, front.Workers(workers.Handler(eng, log))), time.Minute)
 	go func() { _ = server.Serve(listener) }()
 	b.Cleanup(func() { server.Close() })
-	return listener.Addr().String()
+	return listener.Addr().String(), front
 }
 
 // reportSender sends the same report again and again on one connection.
@@ -93,9 +97,10 @@
 	conn    net.Conn
 	reader  *bufio.Reader
 	request []byte
+	closed  bool // the last answer said so
 }
 
-func dialReports(b *testing.B, addr string) *reportSender {
+func dialReports(b testing.TB, addr string) *reportSender {
 	conn, err := net.Dial("tcp", addr)
 	if err != nil {
 		b.Fatal(err)
@@ -112,17 +117,35 @@
 	}
 }
 
-func (s *reportSender) send(b *testing.B) {
-	if _, err := s.conn.Write(s.request); err != nil {
+func (s *reportSender) send(b testing.TB) {
+	if err := s.report(); err != nil {
 		b.Fatal(err)
 	}
+}
+
+// report sends the report and reads the answer.
+func (s *reportSender) report() error {
+	if _, err := s.conn.Write(s.request); err != nil {
+		return err
+	}
 	response, err := http.ReadResponse(s.reader, nil)
 	if err != nil {
-		b.Fatal(err)
+		return err
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusMisdirectedRequest && response.StatusCode != http.StatusServiceUnavailable {
-		b.Fatalf("status %d", response.StatusCode)
+		return fmt.Errorf("status %d", response.StatusCode)
 	}
-	_, _ = io.Copy(io.Discard, response.Body)
+	s.closed = response.Close
+	_, err = io.Copy(io.Discard, response.Body)
+	return err
+}
+
+// closedByServer tells whether the server has closed the connection while it was
+// idle, as any client looks before it uses one again.
+func (s *reportSender) closedByServer() bool {
+	_ = s.conn.SetReadDeadline(time.Now().Add(time.Millisecond))
+	defer func() { _ = s.conn.SetReadDeadline(time.Time{}) }()
+	_, err := s.reader.Peek(1)
+	return !errors.Is(err, os.ErrDeadlineExceeded)
 }
--- a/internal/sockets/front.go
+++ b/internal/sockets/front.go
@@ -16,14 +16,18 @@
 )
 
 // The shares, in sixteenths of the limit, above which connections are closed
-// after each answer: first users', then workers' too. With more workers than
-// connections each then has one for the length of a report.
+// after each answer: first users', then workers' too.
 const (
 	sixteenths    = 16
 	usersClosed   = 14
 	workersClosed = 15
 )
 
+// sharedFor is how long workers go on being told to close. With more workers than
+// connections each has one for the length of a report; kept again as soon as
+// there is room, they would fill it up within a report's interval.
+const sharedFor = time.Minute
+
 // Front counts the connections of workers and users, and has them closed when
 // there are too many: after an answer, or idle ones to make room for a new one.
 type Front struct {
@@ -32,6 +36,8 @@
 	open  map[net.Conn]*connection
 	// The idle connections, the longest idle first.
 	idleUsers, idleWorkers *list.List
+	// sharedUntil is when workers may keep their connections again.
+	sharedUntil time.Time
 }
 
 type connection struct {
@@ -155,33 +161,53 @@
 // Users marks the connections of those that handler serves as users'. While
 // most of the connections are taken they are told to close.
 func (f *Front) Users(handler http.Handler) http.Handler {
-	return f.marked(userRole, usersClosed, handler)
+	return f.marked(handler, f.markUser)
 }
 
 // Workers marks the connections of those that handler serves as workers'. While
-// nearly all connections are taken they are told to close.
+// nearly all connections are taken, and for a while after, they are told to close.
 func (f *Front) Workers(handler http.Handler) http.Handler {
-	return f.marked(workerRole, workersClosed, handler)
+	return f.marked(handler, f.markWorker)
 }
 
-// marked gives the connections of those that handler serves a role, and tells
-// them to close above a share of the limit.
-func (f *Front) marked(role role, closedAbove int, handler http.Handler) http.Handler {
+// marked passes on the requests that handler serves, whose connections mark says
+// to close or not.
+func (f *Front) marked(handler http.Handler, mark func(*connection) (closes bool)) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if entry, ok := r.Context().Value(connectionKey{}).(*connection); ok && f.mark(entry, role, closedAbove) {
+		if entry, ok := r.Context().Value(connectionKey{}).(*connection); ok && mark(entry) {
 			w.Header().Set("Connection", "close")
 		}
 		handler.ServeHTTP(w, r)
 	})
 }
 
-// mark notes whose a connection is; true when it should be closed after the
-// answer, since more than a share of the connections is taken.
-func (f *Front) mark(entry *connection, role role, closedAbove int) bool {
+// markUser notes that a connection is a user's; true when it should be closed
+// after the answer.
+func (f *Front) markUser(entry *connection) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	entry.role = userRole
+	return f.above(usersClosed)
+}
+
+// markWorker does the same for a worker's.
+func (f *Front) markWorker(entry *connection) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	entry.role = role
-	return f.limit > 0 && len(f.open) > f.limit*closedAbove/sixteenths
+	entry.role = workerRole
+	if f.limit <= 0 {
+		return false
+	}
+	now := time.Now()
+	if f.above(workersClosed) {
+		f.sharedUntil = now.Add(sharedFor)
+	}
+	return now.Before(f.sharedUntil)
+}
+
+// above tells whether more than a share of the connections is taken.
+func (f *Front) above(share int) bool {
+	return f.limit > 0 && len(f.open) > f.limit*share/sixteenths
 }
 
 // Open is how many connections there are.
