--- a/internal/core/acceptance.go
+++ b/internal/core/acceptance.go
@@ -335,7 +335,7 @@
 	c.signOfLife(kv)
 	var rec acceptRecord
 	if err := json.Unmarshal(kv.Value, &rec); err != nil {
-		c.logf("error", "unreadable record", "key", kv.Key)
+		c.logf(LogError, "unreadable record", "key", kv.Key)
 		return
 	}
 	for i := range rec.Jobs {
--- a/internal/core/amend.go
+++ b/internal/core/amend.go
@@ -13,7 +13,7 @@
 
 // setAside notes a group's record that makes no sense.
 func (c *Core) setAside(p *part, kv KV, why string) {
-	c.logf("info", "impossible record", "key", kv.Key, "why", why)
+	c.logf(LogInfo, "impossible record", "key", kv.Key, "why", why)
 	if p.aside == nil {
 		p.aside = map[string]Mark{}
 	}
@@ -109,7 +109,7 @@
 		},
 		ok: func(Epoch) {
 			if p.held && p.claim == claim {
-				c.logf("info", "impossible records dropped", "part", int(p.id), "records", len(keys))
+				c.logf(LogInfo, "impossible records dropped", "part", int(p.id), "records", len(keys))
 				c.reload(p)
 			}
 		},
--- a/internal/core/awaits.go
+++ b/internal/core/awaits.go
@@ -130,7 +130,7 @@
 		return
 	}
 	j.since = c.wall
-	c.logf("debug", "job released", "job", string(j.spec.ID), "awaited", len(k.awaits))
+	c.logf(LogDebug, "job released", "job", string(j.spec.ID), "awaited", len(k.awaits))
 	c.parts[j.part].order = nil
 	c.placement.request()
 	c.rentSoon()
--- a/internal/core/catalogue.go
+++ b/internal/core/catalogue.go
@@ -81,12 +81,12 @@
 	c.catalogue.read, c.catalogue.revision = true, kv.Mark
 	var rec typesRecord
 	if json.Unmarshal(kv.Value, &rec) != nil {
-		c.logf("error", "unreadable record", "key", kv.Key)
+		c.logf(LogError, "unreadable record", "key", kv.Key)
 		return
 	}
 	c.catalogue.types = rec.Types
 	if len(c.types) == 0 && len(rec.Types) > 0 {
-		c.logf("info", "machine types from the store", "types", len(rec.Types))
+		c.logf(LogInfo, "machine types from the store", "types", len(rec.Types))
 		c.learnTypes(rec.Types)
 	}
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -165,7 +165,7 @@
 	return c.lastCall
 }
 
-func (c *Core) logf(level, text string, args ...any) {
+func (c *Core) logf(level LogLevel, text string, args ...any) {
 	c.emit(Log{Level: level, Text: text, Args: args})
 }
 
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -62,6 +62,16 @@
 func (Reply) isEvent()   {}
 func (Load) isEvent()    {}
 
+// LogLevel says how important a line of the log is.
+type LogLevel string
+
+// The levels of the log, least important first.
+const (
+	LogDebug LogLevel = "debug"
+	LogInfo  LogLevel = "info"
+	LogError LogLevel = "error"
+)
+
 // Outcome of a call.
 type Outcome int
 
@@ -236,7 +246,7 @@
 	}
 	// Log is a line for the operators.
 	Log struct {
-		Level string
+		Level LogLevel
 		Text  string
 		Args  []any
 	}
--- a/internal/core/failuredetector.go
+++ b/internal/core/failuredetector.go
@@ -63,11 +63,11 @@
 	d.missed++
 	if d.missed > c.cfg.Tuning.Retries && !p.prone {
 		p.prone = true
-		c.logf("debug", "peer failure-prone", "peer", string(p.id))
+		c.logf(LogDebug, "peer failure-prone", "peer", string(p.id))
 	}
 	if d.exhausted() && !p.failed {
 		p.failed, p.failedAt, p.beatRead = true, c.now, false
-		c.logf("info", "peer failed", "peer", string(p.id))
+		c.logf(LogInfo, "peer failed", "peer", string(p.id))
 		c.livenessChanged()
 	}
 	if p.failed {
--- a/internal/core/grouptake.go
+++ b/internal/core/grouptake.go
@@ -111,7 +111,7 @@
 			c.addMachine(g, line, Token(e))
 		}
 	}
-	c.logf("debug", "took idle machines", "group", t.id, "machines", len(t.machines), "part", int(p.id), "from", int(t.from))
+	c.logf(LogDebug, "took idle machines", "group", t.id, "machines", len(t.machines), "part", int(p.id), "from", int(t.from))
 	c.placement.request()
 	c.machineSweep()
 }
--- a/internal/core/maintenance.go
+++ b/internal/core/maintenance.go
@@ -8,7 +8,7 @@
 // returned.
 
 func (c *Core) booted(m *machine) {
-	c.logf("debug", "machine up", "machine", string(m.id), "type", m.typ, "after_s", int((c.now-m.since)/second))
+	c.logf(LogDebug, "machine up", "machine", string(m.id), "type", m.typ, "after_s", int((c.now-m.since)/second))
 	m.idleSince = c.now // it has not been idle while it booted
 	c.placement.request()
 }
--- a/internal/core/orphans.go
+++ b/internal/core/orphans.go
@@ -217,7 +217,7 @@
 	if o.tooNew(l.ID, c.now, c.orphanAfter()) {
 		return
 	}
-	c.logf("info", "adopted stray machine", "machine", string(l.ID))
+	c.logf(LogInfo, "adopted stray machine", "machine", string(l.ID))
 	c.enlistSoon(p, grouprecord.Machine{ID: l.ID, Kind: kind, Address: l.Addr})
 }
 
--- a/internal/core/partload.go
+++ b/internal/core/partload.go
@@ -65,7 +65,7 @@
 	if len(p.machines)+len(p.rentals) > 0 {
 		c.cloudListing.nextAt = 0 // the cloud's list shows what the records may lack
 	}
-	c.logf("info", "part ready",
+	c.logf(LogInfo, "part ready",
 		"part", int(p.id),
 		"machines", len(p.machines),
 		"jobs", len(p.jobs),
@@ -105,7 +105,7 @@
 	}
 	c.after(c.cfg.Lease, func() {
 		if p.heldUnder(l.claim) {
-			c.logf("info", "machines answered",
+			c.logf(LogInfo, "machines answered",
 				"part", int(p.id),
 				"machines", taken,
 				"silent", p.unanswered,
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -148,7 +148,7 @@
 			*since = max(*since, r.Epoch)
 			c.after(pace, again)
 		case Gone:
-			c.logf("info", "changes missed, reading all keys again", "prefix", prefix, "since", uint64(*since))
+			c.logf(LogInfo, "changes missed, reading all keys again", "prefix", prefix, "since", uint64(*since))
 			c.after(pace, reload)
 		default:
 			c.after(second, again)
@@ -167,7 +167,7 @@
 	}
 	var rec partRecord
 	if json.Unmarshal(kv.Value, &rec) != nil || rec.Holder == "" {
-		c.logf("error", "unreadable record", "key", kv.Key)
+		c.logf(LogError, "unreadable record", "key", kv.Key)
 		return
 	}
 	c.releases.learn(rec.Upgraded...)
@@ -265,7 +265,7 @@
 			p.attempts, p.attemptBase, p.lastStored = 0, e, e
 			p.rentals = map[string]*rental{}
 			p.refused, p.refusals = map[rentOption]Time{}, map[rentOption]int{}
-			c.logf("info", "claimed part", "part", int(p.id), "term", uint64(term), "from", string(prev))
+			c.logf(LogInfo, "claimed part", "part", int(p.id), "term", uint64(term), "from", string(prev))
 			c.loadPart(p)
 		},
 		conflict: func() {
@@ -282,7 +282,7 @@
 	if !p.held {
 		return
 	}
-	c.logf("info", "lost part", "part", int(id), "term", uint64(p.term))
+	c.logf(LogInfo, "lost part", "part", int(id), "term", uint64(p.term))
 	p.aside, p.early = nil, nil
 	p.held, p.ready, p.since = false, false, c.now
 	c.holdingChanges++
@@ -310,7 +310,7 @@
 // read anew. Meanwhile every controller answers from the store. The pauses are
 // bounded, so that no job goes unanswered or its part unserved for long.
 func (c *Core) broken(p *part, key, why string) {
-	c.logf("error", "impossible record", "key", key, "why", why)
+	c.logf(LogError, "impossible record", "key", key, "why", why)
 	p.restUntil = c.now + min(2*second<<min(p.breaks, 4), 20*second)
 	p.breaks++
 	c.fenced(p.id)
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -98,7 +98,7 @@
 	p.heard, p.answered, p.prone = true, c.now, false
 	if p.failed {
 		p.failed = false
-		c.logf("info", "peer is back", "peer", string(p.id))
+		c.logf(LogInfo, "peer is back", "peer", string(p.id))
 		c.livenessChanged()
 	}
 	c.takePing(p, g)
--- a/internal/core/pingcheck.go
+++ b/internal/core/pingcheck.go
@@ -52,7 +52,7 @@
 	}
 	if why := err.Error(); p.nonsense != why {
 		p.nonsense = why
-		c.logf("info", "call makes no sense", "peer", string(p.id), "why", why)
+		c.logf(LogInfo, "call makes no sense", "peer", string(p.id), "why", why)
 	}
 	return false
 }
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -73,7 +73,7 @@
 			return
 		}
 	}
-	c.logf("info", "machine is slow", "machine", string(m.id), "pace", m.pace, "late_tasks", len(late))
+	c.logf(LogInfo, "machine is slow", "machine", string(m.id), "pace", m.pace, "late_tasks", len(late))
 	c.drain(m)
 	for _, a := range m.sorted() {
 		if a.phase == aSeen && !a.gone && a.job.spec.CheckpntS > 0 {
--- a/internal/core/processhealth.go
+++ b/internal/core/processhealth.go
@@ -35,7 +35,7 @@
 // says nothing about the machines.
 func (c *Core) resume() {
 	c.process.resumedAt = c.now
-	c.logf("info", "stood still")
+	c.logf(LogInfo, "stood still")
 	for _, p := range c.parts {
 		if p.held {
 			c.rereadPart(p)
--- a/internal/core/progress.go
+++ b/internal/core/progress.go
@@ -48,7 +48,7 @@
 	if state.stalled++; state.stalled%stallCheckpoints != 0 {
 		return
 	}
-	c.logf("info", "part makes no progress",
+	c.logf(LogInfo, "part makes no progress",
 		"part", int(p.id),
 		"why", string(why),
 		"checkpoints", state.stalled,
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -358,7 +358,7 @@
 		}
 		switch a.Out {
 		case OK:
-			c.logf("debug", "rented", "part", int(p.id), "type", r.opt.Type, "zone", r.opt.Zone, "spot", r.opt.Spot, "asked", r.count, "got", len(a.IDs))
+			c.logf(LogDebug, "rented", "part", int(p.id), "type", r.opt.Type, "zone", r.opt.Zone, "spot", r.opt.Spot, "asked", r.count, "got", len(a.IDs))
 			if len(a.IDs) < r.count {
 				p.refused[r.opt] = c.now + c.cfg.Tuning.RefusedWait
 			}
--- a/internal/core/returns.go
+++ b/internal/core/returns.go
@@ -41,7 +41,7 @@
 	if m.returning {
 		return
 	}
-	c.logf("debug", "returning machine", "machine", string(m.id), "why", why, "tasks", m.liveTasks())
+	c.logf(LogDebug, "returning machine", "machine", string(m.id), "why", why, "tasks", m.liveTasks())
 	c.noteReturn(why, m.liveTasks())
 	m.returning = true
 	c.writeMachine(m, prioDone)
@@ -62,7 +62,7 @@
 // of machines may fall together.
 func (c *Core) noteReturn(cause string, tasks int) {
 	if c.returns.add(cause, tasks) {
-		c.after(second, func() { c.logf("info", "returning machines", c.returns.takeLog()...) })
+		c.after(second, func() { c.logf(LogInfo, "returning machines", c.returns.takeLog()...) })
 	}
 }
 
--- a/internal/core/stats.go
+++ b/internal/core/stats.go
@@ -95,7 +95,7 @@
 		groupBytes += g.size
 	}
 	cpus := func(a Amount) int { return int(a / 1_000_000) }
-	c.logf("info", "load",
+	c.logf(LogInfo, "load",
 		"cpus", cpus(use.room),
 		"spot", cpus(use.spot),
 		"idle", cpus(use.idle),
@@ -109,7 +109,7 @@
 		"groups", len(c.groups),
 		"group_bytes", groupBytes/max(len(c.groups), 1),
 		"puts_share", int(c.writer.puts.Rate()*10)/10)
-	c.logf("info", "stats",
+	c.logf(LogInfo, "stats",
 		"reports", counts.Reports,
 		"submits", counts.Submits,
 		"queries", counts.Queries,
--- a/internal/core/stops.go
+++ b/internal/core/stops.go
@@ -9,7 +9,7 @@
 func (c *Core) onNotice(m *machine, left float64) {
 	if !m.draining {
 		c.spotLosses.lost++
-		c.logf("debug", "spot notice", "machine", string(m.id), "left_s", left)
+		c.logf(LogDebug, "spot notice", "machine", string(m.id), "left_s", left)
 		m.draining = true
 	}
 	m.noticeAt = c.now + Time(left*float64(second))
--- a/internal/core/submissions.go
+++ b/internal/core/submissions.go
@@ -10,7 +10,7 @@
 func (c *Core) onSubmit(e Submit) {
 	answer := func(r Respond) {
 		if r.View == nil {
-			c.logf("debug", "submission refused", "job", string(e.Job.ID), "status", r.Status, "why", r.Error)
+			c.logf(LogDebug, "submission refused", "job", string(e.Job.ID), "status", r.Status, "why", r.Error)
 		}
 		r.Req = e.Req
 		c.emit(r)
--- a/internal/core/writer.go
+++ b/internal/core/writer.go
@@ -280,7 +280,7 @@
 		// Perhaps the store's limits were lowered and one of its records is too
 		// large. Each is built anew, by itself, so that this one shows.
 		w.finish(t)
-		c.logf("info", "store refuses our transaction as malformed", "keys", len(t.then), "first", t.then[0].Key, "writes", len(t.writes))
+		c.logf(LogInfo, "store refuses our transaction as malformed", "keys", len(t.then), "first", t.then[0].Key, "writes", len(t.writes))
 		for _, x := range t.writes {
 			switch {
 			case len(t.writes) > 1:
@@ -303,7 +303,7 @@
 // store has refused more than that.
 func (w *writer) rateRefused() {
 	if w.writeRPS > w.core.cfg.WriteRPS {
-		w.core.logf("info", "store refuses the present write rate", "per_second", w.writeRPS, "from_now", w.core.cfg.WriteRPS)
+		w.core.logf(LogInfo, "store refuses the present write rate", "per_second", w.writeRPS, "from_now", w.core.cfg.WriteRPS)
 		w.writeRPS = w.core.cfg.WriteRPS
 		w.divide()
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -173,9 +173,9 @@
 
 func levelOf(line core.Log) slog.Level {
 	switch line.Level {
-	case "debug":
+	case core.LogDebug:
 		return slog.LevelDebug
-	case "error":
+	case core.LogError:
 		return slog.LevelError
 	}
 	return slog.LevelInfo
--- a/internal/standin/effects.go
+++ b/internal/standin/effects.go
@@ -8,6 +8,13 @@
 
 // What the controllers ask of the world around them.
 
+// stalledPart is what a controller logs of a part that is not served. It may do
+// so for some time after the troubles, since it tells of what went before.
+const (
+	stalledPart  = "part makes no progress"
+	stallAllowed = 60 * second
+)
+
 func (w *World) effect(n *Node, f core.Effect) {
 	gen := n.gen
 	switch f := f.(type) {
@@ -96,9 +103,12 @@
 		if f.Text != "stats" && f.Text != "load" {
 			w.Log(fmt.Sprintf("%s logs %s: %s %v", n.ID, f.Level, f.Text, f.Args))
 		}
-		if f.Level == "error" {
+		if f.Level == core.LogError {
 			w.broke("%s logs an error: %s %v", n.ID, f.Text, f.Args)
 		}
+		if f.Text == stalledPart && w.Calmed > 0 && w.Now > w.Calmed+stallAllowed {
+			w.broke("unserved: %s says %v", n.ID, f.Args)
+		}
 	}
 }
 
