--- /dev/null
+++ b/internal/core/machine_bytes_test.go
@@ -0,0 +1,54 @@
+package core
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"stairrelay/internal/grouprecord"
+)
+
+// BenchmarkMachineBytes measures what a controller keeps of each machine with
+// three tasks, without its connection.
+func BenchmarkMachineBytes(b *testing.B) {
+	for _, machines := range []int{500, 1000, 2000, 4000, 8000} {
+		b.Run(fmt.Sprintf("%d-machines", machines), func(b *testing.B) {
+			for range b.N {
+				before := heapBytes()
+				c := coreWithMachines(machines)
+				b.ReportMetric(float64(heapBytes()-before)/float64(machines), "bytes/machine")
+				runtime.KeepAlive(c)
+			}
+		})
+	}
+}
+
+func heapBytes() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
+// coreWithMachines is a controller that holds so many machines, each with three
+// tasks of one of many jobs.
+func coreWithMachines(machines int) *coreHarness {
+	const groupSize, tasks = 51, 3
+	b := newCoreHarness()
+	p := b.parts[0]
+	var g *group
+	for i := range machines {
+		if i%groupSize == 0 {
+			g = b.newGroup(p, fmt.Sprintf("g%05d", i), 31)
+		}
+		id := MachineID(fmt.Sprintf("m-%06d", i))
+		m := b.addMachine(g, grouprecord.Machine{ID: id, Kind: grouprecord.Kind{Type: "small", Zone: "a"}, Address: "10.1.0.232:9000"}, 31)
+		j := b.job(JobID(fmt.Sprintf("j-%06d", i)), tasks)
+		for k := range tasks {
+			a := &assign{task: TaskID{Job: j.spec.ID, Index: k}, job: j, need: j.spec.Need, mach: m.id, attempt: p.nextAttempt(), phase: aSeen, state: Running}
+			m.addAssign(a)
+			j.setPlaced(k, a)
+		}
+	}
+	return b
+}
