Completed tasks leave a group's record before their outcomes are stored

Cause (larger mvta site, 4,020 machines, 70 changes a second): outcomes wait while starts wait for their records, and until they are stored completed tasks stayed listed: CPUs of ended tasks 22,100 beside 18,100 running at 180 s, records split into 281 groups, and with each split more writes for the same starts. 3,212 CPUs waited for a record.

Change: a completed task is left out of the next record. The worker shows it until its outcome is stored, and a successor learns it from there (completedUnlisted).

Ruled out: the division of the write rate (each controller used its share), the cloud (3 of 3,774 calls refused).

--- a/internal/core/groups.go
+++ b/internal/core/groups.go
@@ -75,6 +75,7 @@
 type machineSnap struct {
 	machine   *machine
 	in, out   []*assign
+	completed []*assign // not listed either, but kept until their outcomes are stored
 	bump, ret bool
 }
 
@@ -91,9 +92,15 @@
 		x := machineSnap{machine: m, bump: m.bumping, ret: m.returning}
 		line := grouprecord.Machine{ID: m.id, Kind: m.kind(), Address: m.addr, Returned: m.returning, Booting: m.booting}
 		for _, a := range m.sorted() {
-			if a.gone {
+			switch {
+			case a.gone:
 				x.out = append(x.out, a)
 				continue
+			case a.completed():
+				// It is not on the machine any more, and the worker goes on showing
+				// it until its outcome is stored: a successor learns it from there.
+				x.completed = append(x.completed, a)
+				continue
 			}
 			x.in = append(x.in, a)
 			line.Tasks = append(line.Tasks, grouprecord.Task{ID: a.task, Attempt: a.attempt})
@@ -272,6 +279,11 @@
 		for _, a := range x.out {
 			c.removeAssign(m, a)
 		}
+		for _, a := range x.completed {
+			if a.unlisted = true; c.storedDone(a) {
+				c.removeAssign(m, a)
+			}
+		}
 		if x.bump {
 			m.bumping = false
 			m.token, m.acked, m.unackedAt = Token(e), false, c.now
@@ -393,7 +405,7 @@
 // groupMoved forgets a group that another part has taken. Its record listed no
 // task, so what was planned for it was never sent.
 func (c *Core) groupMoved(g *group, to Part) {
-	c.logf("debug", "group moved away", "group", g.id, "machines", len(g.machines), "to", int(to))
+	c.logf(LogDebug, "group moved away", "group", g.id, "machines", len(g.machines), "to", int(to))
 	delete(c.groups, g.id)
 	for _, m := range g.list() {
 		c.dropMachine(m)
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -173,7 +173,7 @@
 	}
 	var rec jobRecord
 	if err := json.Unmarshal(kv.Value, &rec); err != nil {
-		c.logf("error", "unreadable record", "key", kv.Key)
+		c.logf(LogError, "unreadable record", "key", kv.Key)
 		return
 	}
 	name, tasks := rec.Team, rec.Tasks
@@ -182,7 +182,7 @@
 	}
 	t := c.teams[name]
 	if t == nil || tasks < 1 {
-		c.logf("error", "job record of no known team", "key", kv.Key)
+		c.logf(LogError, "job record of no known team", "key", kv.Key)
 		return
 	}
 	k := c.jobs.learn(id, t.part, name, tasks)
@@ -224,7 +224,7 @@
 	}
 	// A task that is started again after it was done ends at once, so to
 	// take all of them for not done is safe.
-	c.logf("info", "impossible record", "key", kv.Key, "why", "done ranges")
+	c.logf(LogInfo, "impossible record", "key", kv.Key, "why", "done ranges")
 	return newJob(*rec.Spec, part, kv.Mark, c.now)
 }
 
@@ -265,7 +265,7 @@
 					j.done++
 				}
 			}) {
-				c.logf("info", "impossible record", "key", r.KV.Key, "why", "done ranges")
+				c.logf(LogInfo, "impossible record", "key", r.KV.Key, "why", "done ranges")
 			}
 			j.marks[n] = r.KV.Mark
 		case Missing:
@@ -354,7 +354,11 @@
 		if m == nil || m.assigns[a.task] != a || m.unsure {
 			continue
 		}
-		if a.phase == aEnded && a.cause == CauseDone && !a.gone && c.storedDone(a) {
+		switch {
+		case !a.completed() || a.gone || !c.storedDone(a):
+		case a.unlisted:
+			c.removeAssign(m, a)
+		default:
 			m.markGone(a)
 			m.reap[a.start()] = true
 		}
@@ -388,7 +392,7 @@
 	if !c.jobs.holds(j) {
 		return
 	}
-	c.logf("debug", "job over", "job", string(j.spec.ID), "status", string(end), "class", j.spec.Class, "team", j.spec.Team,
+	c.logf(LogDebug, "job over", "job", string(j.spec.ID), "status", string(end), "class", j.spec.Class, "team", j.spec.Team,
 		"tasks", j.spec.Tasks, "first_run_s", int((j.firstRun-j.arrived)/second), "all_run_s", int((j.lastRun-j.arrived)/second),
 		"took_s", int((c.now-j.arrived)/second), "run_s", int(j.spec.RuntimeS), "due_s", int(j.spec.DeadlineS), "cpu", float64(j.spec.Need.CPU)/1e6, "guaranteed", j.owedFirst)
 	if end == StCancelled {
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -31,6 +31,7 @@
 	need      Res
 	gone      bool // proven not to be on the machine; waits for the record to say so
 	counted   bool // in its machine's use
+	unlisted  bool // completed, and the stored record does not list it any more
 	viaOrders bool
 	sentStamp Stamp
 	state     TaskState
@@ -51,6 +52,9 @@
 
 func (a *assign) start() start { return start{a.task, a.attempt} }
 
+// completed tells whether a report has shown that the task has run to its end.
+func (a *assign) completed() bool { return a.phase == aEnded && a.cause == CauseDone }
+
 func (a *assign) live() bool { return a.phase != aEnded && !a.gone }
 
 type image struct {
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -179,7 +179,7 @@
 				continue
 			}
 			starts = append(starts, Command{Verb: Start, Task: a.task, Attempt: a.attempt})
-		case a.phase == aEnded && a.cause == CauseDone && !m.unsure && !urgentOnly && c.storedDone(a):
+		case a.completed() && !m.unsure && !urgentOnly && c.storedDone(a):
 			out = append(out, Command{Verb: Forget, Task: a.task, Attempt: a.attempt})
 		}
 	}
@@ -381,17 +381,49 @@
 // unlistedTask is a task that the machine's record does not list.
 func (c *Core) unlistedTask(m *machine, t *TaskReport) {
 	s := start{t.Task, t.Attempt}
+	if c.completedUnlisted(m, t) {
+		return
+	}
 	if t.State == Ended {
 		delete(m.kill, s)
 		m.reap[s] = true
 		return
 	}
 	if !m.kill[s] {
-		c.logf("info", "stray task", "machine", string(m.id), "task", t.Task.String(), "attempt", uint64(t.Attempt))
+		c.logf(LogInfo, "stray task", "machine", string(m.id), "task", t.Task.String(), "attempt", uint64(t.Attempt))
 	}
 	m.kill[s] = true
 }
 
+// completedUnlisted takes in that a task has run to its end under an earlier
+// holder of its part, who had not stored that yet. The worker shows it until it
+// is stored. It returns false where that is of no use here.
+func (c *Core) completedUnlisted(m *machine, t *TaskReport) bool {
+	j := c.jobs.held[t.Task.Job]
+	if t.State != Ended || t.Cause != CauseDone || j == nil || !j.active() || t.Task.Index >= len(j.state) || m.assigns[t.Task] != nil {
+		return false
+	}
+	if j.loading > 0 { // perhaps it is stored already
+		return true
+	}
+	if j.state[t.Task.Index] != tPending {
+		return false
+	}
+	a := &assign{task: t.Task, mach: m.id, job: j, attempt: t.Attempt, phase: aEnded, cause: CauseDone, need: j.spec.Need, partial: true, unlisted: true}
+	m.addAssign(a)
+	c.taskDone(j, t.Task.Index)
+	return true
+}
+
+// taskDone notes that a task has run to its end; with the last of its job that
+// is stored at once.
+func (c *Core) taskDone(j *job, index int) {
+	j.setDone(index)
+	if j.final == "" && j.loading == 0 && j.done == j.spec.Tasks {
+		c.writeJob(j, prioAccept)
+	}
+}
+
 // seen takes in one listed task's state.
 func (c *Core) seen(m *machine, a *assign, t *TaskReport) {
 	if a.phase == aEnded {
@@ -446,11 +478,8 @@
 	j := a.job
 	m.markEnded(a, t.Cause)
 	if t.Cause == CauseDone {
-		j.setDone(a.task.Index)
 		c.learnRuntime(m, a)
-		if j.final == "" && j.loading == 0 && j.done == j.spec.Tasks {
-			c.writeJob(j, prioAccept)
-		}
+		c.taskDone(j, a.task.Index)
 		return
 	}
 	switch t.Cause {
@@ -480,7 +509,7 @@
 		j.holdUntil = c.now + min(second<<min(len(j.failedOn)+j.errors/2, 6), 60*second)
 	}
 	if len(m.failedJobs) >= 2 && !m.draining {
-		c.logf("info", "machine fails tasks", "machine", string(m.id), "errors", m.errors)
+		c.logf(LogInfo, "machine fails tasks", "machine", string(m.id), "errors", m.errors)
 		c.drain(m)
 	}
 }
