--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -181,7 +181,7 @@
 		}
 		task := TaskID{Job: j.spec.ID, Index: index}
 		// An earlier attempt may still be being cleared away there.
-		if !l.zoneAllowed(m.zone) || m.assigns[task] != nil {
+		if !zoneAllowed(&j.spec, l.zones, m.zone) || m.assigns[task] != nil {
 			return true
 		}
 		l.start(f, task, last)
@@ -190,13 +190,13 @@
 	return true
 }
 
-// zoneAllowed tells whether the job's rules let one more of its tasks into a zone.
-func (l *jobPlacement) zoneAllowed(zone string) bool {
-	spec := &l.job.spec
-	if spec.SamePlace && !onlyZone(l.zones, zone) {
+// zoneAllowed tells whether a job's rules let one more of its tasks into a zone,
+// given its tasks by zone.
+func zoneAllowed(spec *JobSpec, zones map[string]int, zone string) bool {
+	if spec.SamePlace && !onlyZone(zones, zone) {
 		return false
 	}
-	return !spec.Scatter || l.zones[zone] < (spec.Tasks+1)/2
+	return !spec.Scatter || zones[zone] < (spec.Tasks+1)/2
 }
 
 // start plans the start of a task on a machine; last is the task that was placed
--- a/internal/core/progress.go
+++ b/internal/core/progress.go
@@ -114,7 +114,8 @@
 	for i := range slots {
 		s := &slots[i]
 		fits := func(j *job) bool {
-			return c.allowedOn(j, s.m) && c.mayUse(j, s.m) && c.room(s.m.group, j) && s.image(j) != placement.ImageBlocked
+			return c.allowedOn(j, s.m) && c.mayUse(j, s.m) && c.room(s.m.group, j) && s.image(j) != placement.ImageBlocked &&
+				zoneAllowed(&j.spec, c.zonesOf(j), s.m.zone)
 		}
 		if c.fill(work, s.free, fits) > 0 {
 			return true
--- a/internal/core/progress_test.go
+++ b/internal/core/progress_test.go
@@ -56,6 +56,13 @@
 			m.draining = true
 			b.job("j-2", 2)
 		}, ""},
+		{"waiting tasks that may not go to the zone", func(b *coreHarness) {
+			b.running(b.job("j-1", 1))
+			far := b.addMachine(b.newGroup(b.parts[0], "far", 31), grouprecord.Machine{ID: "m-9", Kind: grouprecord.Kind{Type: "small", Zone: "b"}}, 31)
+			j := b.job("j-2", 2)
+			j.spec.SamePlace = true
+			j.setPlaced(0, &assign{task: TaskID{Job: "j-2", Index: 0}, job: j, mach: far.id, phase: aSeen})
+		}, ""},
 		{"a record that is never stored", func(b *coreHarness) {
 			m, _ := b.running(b.job("j-1", 1))
 			m.group.writing = true
