--- a/internal/core/export_test.go
+++ b/internal/core/export_test.go
@@ -13,8 +13,8 @@
 			for _, a := range m.assigns {
 				if a.live() {
 					n++
-					sum = sum.plus(a.need)
-					teams[a.job.spec.Team] = teams[a.job.spec.Team].plus(a.need)
+					sum = sum.Plus(a.need)
+					teams[a.job.spec.Team] = teams[a.job.spec.Team].Plus(a.need)
 				}
 			}
 			if sum != m.used() || n != m.liveTasks() {
--- a/internal/core/joborder.go
+++ b/internal/core/joborder.go
@@ -176,7 +176,7 @@
 	out := make(map[*job]bool, len(js))
 	for _, j := range js {
 		left := Amount(j.spec.Tasks - j.done)
-		u := sum[j.spec.Team].plus(Res{CPU: j.spec.Need.CPU * left, GPU: j.spec.Need.GPU * left})
+		u := sum[j.spec.Team].Plus(Res{CPU: j.spec.Need.CPU * left, GPU: j.spec.Need.GPU * left})
 		sum[j.spec.Team] = u
 		g := c.teams[j.spec.Team].Guarantee
 		out[j] = u.CPU <= g.CPU && u.GPU <= g.GPU
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -36,7 +36,7 @@
 		if !ok {
 			continue
 		}
-		s := slot{m: m, free: t.Cap.minus(m.used()), size: t.Cap.CPU, kind: -1}
+		s := slot{m: m, free: t.Cap.Minus(m.used()), size: t.Cap.CPU, kind: -1}
 		if s.free.CPU < least {
 			continue
 		}
@@ -110,7 +110,7 @@
 		if c.placeJob(p, j, slots, kinds, use, Res{}, 1); j.placed > before {
 			continue
 		}
-		kept[j.spec.Team] = kept[j.spec.Team].plus(j.spec.Need)
+		kept[j.spec.Team] = kept[j.spec.Team].Plus(j.spec.Need)
 		if m := c.keepMachine(p, j); m != nil {
 			slots = slices.DeleteFunc(slots, func(s slot) bool { return s.m == m })
 		}
@@ -146,7 +146,7 @@
 		allowed[i] = (j.spec.Spot || !k.Spot) && c.allows(&j.spec, c.types[k.Type], k.Zone)
 		any = any || allowed[i]
 	}
-	limit := c.teams[j.spec.Team].Limit.minus(kept)
+	limit := c.teams[j.spec.Team].Limit.Minus(kept)
 	l := &jobPlacement{core: c, part: p, job: j, use: use, limit: limit, left: n}
 	if !any || !l.withinLimit() {
 		return
@@ -162,7 +162,7 @@
 
 // withinLimit tells whether the team may have one more of the job's tasks.
 func (l *jobPlacement) withinLimit() bool {
-	with := l.use[l.job.spec.Team].plus(l.job.spec.Need)
+	with := l.use[l.job.spec.Team].Plus(l.job.spec.Need)
 	return with.CPU <= l.limit.CPU && with.GPU <= l.limit.GPU
 }
 
@@ -171,7 +171,7 @@
 func (l *jobPlacement) fill(f candidate) bool {
 	c, j, m := l.core, l.job, f.s.m
 	last := TaskID{}
-	for l.left > 0 && j.pending() > 0 && j.spec.Need.fits(f.s.free) && c.room(m.group, j) {
+	for l.left > 0 && j.pending() > 0 && j.spec.Need.Fits(f.s.free) && c.room(m.group, j) {
 		if !l.withinLimit() {
 			return false
 		}
@@ -208,8 +208,8 @@
 	m.group.added += listedBytes(j, m, task, last)
 	j.setPlaced(task.Index, a)
 	l.zones[m.zone]++
-	l.use[j.spec.Team] = l.use[j.spec.Team].plus(j.spec.Need)
-	f.s.free = f.s.free.minus(j.spec.Need)
+	l.use[j.spec.Team] = l.use[j.spec.Team].Plus(j.spec.Need)
+	f.s.free = f.s.free.Minus(j.spec.Need)
 	if f.Image == placement.ImageAbsent {
 		f.s.fetching(j)
 	}
@@ -229,7 +229,7 @@
 	var fit []candidate
 	for i := range slots {
 		s := &slots[i]
-		if !allowed[s.kind] || !j.spec.Need.fits(s.free) || !c.room(s.m.group, j) || c.avoids(j, s.m) || !c.mayUse(j, s.m) {
+		if !allowed[s.kind] || !j.spec.Need.Fits(s.free) || !c.room(s.m.group, j) || c.avoids(j, s.m) || !c.mayUse(j, s.m) {
 			continue
 		}
 		if image := s.image(j); image != placement.ImageBlocked {
@@ -276,7 +276,7 @@
 		if m.id == j.keeps {
 			return m
 		}
-		if free := c.types[m.typ].Cap.minus(m.used()).CPU; best == nil || free > most {
+		if free := c.types[m.typ].Cap.Minus(m.used()).CPU; best == nil || free > most {
 			best, most = m, free
 		}
 	}
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -72,7 +72,7 @@
 // nothing more is made now.
 func (e *preemption) preemptFor(j *job, like likeJobs) bool {
 	c := e.core
-	room := c.teams[j.spec.Team].Limit.minus(e.use[j.spec.Team])
+	room := c.teams[j.spec.Team].Limit.Minus(e.use[j.spec.Team])
 	if room.CPU < j.spec.Need.CPU || room.GPU < j.spec.Need.GPU {
 		if j.prio >= Urgent {
 			e.preemptOwn(j, room)
@@ -85,15 +85,15 @@
 			continue
 		}
 		stop, free := e.victims(j, m)
-		if !j.spec.Need.fits(free) {
+		if !j.spec.Need.Fits(free) {
 			continue
 		}
-		for made < j.pending() && j.spec.Need.fits(free) {
-			room = room.minus(j.spec.Need)
+		for made < j.pending() && j.spec.Need.Fits(free) {
+			room = room.Minus(j.spec.Need)
 			if room.CPU < 0 || room.GPU < 0 {
 				return false
 			}
-			free = free.minus(j.spec.Need)
+			free = free.Minus(j.spec.Need)
 			made++
 		}
 		for _, a := range stop {
@@ -112,9 +112,9 @@
 // victims picks the tasks on a machine that have to stop so that a job's task
 // fits, and returns what is free then.
 func (e *preemption) victims(j *job, m *machine) (stop []*assign, free Res) {
-	free = e.core.types[m.typ].Cap.minus(m.used())
+	free = e.core.types[m.typ].Cap.Minus(m.used())
 	for _, a := range m.sorted() {
-		if j.spec.Need.fits(free) {
+		if j.spec.Need.Fits(free) {
 			break
 		}
 		if !a.savable() || !e.givesWay(a.job, j) {
@@ -123,7 +123,7 @@
 		if !a.stop { // else it is on its way out already
 			stop = append(stop, a)
 		}
-		free = free.plus(a.need)
+		free = free.Plus(a.need)
 	}
 	return stop, free
 }
@@ -160,7 +160,7 @@
 			if !a.savable() || a.job.spec.Team != j.spec.Team || a.job.prio >= j.prio || c.spared(a.job) {
 				continue
 			}
-			room = room.plus(a.need)
+			room = room.Plus(a.need)
 			if !a.stop {
 				c.stopTask(m, a, a.job.spec.SaveS+1)
 				j.preemptAt = c.now + preemptPause
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -72,17 +72,17 @@
 	for _, j := range jobs {
 		if c.starving(j) {
 			first[j] = 1
-			use[j.spec.Team] = use[j.spec.Team].plus(j.spec.Need)
+			use[j.spec.Team] = use[j.spec.Team].Plus(j.spec.Need)
 			l = append(l, waitingWork{j, 1, true})
 		}
 	}
 	for _, j := range jobs {
 		need := j.spec.Need
-		n := min(j.pending()-first[j], slotsIn(c.teams[j.spec.Team].Limit.minus(use[j.spec.Team]), Res{CPU: need.CPU, GPU: need.GPU}))
+		n := min(j.pending()-first[j], c.teams[j.spec.Team].Limit.Minus(use[j.spec.Team]).Holds(Res{CPU: need.CPU, GPU: need.GPU}))
 		if n <= 0 {
 			continue
 		}
-		use[j.spec.Team] = use[j.spec.Team].plus(need.times(n))
+		use[j.spec.Team] = use[j.spec.Team].Plus(need.Times(n))
 		l = append(l, waitingWork{job: j, tasks: n})
 	}
 	return l
@@ -93,11 +93,11 @@
 	took := 0
 	for i := range work {
 		w := &work[i]
-		if w.tasks <= 0 || !w.job.spec.Need.fits(room) || !ok(w.job) {
+		if w.tasks <= 0 || !w.job.spec.Need.Fits(room) || !ok(w.job) {
 			continue
 		}
-		n := min(w.tasks, slotsIn(room, w.job.spec.Need))
-		room = room.minus(w.job.spec.Need.times(n))
+		n := min(w.tasks, room.Holds(w.job.spec.Need))
+		room = room.Minus(w.job.spec.Need.Times(n))
 		w.tasks -= n
 		took += n
 	}
@@ -143,7 +143,7 @@
 	c.counters.visiting(p.machines)
 	for _, m := range p.machines {
 		if !m.booting && !m.acked && !m.returning && c.now-m.since < 5*second {
-			c.fill(work, c.types[m.typ].Cap.minus(m.used()), func(j *job) bool { return c.allowedOn(j, m) })
+			c.fill(work, c.types[m.typ].Cap.Minus(m.used()), func(j *job) bool { return c.allowedOn(j, m) })
 		}
 	}
 	// Another part's idle machine serves at once, a booting one much later.
@@ -154,7 +154,7 @@
 			continue
 		}
 		if m.booting {
-			c.fill(work, c.types[m.typ].Cap.minus(m.used()), func(j *job) bool { return c.allowedOn(j, m) })
+			c.fill(work, c.types[m.typ].Cap.Minus(m.used()), func(j *job) bool { return c.allowedOn(j, m) })
 		}
 	}
 	for _, name := range sortedKeys(p.rentals) {
@@ -297,24 +297,9 @@
 	return out
 }
 
-// slotsIn counts how many tasks of a need fit into room.
-func slotsIn(room, need Res) int {
-	n := Amount(1 << 20)
-	if need.CPU > 0 {
-		n = min(n, room.CPU/need.CPU)
-	}
-	if need.GPU > 0 {
-		n = min(n, room.GPU/need.GPU)
-	}
-	if need.Mem > 0 {
-		n = min(n, room.Mem/need.Mem)
-	}
-	return int(max(n, 0))
-}
-
 // slotsFor counts how many tasks of a need an empty machine takes; at least
 // one, as it divides prices.
-func slotsFor(room, need Res) int { return max(slotsIn(room, need), 1) }
+func slotsFor(room, need Res) int { return max(room.Holds(need), 1) }
 
 // mostRefusals bounds how often the pause after a refusal doubles: each request
 // costs two puts, a whole second's worth where the write rate is low.
--- a/internal/core/share.go
+++ b/internal/core/share.go
@@ -186,14 +186,14 @@
 	var n Amount
 	for _, j := range p.jobs {
 		if k := Amount(j.pending() + j.placed); j.active() && !j.waiting && k > 0 {
-			sum = sum.plus(Res{j.spec.Need.CPU * k, j.spec.Need.GPU * k, j.spec.Need.Mem * k})
+			sum = sum.Plus(j.spec.Need.Times(int(k)))
 			n += k
 		}
 	}
 	if n == 0 {
 		return Res{}
 	}
-	return Res{sum.CPU / n * 115 / 100, sum.GPU / n, sum.Mem / n * 115 / 100}
+	return Res{CPU: sum.CPU / n * 115 / 100, GPU: sum.GPU / n, Mem: sum.Mem / n * 115 / 100}
 }
 
 // clearFor empties a yielded machine of work that can save, when the work that
--- a/internal/core/submissions.go
+++ b/internal/core/submissions.go
@@ -210,7 +210,7 @@
 // allows tells whether a type, and with it one of its zones, is allowed for a
 // job's tasks and large enough for one.
 func (c *Core) allows(s *JobSpec, t MachineType, zone string) bool {
-	if !s.Need.fits(t.Cap) {
+	if !s.Need.Fits(t.Cap) {
 		return false
 	}
 	if len(s.Types) > 0 && !has(s.Types, t.Name) {
--- a/internal/core/taskuse.go
+++ b/internal/core/taskuse.go
@@ -25,8 +25,8 @@
 	}
 	a.counted = true
 	u.tasks++
-	u.res = u.res.plus(a.need)
-	u.teams[a.job.spec.Team] = u.teams[a.job.spec.Team].plus(a.need)
+	u.res = u.res.Plus(a.need)
+	u.teams[a.job.spec.Team] = u.teams[a.job.spec.Team].Plus(a.need)
 }
 
 // uncount leaves out a task that is not live any more, or whose machine goes.
@@ -36,8 +36,8 @@
 	}
 	a.counted = false
 	u.tasks--
-	u.res = u.res.minus(a.need)
-	u.teams[a.job.spec.Team] = u.teams[a.job.spec.Team].minus(a.need)
+	u.res = u.res.Minus(a.need)
+	u.teams[a.job.spec.Team] = u.teams[a.job.spec.Team].Minus(a.need)
 }
 
 // markGone notes that a task is proven not to be on the machine.
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -28,6 +28,7 @@
 	Time      = model.Time
 	Wall      = model.Wall
 	Amount    = model.Amount
+	Res       = model.Res
 	Priority  = model.Priority
 	TaskID    = model.TaskID
 )
@@ -57,21 +58,6 @@
 	CallID uint64
 )
 
-// Res is what a task takes or a machine has.
-type Res struct {
-	CPU, GPU, Mem Amount
-}
-
-func (r Res) plus(o Res) Res  { return Res{r.CPU + o.CPU, r.GPU + o.GPU, r.Mem + o.Mem} }
-func (r Res) minus(o Res) Res { return Res{r.CPU - o.CPU, r.GPU - o.GPU, r.Mem - o.Mem} }
-func (r Res) times(n int) Res {
-	k := Amount(n)
-	return Res{r.CPU * k, r.GPU * k, r.Mem * k}
-}
-func (r Res) fits(in Res) bool {
-	return r.CPU <= in.CPU && r.GPU <= in.GPU && r.Mem <= in.Mem
-}
-
 // JobSpec is what a user submitted, with the protocol's names gone. Its JSON
 // form is what jobs/<id> holds, hence the short names.
 type JobSpec struct {
--- a/internal/standin/meetings.go
+++ b/internal/standin/meetings.go
@@ -408,7 +408,7 @@
 			if t.State != core.Ended {
 				s := w.Jobs[t.ID.Job].Spec
 				on[t.ID] = true
-				use[s.Team] = plus(use[s.Team], s.Need)
+				use[s.Team] = use[s.Team].Plus(s.Need)
 			}
 		}
 	}
@@ -447,7 +447,7 @@
 		return false
 	}
 	for _, t := range w.cfg.Teams {
-		if t.Name == s.Team && !within(plus(use[s.Team], s.Need), t.Limit) {
+		if t.Name == s.Team && !within(use[s.Team].Plus(s.Need), t.Limit) {
 			return false
 		}
 	}
@@ -459,16 +459,12 @@
 		if s.Zone != "" && s.Zone != l.Zone || l.Spot && !s.Spot || len(s.Types) > 0 && !slices.Contains(s.Types, l.Type) {
 			continue
 		}
-		if u := plus(l.Used(), s.Need); u.CPU <= l.Cap.CPU && u.GPU <= l.Cap.GPU && u.Mem <= l.Cap.Mem {
+		if l.Used().Plus(s.Need).Fits(l.Cap) {
 			return true
 		}
 	}
 	return false
 }
 
-func plus(a, b core.Res) core.Res {
-	return core.Res{CPU: a.CPU + b.CPU, GPU: a.GPU + b.GPU, Mem: a.Mem + b.Mem}
-}
-
 // within compares what a team uses with its limit; memory has none.
 func within(use, limit core.Res) bool { return use.CPU <= limit.CPU && use.GPU <= limit.GPU }
