The statuses of replies are a type with named values

Bare numbers stood in some seventy places of the core, among them the one that says that a body was unusable.

--- a/internal/core/acceptance.go
+++ b/internal/core/acceptance.go
@@ -117,7 +117,7 @@
 func (c *Core) accept(spec JobSpec, answer func(Respond)) {
 	a := &acceptance{spec: spec, respond: answer, deadline: c.now + acceptWithin}
 	c.after(acceptWithin, func() {
-		a.answer(Respond{Status: 503, RetryAfter: retrySoon, Error: "not stored in time"})
+		a.answer(Respond{Status: ReplyUnavailable, RetryAfter: retrySoon, Error: "not stored in time"})
 	})
 	c.after(storeSlow+50*milli, func() {
 		if !a.answered && c.storeHealth.silent(c.now) {
@@ -300,7 +300,7 @@
 	if k := c.jobs.finished(id); k != nil {
 		v = finalView(id, k)
 	}
-	a.answer(Respond{Status: 201, View: &v})
+	a.answer(Respond{Status: ReplyAccepted, View: &v})
 }
 
 // refused follows a conflict: some of the batch are known. Each learns which by
@@ -314,11 +314,11 @@
 			w.core.repeat(a.answer, a.spec.ID)
 			continue
 		}
-		w.core.lookInStore(a.spec.ID, func(status int, v JobView) {
+		w.core.lookInStore(a.spec.ID, func(status ReplyStatus, v JobView) {
 			switch {
 			case a.answered:
-			case status == 200:
-				a.answer(Respond{Status: 200, View: &v})
+			case status == ReplyOK:
+				a.answer(Respond{Status: ReplyOK, View: &v})
 			default: // not this one: it is tried again
 				w.core.acceptances.add(a)
 				w.core.writeAccepted()
--- a/internal/core/acceptance_test.go
+++ b/internal/core/acceptance_test.go
@@ -8,7 +8,7 @@
 // controller stored a moment ago in a record of several, is answered as a
 // repeat: others may have told more of the job since.
 func TestRepeatedAcceptance(t *testing.T) {
-	for name, want := range map[string]int{"new": 201, "answer lost": 200, "stored by another": 200} {
+	for name, want := range map[string]ReplyStatus{"new": 201, "answer lost": 200, "stored by another": 200} {
 		b := newCoreHarness()
 		n := 0
 		b.lose = func(StoreTxn) bool { n++; return n == 1 && name == "answer lost" }
--- a/internal/core/awaits.go
+++ b/internal/core/awaits.go
@@ -172,22 +172,22 @@
 // unfinished answers with a job's unfinished state. That of an unreleased one
 // is told only after what was stored until now has been read: a job that it
 // needs may have been cancelled, and others may have told what follows.
-func (c *Core) unfinished(id JobID, v JobView, fn func(int, JobView)) {
+func (c *Core) unfinished(id JobID, v JobView, fn func(ReplyStatus, JobView)) {
 	if k := c.jobs.finished(id); k != nil {
-		fn(200, finalView(id, k))
+		fn(ReplyOK, finalView(id, k))
 		return
 	}
 	if !c.jobs.unreleased(id) {
-		fn(200, v)
+		fn(ReplyOK, v)
 		return
 	}
 	c.freshen(func(ok bool) {
 		if k := c.jobs.known[id]; k.final != "" {
-			fn(200, finalView(id, k))
+			fn(ReplyOK, finalView(id, k))
 		} else if ok {
-			fn(200, v)
+			fn(ReplyOK, v)
 		} else {
-			fn(503, JobView{})
+			fn(ReplyUnavailable, JobView{})
 		}
 	})
 }
@@ -196,13 +196,13 @@
 // 0, or the status that it gets instead. Only the store can show that one never
 // was. While a controller may be of an earlier release, which would start the job
 // at once, it can't be taken.
-func (c *Core) checkAwaits(spec *JobSpec, fn func(int)) {
+func (c *Core) checkAwaits(spec *JobSpec, fn func(ReplyStatus)) {
 	if !c.everybodyUnderstandsAwaits() {
-		fn(503)
+		fn(ReplyUnavailable)
 		return
 	}
-	left, worst := 1, 0
-	done := func(status int) {
+	left, worst := 1, ReplyNone
+	done := func(status ReplyStatus) {
 		worst = max(worst, status)
 		if left--; left == 0 {
 			fn(worst)
@@ -213,14 +213,14 @@
 			continue
 		}
 		left++
-		c.lookInStore(id, func(status int, _ JobView) {
+		c.lookInStore(id, func(status ReplyStatus, _ JobView) {
 			switch status {
-			case 200:
+			case ReplyOK:
 				done(0)
-			case 404:
-				done(422)
+			case ReplyNoSuchJob:
+				done(ReplyNeverRuns)
 			default:
-				done(503)
+				done(ReplyUnavailable)
 			}
 		})
 	}
--- a/internal/core/awaits_test.go
+++ b/internal/core/awaits_test.go
@@ -158,7 +158,7 @@
 // TestAwaitsOfSubmissions: what a submission may name, and what it gets.
 func TestAwaitsOfSubmissions(t *testing.T) {
 	m := newCalmCluster(t, 2)
-	expect := func(n *standin.Node, j *standin.Job, want int) core.Respond {
+	expect := func(n *standin.Node, j *standin.Job, want core.ReplyStatus) core.Respond {
 		t.Helper()
 		r := m.hand(n, j)
 		if r.Status != want {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -170,7 +170,7 @@
 }
 
 // refuse answers at once that the request can't be taken now.
-func (c *Core) refuse(req ReqID, status, after int, why string) {
+func (c *Core) refuse(req ReqID, status ReplyStatus, after int, why string) {
 	c.emit(Respond{Req: req, Status: status, RetryAfter: after, Error: why})
 }
 
--- a/internal/core/entitlement_gap_test.go
+++ b/internal/core/entitlement_gap_test.go
@@ -63,7 +63,7 @@
 	m.Run(m.Now + 2*sec) // the third hears of the claim
 	m.Kill(next)
 	m.Down = m.Now + 60*sec
-	status := 0
+	status := core.ReplyNone
 	m.Run(m.Now + 2*sec)
 	for id, l := range m.Workers {
 		if len(l.Tasks) == 0 {
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -15,8 +15,8 @@
 	Submit struct {
 		Req ReqID
 		Job JobSpec
-		Bad int    // 400 when the body is unusable but names an id, else 0
-		Why string // what is wrong with it
+		Bad ReplyStatus // ReplyMalformed when the body is unusable but names an id, else 0
+		Why string      // what is wrong with it
 	}
 	// Query asks for a job's state.
 	Query struct {
@@ -231,7 +231,7 @@
 	// Respond answers a request that came in.
 	Respond struct {
 		Req        ReqID
-		Status     int
+		Status     ReplyStatus
 		RetryAfter int
 		View       *JobView
 		Worker     *WorkerAnswer
@@ -276,7 +276,7 @@
 	Views   []JobView
 	Cancel  JobID
 	Submit  *HandedOn
-	Status  int
+	Status  ReplyStatus
 	After   int // seconds until a refused submission should come again
 	Why     string
 }
--- a/internal/core/isolated_controller_test.go
+++ b/internal/core/isolated_controller_test.go
@@ -20,8 +20,8 @@
 	owner := w.Nodes[1] // of the part that the machine's number points to
 	owner.StoreCut, owner.PeerCut = w.Now+100*sec, w.Now+100*sec
 	w.Nodes[0].WorkerCut, w.Nodes[2].WorkerCut = w.Now+100*sec, w.Now+100*sec
-	answer := func() int {
-		status := 0
+	answer := func() core.ReplyStatus {
+		status := core.ReplyNone
 		r := w.Workers["m-000001"].Report()
 		w.Ask(owner, func(id core.ReqID) core.Event { return core.Checkin{Req: id, Report: r} }, func(a core.Respond) { status = a.Status })
 		w.Run(w.Now + sec)
--- a/internal/core/machine_orders_test.go
+++ b/internal/core/machine_orders_test.go
@@ -24,7 +24,7 @@
 			ready := &assign{task: TaskID{Job: "j-2", Index: 0}, job: other, mach: m.id, attempt: 8, phase: aReady}
 			m.addAssign(ready)
 			other.setPlaced(0, ready)
-			b.cancelHere("j-1", func(int, *JobView) {})
+			b.cancelHere("j-1", func(ReplyStatus, *JobView) {})
 			m.bumping, m.acked = x.bumping, x.acked
 			var cmds []Command
 			want := x.ordered
@@ -58,7 +58,7 @@
 	for out, again := range map[Outcome]bool{NotDone: true, Unknown: true, OK: false} {
 		b := newCoreHarness()
 		m, _ := b.running(b.job("j-1", 1))
-		b.cancelHere("j-1", func(int, *JobView) {})
+		b.cancelHere("j-1", func(ReplyStatus, *JobView) {})
 		b.pushOrders()
 		o := b.out[len(b.out)-1].(Orders)
 		b.out = nil
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -184,7 +184,7 @@
 	if to == c.cfg.Self {
 		to = ""
 	}
-	c.emit(Respond{Req: req, Status: 421, Worker: &WorkerAnswer{Redirect: to}})
+	c.emit(Respond{Req: req, Status: ReplyElsewhere, Worker: &WorkerAnswer{Redirect: to}})
 }
 
 func (m *machine) sorted() []*assign {
--- a/internal/core/message_bounds_test.go
+++ b/internal/core/message_bounds_test.go
@@ -80,7 +80,7 @@
 	b := newCoreHarness()
 	answered := 0
 	for range questions {
-		b.askOwner(b.peers["n1"], "j-1", func(int, JobView) { answered++ })
+		b.askOwner(b.peers["n1"], "j-1", func(ReplyStatus, JobView) { answered++ })
 	}
 	messages := 0
 	for end := b.now + second; b.now < end; b.now += 10 * milli {
--- a/internal/core/orphans.go
+++ b/internal/core/orphans.go
@@ -88,7 +88,7 @@
 		return
 	}
 	if c.storeLost(500 * milli) {
-		c.refuse(e.Req, 503, 0, "")
+		c.refuse(e.Req, ReplyUnavailable, 0, "")
 		return
 	}
 	c.orphans.reports = append(c.orphans.reports, e)
@@ -102,7 +102,7 @@
 		c.redirect(req, p.holder)
 		return
 	}
-	c.refuse(req, 503, 0, "")
+	c.refuse(req, ReplyUnavailable, 0, "")
 }
 
 // findOwners reads which machines the records list. Only the holder of the part
@@ -132,7 +132,7 @@
 	case c.machines[id] != nil: // learned meanwhile
 		c.onCheckin(e)
 	case rec == nil:
-		c.refuse(e.Req, 503, 0, "")
+		c.refuse(e.Req, ReplyUnavailable, 0, "")
 	case rec.listed[id]:
 		c.redirectToPart(e.Req, c.owners[id].part)
 	default:
--- a/internal/core/ownerqueries.go
+++ b/internal/core/ownerqueries.go
@@ -12,7 +12,7 @@
 // ownerQuery is a question that waits for the answer of a job's owner.
 type ownerQuery struct {
 	id     JobID
-	answer func(status int, v JobView)
+	answer func(status ReplyStatus, v JobView)
 }
 
 func newOwnerQueries() ownerQueries {
@@ -54,7 +54,7 @@
 )
 
 // askOwner asks another controller, which holds a job's part, for its state.
-func (c *Core) askOwner(p *peer, id JobID, answer func(int, JobView)) {
+func (c *Core) askOwner(p *peer, id JobID, answer func(ReplyStatus, JobView)) {
 	if c.ownerQueries.add(p.id, ownerQuery{id, answer}) {
 		c.after(queryPause, func() { c.sendOwnerQueries(p) })
 	}
@@ -92,6 +92,6 @@
 		if k := c.jobs.known[q.id]; k != nil && v.Status.Final() {
 			c.settle(q.id, k, v.Status)
 		}
-		q.answer(200, v)
+		q.answer(ReplyOK, v)
 	}
 }
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -207,17 +207,17 @@
 	m := e.Msg
 	p := c.peers[m.From]
 	if p == nil || m.Version != peerVersion {
-		c.refuse(e.Req, 400, 0, "unknown sender or version")
+		c.refuse(e.Req, ReplyMalformed, 0, "unknown sender or version")
 		return
 	}
 	reply := func(r PeerMsg) {
 		r.Version, r.From = peerVersion, c.cfg.Self
-		c.emit(Respond{Req: e.Req, Status: 200, Peer: &r})
+		c.emit(Respond{Req: e.Req, Status: ReplyOK, Peer: &r})
 	}
 	switch {
 	case m.Ping != nil:
 		if !c.makesSense(p, m.Ping) {
-			c.refuse(e.Req, 400, 0, p.nonsense)
+			c.refuse(e.Req, ReplyMalformed, 0, p.nonsense)
 			return
 		}
 		c.takePing(p, *m.Ping)
@@ -226,14 +226,14 @@
 		for _, kv := range m.Tell.Keys {
 			c.learnJob(kv, nil)
 		}
-		reply(PeerMsg{Status: 200})
+		reply(PeerMsg{Status: ReplyOK})
 	case m.Ask != nil:
 		c.answerAsk(m.Ask.IDs, func(v []JobView) { reply(PeerMsg{Views: v}) })
 	case m.Submit != nil:
 		spec := m.Submit.Spec
 		spec.ID = m.Submit.ID
 		if spec.ID == "" || spec.Tasks < 1 {
-			c.refuse(e.Req, 400, 0, "no job")
+			c.refuse(e.Req, ReplyMalformed, 0, "no job")
 			return
 		}
 		c.submit(spec, 0, "", func(r Respond) {
@@ -244,7 +244,7 @@
 			reply(a)
 		})
 	case m.Cancel != "":
-		c.cancelHere(m.Cancel, func(status int, v *JobView) {
+		c.cancelHere(m.Cancel, func(status ReplyStatus, v *JobView) {
 			r := PeerMsg{Status: status}
 			if v != nil {
 				r.Views = []JobView{*v}
@@ -252,23 +252,23 @@
 			reply(r)
 		})
 	default:
-		c.refuse(e.Req, 400, 0, "empty message")
+		c.refuse(e.Req, ReplyMalformed, 0, "empty message")
 	}
 }
 
 // onHealth tells whether this node can take requests.
 func (c *Core) onHealth(e Health) {
 	if c.storeHealth.lastOK == 0 || len(c.types) == 0 && c.now < 10*second {
-		c.refuse(e.Req, 503, 0, "starting")
+		c.refuse(e.Req, ReplyUnavailable, 0, "starting")
 		return
 	}
 	if c.storeLost(2500 * milli) {
 		for _, p := range c.peers {
 			if !p.failed && p.ping.StoreOK && c.now-p.pingAt < 3*second {
-				c.refuse(e.Req, 503, 0, "store out of reach")
+				c.refuse(e.Req, ReplyUnavailable, 0, "store out of reach")
 				return
 			}
 		}
 	}
-	c.emit(Respond{Req: e.Req, Status: 200})
+	c.emit(Respond{Req: e.Req, Status: ReplyOK})
 }
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -23,7 +23,7 @@
 	p := c.parts[m.part]
 	switch {
 	case !p.held || !p.ready:
-		c.refuse(e.Req, 503, 0, "")
+		c.refuse(e.Req, ReplyUnavailable, 0, "")
 		return
 	case !c.entitled(p):
 		// Another may have claimed the part unnoticed, and cancelled jobs of it.
@@ -148,7 +148,7 @@
 		}
 	}
 	m.orderQueued = false
-	c.emit(Respond{Req: req, Status: 200, Worker: w})
+	c.emit(Respond{Req: req, Status: ReplyOK, Worker: w})
 }
 
 // commands lists what the machine is to do now.
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -7,7 +7,7 @@
 
 // What users ask of accepted jobs: questions and cancellations.
 
-func (c *Core) answerView(req ReqID, status int, v JobView) {
+func (c *Core) answerView(req ReqID, status ReplyStatus, v JobView) {
 	c.emit(Respond{Req: req, Status: status, View: &v})
 }
 
@@ -46,13 +46,13 @@
 const retrySoon = 1
 
 func (c *Core) onQuery(e Query) {
-	c.lookUp(e.ID, func(status int, v JobView) {
-		if status == 200 {
-			c.answerView(e.Req, 200, v)
+	c.lookUp(e.ID, func(status ReplyStatus, v JobView) {
+		if status == ReplyOK {
+			c.answerView(e.Req, ReplyOK, v)
 			return
 		}
 		after := 0
-		if status == 503 {
+		if status == ReplyUnavailable {
 			after = retrySoon
 		}
 		c.refuse(e.Req, status, after, "")
@@ -61,16 +61,16 @@
 
 // lookUp finds a job's state: a final one from memory, else from its owner,
 // else from the store, which alone can say that there is no such job.
-func (c *Core) lookUp(id JobID, fn func(int, JobView)) {
+func (c *Core) lookUp(id JobID, fn func(ReplyStatus, JobView)) {
 	k := c.jobs.known[id]
 	if k != nil && k.final != "" {
-		fn(200, finalView(id, k))
+		fn(ReplyOK, finalView(id, k))
 		return
 	}
 	if j := c.jobs.held[id]; j != nil {
 		c.confirm(c.parts[j.part], func(good bool) {
 			if k := c.jobs.finished(id); k != nil {
-				fn(200, finalView(id, k))
+				fn(ReplyOK, finalView(id, k))
 			} else if j := c.jobs.held[id]; good && j != nil && !j.ending {
 				c.unfinished(id, j.view(), fn)
 			} else { // another may have read and told an end that is on its way here
@@ -88,9 +88,9 @@
 	c.lookInStore(id, fn)
 }
 
-func (c *Core) lookInStore(id JobID, fn func(int, JobView)) {
+func (c *Core) lookInStore(id JobID, fn func(ReplyStatus, JobView)) {
 	if c.storeLost(second) || c.writer.reqs.Level() < -c.writer.reqs.Capacity() {
-		fn(503, JobView{})
+		fn(ReplyUnavailable, JobView{})
 		return
 	}
 	c.get(jobKey(id), func(r GetReply) {
@@ -100,9 +100,9 @@
 			v, ok := viewOfRecord(r.KV, id)
 			switch {
 			case !ok:
-				fn(503, JobView{})
+				fn(ReplyUnavailable, JobView{})
 			case v.Status.Final():
-				fn(200, v)
+				fn(ReplyOK, v)
 			default:
 				c.unfinished(id, v, fn)
 			}
@@ -110,15 +110,15 @@
 			c.catchUp(id, func(known, ok bool) {
 				switch {
 				case !ok:
-					fn(503, JobView{})
+					fn(ReplyUnavailable, JobView{})
 				case known:
 					c.unfinished(id, JobView{ID: id, Status: StPending}, fn)
 				default:
-					fn(404, JobView{})
+					fn(ReplyNoSuchJob, JobView{})
 				}
 			})
 		default:
-			fn(503, JobView{})
+			fn(ReplyUnavailable, JobView{})
 		}
 	})
 }
@@ -170,18 +170,18 @@
 func (c *Core) onCancel(req ReqID, id JobID, first bool) {
 	answer := func(s Status) {
 		if s == "" {
-			c.refuse(req, 503, retrySoon, "")
+			c.refuse(req, ReplyUnavailable, retrySoon, "")
 			return
 		}
 		v := JobView{ID: id, Status: s}
-		c.answerView(req, 200, v)
+		c.answerView(req, ReplyOK, v)
 	}
 	k := c.jobs.known[id]
 	switch {
 	case k != nil && k.final != "":
 		answer(k.final)
 	case k != nil && c.parts[k.part].held:
-		c.cancelHere(id, func(status int, v *JobView) {
+		c.cancelHere(id, func(status ReplyStatus, v *JobView) {
 			if v == nil {
 				answer("")
 				return
@@ -205,14 +205,14 @@
 			answer("")
 		})
 	default:
-		c.lookInStore(id, func(status int, v JobView) {
+		c.lookInStore(id, func(status ReplyStatus, v JobView) {
 			switch {
-			case status == 200 && v.Status.Final():
+			case status == ReplyOK && v.Status.Final():
 				answer(v.Status)
-			case status == 200 && first:
+			case status == ReplyOK && first:
 				c.onCancel(req, id, false)
-			case status == 404:
-				c.refuse(req, 404, 0, "")
+			case status == ReplyNoSuchJob:
+				c.refuse(req, ReplyNoSuchJob, 0, "")
 			default:
 				answer("")
 			}
@@ -221,14 +221,14 @@
 }
 
 // cancelHere cancels a job of a part held here; told only after it is stored.
-func (c *Core) cancelHere(id JobID, fn func(int, *JobView)) {
+func (c *Core) cancelHere(id JobID, fn func(ReplyStatus, *JobView)) {
 	if k := c.jobs.finished(id); k != nil {
-		fn(200, &JobView{ID: id, Status: k.final})
+		fn(ReplyOK, &JobView{ID: id, Status: k.final})
 		return
 	}
 	j := c.jobs.held[id]
 	if j == nil || !c.parts[j.part].ready {
-		fn(503, nil)
+		fn(ReplyUnavailable, nil)
 		return
 	}
 	over := false
@@ -238,10 +238,10 @@
 		}
 		over = true
 		if s == "" {
-			fn(503, nil)
+			fn(ReplyUnavailable, nil)
 			return
 		}
-		fn(200, &JobView{ID: id, Status: s})
+		fn(ReplyOK, &JobView{ID: id, Status: s})
 	}
 	c.after(2800*milli, func() { done("") })
 	j.waiters = append(j.waiters, done)
--- a/internal/core/store_writes_test.go
+++ b/internal/core/store_writes_test.go
@@ -89,7 +89,7 @@
 		b.onSubmit(Submit{Req: 1 + i, Job: JobSpec{ID: "j-1", Team: "red", Tasks: 1, Need: Res{CPU: 1_000_000, Mem: 1_000_000}}})
 	}
 	b.play(second)
-	n := map[int]int{}
+	n := map[ReplyStatus]int{}
 	for _, r := range b.told {
 		n[r.Status]++
 	}
--- a/internal/core/submissions.go
+++ b/internal/core/submissions.go
@@ -57,7 +57,7 @@
 func (c *Core) answerHandedOn(spec *JobSpec, r PeerReply, answer func(Respond)) {
 	switch {
 	case r.Out != OK:
-		answer(Respond{Status: 503, RetryAfter: retrySoon, Error: "store out of reach"})
+		answer(Respond{Status: ReplyUnavailable, RetryAfter: retrySoon, Error: "store out of reach"})
 	case len(r.Msg.Views) == 1:
 		if t := c.teams[spec.Team]; t != nil {
 			c.jobs.learn(spec.ID, t.part, spec.Team, spec.Tasks)
@@ -73,18 +73,18 @@
 type submission struct {
 	core    *Core
 	spec    JobSpec
-	invalid int    // 400 or 422 where no repeat could be accepted, else 0
-	why     string // it is invalid
+	invalid ReplyStatus // 400 or 422 where no repeat could be accepted, else 0
+	why     string      // it is invalid
 	answer  func(Respond)
 }
 
 // submit takes a job, or says why not; what is accepted is stored first.
-func (c *Core) submit(spec JobSpec, bad int, why string, answer func(Respond)) {
+func (c *Core) submit(spec JobSpec, bad ReplyStatus, why string, answer func(Respond)) {
 	s := &submission{core: c, spec: spec, invalid: bad, why: why, answer: answer}
 	s.judge(false)
 }
 
-func (s *submission) refuse(status, after int, why string) {
+func (s *submission) refuse(status ReplyStatus, after int, why string) {
 	s.answer(Respond{Status: status, RetryAfter: after, Error: why})
 }
 
@@ -100,12 +100,12 @@
 		return
 	}
 	if c.storeLost(second) {
-		s.refuse(503, retryStore, "store out of reach")
+		s.refuse(ReplyUnavailable, retryStore, "store out of reach")
 		return
 	}
 	if s.invalid == 0 {
 		if len(c.types) == 0 {
-			s.refuse(503, retryStore, "machine types not known yet")
+			s.refuse(ReplyUnavailable, retryStore, "machine types not known yet")
 			return
 		}
 		s.invalid = c.neverRuns(&s.spec)
@@ -123,30 +123,30 @@
 // refuseInvalid refuses a submission that can't be accepted, unless its id was:
 // an accepted id never gets 400 or 422 later, whatever the repeat says.
 func (s *submission) refuseInvalid() {
-	s.core.lookInStore(s.spec.ID, func(status int, v JobView) {
+	s.core.lookInStore(s.spec.ID, func(status ReplyStatus, v JobView) {
 		switch status {
-		case 200:
-			s.answer(Respond{Status: 200, View: &v})
-		case 404:
+		case ReplyOK:
+			s.answer(Respond{Status: ReplyOK, View: &v})
+		case ReplyNoSuchJob:
 			s.refuse(s.invalid, 0, s.why)
 		default:
-			s.refuse(503, retryStore, "store out of reach")
+			s.refuse(ReplyUnavailable, retryStore, "store out of reach")
 		}
 	})
 }
 
 // checkAwaits looks up what the job awaits and goes on.
 func (s *submission) checkAwaits() {
-	s.core.checkAwaits(&s.spec, func(status int) {
+	s.core.checkAwaits(&s.spec, func(status ReplyStatus) {
 		switch status {
 		case 0:
 			s.invalid, s.why = 0, ""
 			s.judge(true)
-		case 422: // unless its id was accepted before
-			s.invalid, s.why = 422, "awaits a job that was never accepted"
+		case ReplyNeverRuns: // unless its id was accepted before
+			s.invalid, s.why = ReplyNeverRuns, "awaits a job that was never accepted"
 			s.judge(true)
 		default:
-			s.refuse(503, retryStore, "what it awaits can't be looked up now")
+			s.refuse(ReplyUnavailable, retryStore, "what it awaits can't be looked up now")
 		}
 	})
 }
@@ -156,12 +156,12 @@
 func (s *submission) admit() {
 	c := s.core
 	if after := c.overloaded(s.spec.Priority); after > 0 {
-		s.refuse(429, after, "too many submissions of this priority")
+		s.refuse(ReplyTooMany, after, "too many submissions of this priority")
 		return
 	}
 	c.shorten(&s.spec)
 	if v, _ := json.Marshal(jobRecord{Spec: &s.spec}); len(v) > c.cfg.ValueBytes*4/5 {
-		s.refuse(503, 30, "awaits more unfinished jobs than fit into a record")
+		s.refuse(ReplyUnavailable, 30, "awaits more unfinished jobs than fit into a record")
 		return
 	}
 	s.spec.Submitted = c.wall
@@ -184,27 +184,27 @@
 
 // repeat answers a submission of a job that is known already.
 func (c *Core) repeat(answer func(Respond), id JobID) {
-	c.lookUp(id, func(status int, v JobView) {
-		if status == 200 {
-			answer(Respond{Status: 200, View: &v})
+	c.lookUp(id, func(status ReplyStatus, v JobView) {
+		if status == ReplyOK {
+			answer(Respond{Status: ReplyOK, View: &v})
 			return
 		}
-		answer(Respond{Status: 503, RetryAfter: retrySoon})
+		answer(Respond{Status: ReplyUnavailable, RetryAfter: retrySoon})
 	})
 }
 
 // neverRuns returns 422 for a job that no machine or quota could ever take.
-func (c *Core) neverRuns(s *JobSpec) int {
+func (c *Core) neverRuns(s *JobSpec) ReplyStatus {
 	t := c.teams[s.Team]
 	if t == nil || s.Need.CPU > t.Limit.CPU || s.Need.GPU > t.Limit.GPU {
-		return 422
+		return ReplyNeverRuns
 	}
 	for _, name := range sortedKeys(c.types) {
 		if c.allows(s, c.types[name], "") {
 			return 0
 		}
 	}
-	return 422
+	return ReplyNeverRuns
 }
 
 // allows tells whether a type, and with it one of its zones, is allowed for a
--- a/internal/core/zone_cut_guards_test.go
+++ b/internal/core/zone_cut_guards_test.go
@@ -12,7 +12,7 @@
 // not started again.
 
 // reportStatus is the status with which a report of a machine is answered.
-func reportStatus(b *coreHarness, m *machine) int {
+func reportStatus(b *coreHarness, m *machine) ReplyStatus {
 	b.out = nil
 	b.onCheckin(Checkin{Req: 1, Report: Report{Machine: m.id, Addr: m.addr, Session: m.session, Stamp: m.stamp + 1, Token: m.token, Notice: -1}})
 	b.now += reportHold
@@ -48,7 +48,7 @@
 		name   string
 		after  Time
 		hears  bool // the other controller in the zone
-		status int
+		status ReplyStatus
 	}{
 		{"hears nobody, within the lease", config.Lease - 2*second, false, 200},
 		{"hears nobody, after the lease", config.Lease + second, false, 421},
--- a/internal/standin/meetings.go
+++ b/internal/standin/meetings.go
@@ -356,9 +356,9 @@
 		w.more.odd++
 		s := core.JobSpec{ID: core.JobID(fmt.Sprintf("j-7%05d", w.more.odd)), Class: "odd", Team: w.cfg.Teams[0].Name, Priority: core.Normal,
 			Tasks: 1, Need: core.Res{CPU: 1_000_000_000, Mem: 1_000_000}, Image: "img", ImageGB: 1, RuntimeS: 5}
-		bad, want, what := 0, 422, "jobs that fit no machine"
+		bad, want, what := core.ReplyNone, core.ReplyNeverRuns, "jobs that fit no machine"
 		if kind == 3 {
-			s.Need.CPU, bad, want, what = 1_000_000, 400, 400, "malformed jobs"
+			s.Need.CPU, bad, want, what = 1_000_000, core.ReplyMalformed, core.ReplyMalformed, "malformed jobs"
 		}
 		w.Ask(w.any(), func(r core.ReqID) core.Event { return core.Submit{Req: r, Job: s, Bad: bad} }, func(r core.Respond) {
 			if r.Status != 0 && r.Status != 503 && r.Status != want && (r.Status != 429 || bad != 0) {
--- a/internal/users/users.go
+++ b/internal/users/users.go
@@ -60,7 +60,7 @@
 			return
 		}
 		// The id may be that of a known job, which only the core can tell.
-		submit.Bad = http.StatusBadRequest
+		submit.Bad = core.ReplyMalformed
 		submit.Why = err.Error()
 	}
 	h.ask(w, r, func(id core.ReqID) core.Event {
@@ -108,11 +108,11 @@
 	switch {
 	case answer.View != nil:
 		w.Header().Set("Content-Type", wire.JSON)
-		w.WriteHeader(answer.Status)
+		w.WriteHeader(int(answer.Status))
 		_, _ = w.Write(wire.EncodeView(*answer.View))
-	case answer.Status == http.StatusOK:
+	case answer.Status == core.ReplyOK:
 		w.WriteHeader(http.StatusOK)
 	default:
-		http.Error(w, answer.Error, answer.Status)
+		http.Error(w, answer.Error, int(answer.Status))
 	}
 }
--- a/internal/wire/worker.go
+++ b/internal/wire/worker.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net/http"
 	"strings"
 
 	"stairrelay/internal/core"
@@ -175,8 +174,8 @@
 
 // EncodeWorkerAnswer writes the body of an answer to a report: a redirection
 // with status 421, otherwise commands.
-func EncodeWorkerAnswer(status int, answer core.WorkerAnswer) []byte {
-	if status == http.StatusMisdirectedRequest {
+func EncodeWorkerAnswer(status core.ReplyStatus, answer core.WorkerAnswer) []byte {
+	if status == core.ReplyElsewhere {
 		return marshal(redirection{Node: answer.Redirect})
 	}
 	return marshal(workerAnswer{
--- a/internal/workers/handler.go
+++ b/internal/workers/handler.go
@@ -44,11 +44,11 @@
 		return
 	}
 	if answer.Worker == nil {
-		http.Error(w, answer.Error, answer.Status)
+		http.Error(w, answer.Error, int(answer.Status))
 		return
 	}
 	w.Header().Set("Content-Type", wire.JSON)
-	w.WriteHeader(answer.Status)
+	w.WriteHeader(int(answer.Status))
 	_, _ = w.Write(wire.EncodeWorkerAnswer(answer.Status, *answer.Worker))
 }
 
