Workers keep their connections unless one of them had to make room

While all workers look for their owner more than fifteen sixteenths of the connections are taken for a moment, and then every worker was told to close for a minute: a connection for each report, when the processors were fully used already.

Change: above fifteen sixteenths only the answers given then close; the minute follows only when a new connection found no room but a worker's. TestManyConnections and TestMoreWorkersThanConnections hold.

--- a/internal/sockets/front.go
+++ b/internal/sockets/front.go
@@ -23,9 +23,11 @@
 	workersClosed = 15
 )
 
-// sharedFor is how long workers go on being told to close. With more workers than
-// connections each has one for the length of a report; kept again as soon as
-// there is room, they would fill it up within a report's interval.
+// sharedFor is how long workers go on being told to close after a new connection
+// found no room but a worker's. With so many more workers than connections each
+// has one for the length of a report; kept again as soon as there is room, they
+// would fill it up within a report's interval. Short of that only those above
+// the share are closed: a connection for each report costs processor time.
 const sharedFor = time.Minute
 
 // Front counts the connections of workers and users, and has them closed when
@@ -149,6 +151,7 @@
 	idle := f.idleUsers.Front()
 	if idle == nil {
 		idle = f.idleWorkers.Back()
+		f.sharedUntil = time.Now().Add(sharedFor)
 	}
 	if idle == nil {
 		return
@@ -165,7 +168,7 @@
 }
 
 // Workers marks the connections of those that handler serves as workers'. While
-// nearly all connections are taken, and for a while after, they are told to close.
+// nearly all connections are taken, and for a while after there were too few, they are told to close.
 func (f *Front) Workers(handler http.Handler) http.Handler {
 	return f.marked(handler, f.markWorker)
 }
@@ -198,11 +201,7 @@
 	if f.limit <= 0 {
 		return false
 	}
-	now := time.Now()
-	if f.above(workersClosed) {
-		f.sharedUntil = now.Add(sharedFor)
-	}
-	return now.Before(f.sharedUntil)
+	return f.above(workersClosed) || time.Now().Before(f.sharedUntil)
 }
 
 // above tells whether more than a share of the connections is taken.
