The test of more workers than connections waits for closed ones to be noticed

It failed once of two whole runs of the check, on a busy machine: closed connections still counted, and a worker's was closed to make room, as it should be. What it asserts is unchanged.

--- a/internal/sockets/many_workers_test.go
+++ b/internal/sockets/many_workers_test.go
@@ -21,6 +21,24 @@
 	return listener.Addr().String()
 }
 
+// awaitClosed waits until the server has noticed the closing of all connections
+// but those that are kept: until then each counts, and on a busy machine the next
+// worker might be given another's place.
+func awaitClosed(t *testing.T, f *Front, connections []net.Conn) {
+	t.Helper()
+	kept := 0
+	for _, c := range connections {
+		if c != nil {
+			kept++
+		}
+	}
+	for end := time.Now().Add(5 * time.Second); f.Open() > kept; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d connections are open, %d are kept", f.Open(), kept)
+		}
+	}
+}
+
 // TestMoreWorkersThanConnections: a controller that is left alone has more
 // machines than it may have connections. Each worker's every report is answered,
 // on a connection of its own that it is told to close where nearly all are
@@ -55,6 +73,7 @@
 			if response.Close {
 				_ = connections[i].Close()
 				connections[i] = nil
+				awaitClosed(t, f, connections)
 			}
 			mostOpen = max(mostOpen, f.Open())
 		}
