Review cases: controllers and stand-ins end with an interrupted case; small tasks of 0.05 CPUs

Case 2 submits just after a report was answered, so that the start is a direct command. Case 3 uses arrays of 320 tasks of 0.05 CPUs: 1,200 of them on one machine are enough.

--- a/review/standin/case1.go
+++ b/review/standin/case1.go
@@ -183,13 +183,7 @@
 			p.mu.Lock()
 			p.memoryKills++
 			p.mu.Unlock()
-			time.AfterFunc(p.site.restartAfter, func() {
-				select {
-				case <-p.stop:
-				default:
-					p.restart(i)
-				}
-			})
+			time.AfterFunc(p.site.restartAfter, func() { p.restart(i) })
 		}
 	}
 }
--- a/review/standin/case2.go
+++ b/review/standin/case2.go
@@ -16,7 +16,7 @@
 	}
 	p.useLinks = true
 	defer p.close()
-	p.cloud.addUp(kostka4.Name, 2)
+	p.cloud.addUp(kostka4.Name, 1)
 	if err := p.startAll(20 * time.Second); err != nil {
 		return verdict{err: err}
 	}
@@ -43,7 +43,9 @@
 // moveTask lets a task of a job start on a machine, be stopped there for an urgent job, and
 // start on the other machine. It returns the first machine once that has no task any more.
 func (p *platform) moveTask(moved submission) (string, error) {
-	time.Sleep(3 * time.Second) // until both machines are registered
+	if err := p.waitAnswered(); err != nil {
+		return "", err
+	}
 	if err := p.submit(moved, 90*time.Second); err != nil {
 		return "", err
 	}
@@ -51,6 +53,7 @@
 	if err != nil {
 		return "", err
 	}
+	p.cloud.addUp(kostka4.Name, 1)
 	other := array(2, "occupancy-rollup", "mapy", "normal", 1, 4, 3.4, 15)
 	if err := p.submit(other, 15*time.Second); err != nil {
 		return "", err
@@ -74,6 +77,23 @@
 	return first, nil
 }
 
+// waitAnswered waits until a report of the only machine has just been answered. A task that
+// is submitted then is started by a direct command, before the machine's next report.
+func (p *platform) waitAnswered() error {
+	for p.record.since() < 30 {
+		p.world.mu.Lock()
+		for _, machine := range p.world.machines {
+			if machine.answered > 1 && !machine.changed && time.Since(machine.leaseFrom) < 200*time.Millisecond {
+				p.world.mu.Unlock()
+				return nil
+			}
+		}
+		p.world.mu.Unlock()
+		time.Sleep(20 * time.Millisecond)
+	}
+	return errors.New("no report is answered in time")
+}
+
 // waitOn waits until a task is on a machine other than the given one, and returns the machine.
 func (p *platform) waitOn(leg, except string) (string, error) {
 	for p.record.since() < 70 {
--- a/review/standin/case3.go
+++ b/review/standin/case3.go
@@ -7,7 +7,9 @@
 
 const (
 	pingJobs    = 4 // a burst of factor 4
-	pingLegs    = 600
+	pingLegs    = 320
+	pingCPUs    = 0.05
+	pingGB      = 0.4
 	pingRun     = 8 * time.Second
 	pingSpacing = 25 * time.Second
 )
@@ -29,7 +31,8 @@
 	time.Sleep(4 * time.Second)
 	var unfinished []string
 	for i := range pingJobs {
-		pings := array(i+1, "kiosk-ping", "fares-desk-1", "normal", pingLegs, 0.02, 0.1, pingRun.Seconds())
+		crew := []string{"fares-desk-1", "fares-desk-4"}[i%2]
+		pings := array(i+1, "kiosk-ping", crew, "normal", pingLegs, pingCPUs, pingGB, pingRun.Seconds())
 		if err := p.submit(pings, pingRun); err != nil {
 			return verdict{err: err}
 		}
@@ -47,8 +50,8 @@
 	}
 	broken := append(p.world.violations(), p.world.longLines()...)
 	for _, id := range unfinished {
-		broken = append(broken, fmt.Sprintf("an accepted job must run: %s, %d tasks of 0.02 CPUs and %v, is not done %.0f s after the last submission",
-			id, pingLegs, pingRun, record.since()-submitted))
+		broken = append(broken, fmt.Sprintf("an accepted job must run: %s, %d tasks of %.2f CPUs and %v, is not done %.0f s after the last submission",
+			id, pingLegs, pingCPUs, pingRun, record.since()-submitted))
 	}
 	return verdict{broken: broken}
 }
--- a/review/standin/platform.go
+++ b/review/standin/platform.go
@@ -8,13 +8,18 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
+// maxCaseTime is how long a case may take.
+const maxCaseTime = 118 * time.Second
+
 // site is what the settings of a deployment say.
 type site struct {
 	teams                      string // the tables of the teams
@@ -47,6 +52,7 @@
 	processes []*process
 	links     map[string]*link // by machine
 
+	closed      bool
 	memoryKills int // controllers ended because they held too much memory
 }
 
@@ -75,6 +81,9 @@
 	return listener.Addr().String(), nil
 }
 
+// errClosed means that a controller was to be started after the end of the case.
+var errClosed = errors.New("the case is over")
+
 // deployRun returns the command that starts a controller, from the deploy file.
 func deployRun(root string) ([]string, error) {
 	text, err := os.ReadFile(filepath.Join(root, "deploy", "service.toml"))
@@ -133,9 +142,25 @@
 	}
 	p.world.nodes = p.nodes
 	p.cloud.onBoot, p.cloud.onGone = p.boot, p.world.remove
+	go p.endIfInterrupted()
 	return p, p.writeSettings()
 }
 
+// endIfInterrupted ends everything if the case is interrupted or takes too long.
+func (p *platform) endIfInterrupted() {
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, os.Interrupt, syscall.SIGTERM)
+	select {
+	case <-p.stop:
+		return
+	case <-interrupted:
+	case <-time.After(maxCaseTime):
+	}
+	p.record.event("interrupted")
+	p.close()
+	os.Exit(exitNotRun)
+}
+
 // boot starts the worker of a machine that is up.
 func (p *platform) boot(machine *coach) {
 	listener, err := new(net.ListenConfig).Listen(context.Background(), "tcp", "127.0.0.1:0")
@@ -210,13 +235,16 @@
 	command := exec.CommandContext(context.Background(), p.run[0], arguments...)
 	command.Stderr = log
 	command.Env = append(os.Environ(), "LOG_LEVEL="+logLevel())
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return errClosed
+	}
 	if err := command.Start(); err != nil {
 		return err
 	}
 	started := &process{command: command, ended: make(chan struct{})}
-	p.mu.Lock()
 	p.processes[i] = started
-	p.mu.Unlock()
 	p.record.event("controller_started", "node", p.nodes[i].name)
 	go func() {
 		_ = command.Wait()
@@ -281,15 +309,22 @@
 	return err == nil && status == http.StatusOK
 }
 
-// close ends everything that the platform started.
+// close ends everything that the platform started. Only the first call has an effect.
 func (p *platform) close() {
+	p.mu.Lock()
+	closed := p.closed
+	p.closed = true
+	p.mu.Unlock()
+	if closed {
+		return
+	}
+	close(p.stop) // before the controllers are ended, so that none is started again
 	for i := range p.nodes {
 		if running := p.process(i); running != nil {
 			_ = running.command.Process.Kill()
 			<-running.ended
 		}
 	}
-	close(p.stop)
 	p.world.mu.Lock()
 	machines := make([]*worker, 0, len(p.world.machines))
 	for _, machine := range p.world.machines {
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -107,6 +107,7 @@
 	hung                bool
 	longestLine         int
 	reportsRefused      int // with 400
+	answered            int // reports that were answered and counted
 	answeredBy          int // the controller that answered the last report
 	stop                context.CancelFunc
 	server              *http.Server
@@ -415,6 +416,7 @@
 		m.baton, m.changed = *reply.Baton, true
 	}
 	m.leaseFrom, m.answeredBy = sent, current
+	m.answered++
 	m.advance()
 	m.execute(reply.Dispatches, "checkin")
 	return current, false, true
