--- a/review/standin/platform.go
+++ b/review/standin/platform.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -62,12 +63,19 @@
 	ended   chan struct{} // closed when the process has ended
 }
 
+// freeAddress returns a loopback address with a free port. The port is below those that the
+// system gives to outgoing connections and to listeners without a port of their own, so that
+// it stays free while a controller is down.
 func freeAddress() (string, error) {
-	listener, err := new(net.ListenConfig).Listen(context.Background(), "tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	const lowestPort, ports, attempts = 20_000, 12_000, 100
+	for range attempts {
+		address := fmt.Sprintf("127.0.0.1:%d", lowestPort+rand.IntN(ports))
+		listener, err := new(net.ListenConfig).Listen(context.Background(), "tcp", address)
+		if err == nil {
+			return address, listener.Close()
+		}
 	}
-	return listener.Addr().String(), listener.Close()
+	return "", errors.New("no free port")
 }
 
 func (p *platform) serve(handler http.Handler) (string, error) {
