--- a/review/standin/case1.go
+++ b/review/standin/case1.go
@@ -20,7 +20,7 @@
 	settledUse = 80 * time.Millisecond
 	settleTime = 5 * time.Second
 	settleBy   = 75 // seconds after the start of the case
-	caseEnd    = 114 * time.Second
+	caseEnd    = 109 * time.Second
 	// quickBoot is the boot time of machines that are up within a second or two.
 	quickBoot = 2 * time.Second
 )
