Logs show under which token an unrecorded task was started, and stats count doubtful starts and token raises

Cause: when a worker reports a task that no record lists, the log could not tell a start of the present owner from a late start of an earlier one, and stats could not tell a start that had no answer from one that had. No decision changes.

--- a/internal/controller/stats.go
+++ b/internal/controller/stats.go
@@ -14,6 +14,8 @@
 	Queries       int
 	Cancellations int
 	CommandPushes int
+	// StartsInDoubt is the number of pushes with starts whose outcome is unknown.
+	StartsInDoubt int
 	// MachineScans is the number of machines that were passed to AddMachineScans. A
 	// machine is counted in each call.
 	MachineScans int
@@ -22,6 +24,9 @@
 // AddCommandPush counts a push of commands to a worker.
 func (n *Counters) AddCommandPush() { n.CommandPushes++ }
 
+// AddStartInDoubt counts a push with starts whose outcome is unknown.
+func (n *Counters) AddStartInDoubt() { n.StartsInDoubt++ }
+
 // AddMachineScans counts one visit of each of the machines.
 func (n *Counters) AddMachineScans(machines []*state.Machine) { n.MachineScans += len(machines) }
 
@@ -121,6 +126,8 @@
 		"queries", counts.Queries,
 		"cancellations", counts.Cancellations,
 		"command_pushes", counts.CommandPushes,
+		"starts_in_doubt", counts.StartsInDoubt,
+		"token_raises", c.inventory.TakeTokenRaiseCount(),
 		"transactions", writes.Transactions,
 		"puts", writes.Puts,
 		"acquires", writes.PutsByPriority[writequeue.PriorityClaim],
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -115,6 +115,8 @@
 	names      *RecordNames
 	ownerHints ownerHints
 
+	tokenRaises int // since TakeTokenRaiseCount was last called
+
 	shards    Shards
 	jobs      Jobs
 	workers   Workers
--- a/internal/inventory/machines.go
+++ b/internal/inventory/machines.go
@@ -86,6 +86,15 @@
 // raised or the machine is being released.
 func (inv *Inventory) RaiseToken(machine *state.Machine) {
 	if machine.BeginTokenRaise() {
+		inv.tokenRaises++
 		inv.WriteMachine(machine, writequeue.PriorityStart)
 	}
 }
+
+// TakeTokenRaiseCount returns the number of token raises that were begun since it was last
+// called.
+func (inv *Inventory) TakeTokenRaiseCount() int {
+	count := inv.tokenRaises
+	inv.tokenRaises = 0
+	return count
+}
--- a/internal/reconcile/harness_test.go
+++ b/internal/reconcile/harness_test.go
@@ -106,6 +106,7 @@
 func (h *harness) AddServed(cluster.Time)                             {}
 func (h *harness) AddMachineScans([]*state.Machine)                   {}
 func (h *harness) AddCommandPush()                                    {}
+func (h *harness) AddStartInDoubt()                                   {}
 
 func (h *harness) RecentShardOf(cluster.MachineID, cluster.Time) (cluster.ShardID, bool) {
 	return 0, false
--- a/internal/reconcile/push.go
+++ b/internal/reconcile/push.go
@@ -107,6 +107,7 @@
 		machine.ResetSentStops()
 		if len(starts) > 0 {
 			machine.MarkStartInDoubt()
+			c.deps.Metrics.AddStartInDoubt()
 			c.deps.Machines.RaiseToken(machine)
 		}
 	}
--- a/internal/reconcile/reconciler.go
+++ b/internal/reconcile/reconciler.go
@@ -115,6 +115,8 @@
 	AddMachineScans(machines []*state.Machine)
 	// AddCommandPush counts a push of commands to a worker.
 	AddCommandPush()
+	// AddStartInDoubt counts a push with starts whose outcome is unknown.
+	AddStartInDoubt()
 }
 
 // Dependencies are the other components of the controller that the reconciler uses.
--- a/internal/reconcile/status.go
+++ b/internal/reconcile/status.go
@@ -64,7 +64,7 @@
 		reported[state.TaskAttempt{Task: task.Task, Attempt: task.Attempt}] = true
 		assignment := machine.Assignments[task.Task]
 		if assignment == nil || assignment.Attempt != task.Attempt {
-			r.handleUnrecorded(machine, task)
+			r.handleUnrecorded(machine, task, status.FencingToken)
 			continue
 		}
 		r.applyTaskStatus(machine, assignment, task)
--- a/internal/reconcile/unrecorded.go
+++ b/internal/reconcile/unrecorded.go
@@ -9,8 +9,9 @@
 // handleUnrecorded handles a reported task attempt that is not assigned to the machine. If
 // the attempt is running, it is stopped, because the task may already be starting on another
 // machine. If it has ended, the end is acknowledged, unless it is a completion that has to
-// be stored first.
-func (r *Reconciler) handleUnrecorded(machine *state.Machine, task *cluster.TaskStatus) {
+// be stored first. The argument seen is the highest token that the worker has seen. If it is
+// lower than the machine's token, the start was sent under an earlier one.
+func (r *Reconciler) handleUnrecorded(machine *state.Machine, task *cluster.TaskStatus, seen cluster.FencingToken) {
 	attempt := state.TaskAttempt{Task: task.Task, Attempt: task.Attempt}
 	if r.applyUnrecordedCompletion(machine, task) {
 		return
@@ -21,7 +22,7 @@
 		return
 	}
 	if !machine.UnrecordedToStop[attempt] {
-		r.loop.Log(messages.LogInfo, "worker runs a task attempt that the machine's record does not list; stopping it", "machine", string(machine.ID), "task", task.Task.String(), "attempt", uint64(task.Attempt))
+		r.loop.Log(messages.LogInfo, "worker runs a task attempt that the machine's record does not list; stopping it", "machine", string(machine.ID), "task", task.Task.String(), "attempt", uint64(task.Attempt), "seen_token", uint64(seen), "token", uint64(machine.Token))
 	}
 	machine.UnrecordedToStop[attempt] = true
 }
