Workers forget an attempt only under a token that rejects copies of its pushed start

Cause: a start is pushed under the machine's token. Once the attempt had ended it was acknowledged under the same token, so that the worker forgot it, and nothing distinguished a late copy of the push from a new command. Only pushes without an answer were fenced; a copy of an answered one may come as well. Change: ended attempts are acknowledged only under a token that is higher than those of all pushed starts (acknowledgements.go). The worker adopts the token of a response before it executes its commands, so it either holds the attempt, and ignores the copy, or rejects the copy. The token advances to the revision at which the machine's group record was last stored: no write is needed, and every later claim or transfer has a higher revision. Nothing waits for the worker to see it: RequiredToken is the token that fences off earlier owners, and counts as acknowledged as before. For is split into stops, starts and acknowledgements. Tests: the simulation delivers executed pushes again (a fifth of them, up to 120 s late). The harness of reconcile records writes; no assertion was changed.

--- a/internal/controller/random_faults_test.go
+++ b/internal/controller/random_faults_test.go
@@ -30,6 +30,7 @@
 // requiredRandomFaults are the kinds of faults that must occur in the random runs.
 var requiredRandomFaults = []simulation.FaultKind{
 	simulation.FaultCommandToUnreachableMachine,
+	simulation.FaultRepeatedStart,
 	simulation.FaultResponseToUnreachableMachine,
 	simulation.FaultDuplicateHeartbeat,
 	simulation.FaultDuplicateHeartbeatOfRemovedMachine,
@@ -203,10 +204,11 @@
 }
 
 // enableRandomMessageFaults enables random message faults. Messages sent during a partition
-// may arrive after it, heartbeats may arrive twice, and peer messages may be slow.
+// may arrive after it, heartbeats and pushes may arrive twice, and peer messages may be slow.
 func enableRandomMessageFaults(sim *simulation.Simulator) {
 	sim.Network.LateDelivery = true
 	sim.Network.HeartbeatDuplicateChance = 0.03
+	sim.Network.PushRepeatChance = 0.2
 	sim.Network.SlowPeerChance = 0.03
 }
 
--- a/internal/controller/stats.go
+++ b/internal/controller/stats.go
@@ -16,6 +16,8 @@
 	CommandPushes int
 	// StartsInDoubt is the number of pushes with starts whose outcome is unknown.
 	StartsInDoubt int
+	// TokenAdvances is the number of fencing tokens that were raised without a write.
+	TokenAdvances int
 	// MachineScans is the number of machines that were passed to AddMachineScans. A
 	// machine is counted in each call.
 	MachineScans int
@@ -27,6 +29,9 @@
 // AddStartInDoubt counts a push with starts whose outcome is unknown.
 func (n *Counters) AddStartInDoubt() { n.StartsInDoubt++ }
 
+// AddTokenAdvance counts a fencing token that was raised without a write.
+func (n *Counters) AddTokenAdvance() { n.TokenAdvances++ }
+
 // AddMachineScans counts one visit of each of the machines.
 func (n *Counters) AddMachineScans(machines []*state.Machine) { n.MachineScans += len(machines) }
 
@@ -128,6 +133,7 @@
 		"command_pushes", counts.CommandPushes,
 		"starts_in_doubt", counts.StartsInDoubt,
 		"token_raises", c.inventory.TakeTokenRaiseCount(),
+		"token_advances", counts.TokenAdvances,
 		"transactions", writes.Transactions,
 		"puts", writes.Puts,
 		"acquires", writes.PutsByPriority[writequeue.PriorityClaim],
--- /dev/null
+++ b/internal/reconcile/acknowledgements.go
@@ -0,0 +1,61 @@
+package reconcile
+
+import (
+	"stairrelay/internal/cluster"
+	"stairrelay/internal/state"
+	"stairrelay/internal/writequeue"
+)
+
+// acknowledgements returns the commands that acknowledge the machine's ended attempts whose
+// outcome is stored or need not be stored. It returns none while the worker might execute a
+// late copy of a pushed start after it has forgotten the attempt.
+func (c *Commands) acknowledgements(machine *state.Machine) []cluster.Command {
+	attempts := attemptsToAcknowledge(machine)
+	if len(attempts) == 0 || !c.fencePushedStarts(machine) {
+		return nil
+	}
+	commands := make([]cluster.Command, 0, len(attempts))
+	for _, attempt := range attempts {
+		commands = append(commands, cluster.Command{Kind: cluster.Acknowledge, Task: attempt.Task, Attempt: attempt.Attempt})
+	}
+	return commands
+}
+
+// attemptsToAcknowledge returns the ended attempts to acknowledge: those of completed tasks
+// whose outcomes are stored, and those that the record no longer lists.
+func attemptsToAcknowledge(machine *state.Machine) []state.TaskAttempt {
+	var attempts []state.TaskAttempt
+	for _, assignment := range machine.SortedAssignments() {
+		if !assignment.ConfirmedAbsent && assignment.IsCompleted() && assignment.IsOutcomeStored() {
+			attempts = append(attempts, assignment.TaskAttempt())
+		}
+	}
+	return append(attempts, state.SortedAttempts(machine.EndedToAcknowledge)...)
+}
+
+// fencePushedStarts reports whether the machine's token is higher than those of all starts
+// that were pushed to it, and advances the token if necessary.
+//
+// A worker ignores the start of an attempt that it holds, but after the acknowledgement it
+// forgets the attempt. A copy of a push may arrive minutes later, even if the push was
+// answered. Because the worker adopts the token before it executes an acknowledgement, it
+// rejects such a copy. A start in a heartbeat response needs no fence: the worker drops late
+// responses.
+func (c *Commands) fencePushedStarts(machine *state.Machine) bool {
+	switch {
+	case machine.StartInDoubt || machine.RaisingToken:
+		return false // the token is being raised
+	case machine.RejectsPushedStarts(machine.Token):
+		return true
+	case machine.PushInFlight:
+		return false // the worker would reject the push
+	case machine.AdvanceToken():
+		c.deps.Metrics.AddTokenAdvance()
+		return true
+	}
+	if !machine.Group.WritePending {
+		// The token can be advanced once the record has been stored again.
+		c.deps.Machines.WriteMachine(machine, writequeue.PriorityBackground)
+	}
+	return false
+}
--- a/internal/reconcile/commands.go
+++ b/internal/reconcile/commands.go
@@ -17,34 +17,50 @@
 
 // For returns the commands to send to a machine now, with the starts last. If urgentOnly
 // is true, it omits the commands that can wait for the machine's next heartbeat and the
-// stops that were already sent. It marks the stops that it returns as sent.
+// stops that were already sent. It marks the stops that it returns as sent. To acknowledge
+// ended attempts, it may advance the machine's token.
 func (c *Commands) For(machine *state.Machine, urgentOnly bool) []cluster.Command {
-	var commands, starts []cluster.Command
-	mayStart := c.mayStartOn(machine)
+	commands := c.stops(machine, urgentOnly)
+	if !urgentOnly {
+		commands = append(commands, unrecordedStops(machine)...)
+		commands = append(commands, c.acknowledgements(machine)...)
+	}
+	return append(commands, c.starts(machine)...)
+}
+
+// stops returns the stops of the machine's assignments that are due.
+func (c *Commands) stops(machine *state.Machine, urgentOnly bool) []cluster.Command {
+	var stops []cluster.Command
 	for _, assignment := range machine.SortedAssignments() {
-		if assignment.ConfirmedAbsent {
-			continue
-		}
-		switch assignment.Phase {
-		case state.PhaseRecording:
-		case state.PhaseReady:
-			if mayStart && assignment.Job.IsActive() && !machine.HasStaleAttempt(assignment.Task) {
-				starts = append(starts, cluster.Command{Kind: cluster.Start, Task: assignment.Task, Attempt: assignment.Attempt})
-			}
-		case state.PhaseDispatched, state.PhaseAcknowledged, state.PhaseUnverified:
-			if c.isStopDue(assignment, urgentOnly) {
-				commands = append(commands, c.stop(assignment))
-			}
-		case state.PhaseEnded:
-			if !urgentOnly && !machine.StartInDoubt && assignment.IsCompleted() && assignment.IsOutcomeStored() {
-				commands = append(commands, acknowledge(assignment.TaskAttempt()))
-			}
+		if assignment.MayRun() && c.isStopDue(assignment, urgentOnly) {
+			stops = append(stops, c.stop(assignment))
 		}
 	}
-	if !urgentOnly {
-		commands = append(commands, cleanupCommands(machine)...)
+	return stops
+}
+
+// unrecordedStops returns the stops of the running attempts that the record does not list.
+func unrecordedStops(machine *state.Machine) []cluster.Command {
+	var stops []cluster.Command
+	for _, attempt := range state.SortedAttempts(machine.UnrecordedToStop) {
+		stops = append(stops, cluster.Command{Kind: cluster.Stop, Task: attempt.Task, Attempt: attempt.Attempt})
 	}
-	return append(commands, starts...)
+	return stops
+}
+
+// starts returns the starts of the recorded tasks that may be sent now.
+func (c *Commands) starts(machine *state.Machine) []cluster.Command {
+	if !c.mayStartOn(machine) {
+		return nil
+	}
+	var starts []cluster.Command
+	for _, assignment := range machine.SortedAssignments() {
+		isReady := assignment.Phase == state.PhaseReady && !assignment.ConfirmedAbsent
+		if isReady && assignment.Job.IsActive() && !machine.HasStaleAttempt(assignment.Task) {
+			starts = append(starts, cluster.Command{Kind: cluster.Start, Task: assignment.Task, Attempt: assignment.Attempt})
+		}
+	}
+	return starts
 }
 
 // mayStartOn reports whether starts may be sent to a machine now. No starts are sent while
@@ -80,28 +96,6 @@
 	return cluster.Command{Kind: cluster.Stop, Task: assignment.Task, Attempt: assignment.Attempt, GraceSeconds: grace}
 }
 
-// cleanupCommands returns the commands that stop unrecorded tasks, and those that
-// acknowledge ended attempts whose outcome is stored or need not be stored. While the
-// outcome of a pushed start is unknown, no end is acknowledged, because the worker forgets
-// an acknowledged attempt and would execute a delayed copy of its start.
-func cleanupCommands(machine *state.Machine) []cluster.Command {
-	var commands []cluster.Command
-	for _, attempt := range state.SortedAttempts(machine.UnrecordedToStop) {
-		commands = append(commands, cluster.Command{Kind: cluster.Stop, Task: attempt.Task, Attempt: attempt.Attempt})
-	}
-	if machine.StartInDoubt {
-		return commands
-	}
-	for _, attempt := range state.SortedAttempts(machine.EndedToAcknowledge) {
-		commands = append(commands, acknowledge(attempt))
-	}
-	return commands
-}
-
-func acknowledge(attempt state.TaskAttempt) cluster.Command {
-	return cluster.Command{Kind: cluster.Acknowledge, Task: attempt.Task, Attempt: attempt.Attempt}
-}
-
 // onlyStops returns the stops among commands. Stops are safe to send before the worker has
 // acknowledged the current token. If they had to wait until a higher token is stored, an
 // outage of the store could delay a cancellation past its deadline.
--- a/internal/reconcile/harness_test.go
+++ b/internal/reconcile/harness_test.go
@@ -35,7 +35,8 @@
 	interruptions int
 	raisedTokens  []cluster.MachineID
 	checkedOwners []cluster.MachineID
-	recordReads   int // calls of ReadRecordedMachines
+	writes        []writequeue.Priority // of the writes of machines' records
+	recordReads   int                   // calls of ReadRecordedMachines
 	registered    []cluster.MachineID
 }
 
@@ -89,7 +90,6 @@
 
 func (h *harness) CanAnswerWorkers(*state.Shard) bool                 { return !h.cannotAnswer }
 func (h *harness) CanStartTasks(*state.Shard) bool                    { return !h.cannotStart }
-func (h *harness) WriteMachine(*state.Machine, writequeue.Priority)   {}
 func (h *harness) WriteJob(*state.Job, writequeue.Priority)           {}
 func (h *harness) RecordRuntime(*state.Machine, *state.Assignment)    {}
 func (h *harness) ExpectedRemainingSeconds(*state.Assignment) float64 { return h.remainingSeconds }
@@ -107,6 +107,7 @@
 func (h *harness) AddMachineScans([]*state.Machine)                   {}
 func (h *harness) AddCommandPush()                                    {}
 func (h *harness) AddStartInDoubt()                                   {}
+func (h *harness) AddTokenAdvance()                                   {}
 
 func (h *harness) RecentShardOf(cluster.MachineID, cluster.Time) (cluster.ShardID, bool) {
 	return 0, false
@@ -128,6 +129,10 @@
 	done()
 }
 
+func (h *harness) WriteMachine(_ *state.Machine, priority writequeue.Priority) {
+	h.writes = append(h.writes, priority)
+}
+
 func (h *harness) RaiseToken(machine *state.Machine) {
 	machine.RaisingToken = true
 	h.raisedTokens = append(h.raisedTokens, machine.ID)
--- a/internal/reconcile/push.go
+++ b/internal/reconcile/push.go
@@ -70,6 +70,9 @@
 			starts = append(starts, assignment)
 		}
 	}
+	if len(starts) > 0 {
+		machine.MarkStartsPushed()
+	}
 	call := eventloop.Call(c.loop, func(reply messages.WorkerReply) {
 		machine.EndPush()
 		if c.state.Machines[machine.ID] == machine {
--- a/internal/reconcile/reconciler.go
+++ b/internal/reconcile/reconciler.go
@@ -14,6 +14,9 @@
 //   - A pushed start of unknown outcome is in doubt until the worker acknowledges a
 //     higher token, which proves that the start can no longer be executed (push.go,
 //     token.go).
+//   - An ended attempt is acknowledged only under a token that is higher than those of all
+//     pushed starts, because the worker forgets the attempt and a copy of its start may
+//     still arrive (acknowledgements.go).
 //   - The completion of a task is acknowledged to its worker only after it is stored.
 //
 // The type Stops lists the reasons for which a task is stopped. A task also ends when
@@ -117,6 +120,8 @@
 	AddCommandPush()
 	// AddStartInDoubt counts a push with starts whose outcome is unknown.
 	AddStartInDoubt()
+	// AddTokenAdvance counts a fencing token that was raised without a write.
+	AddTokenAdvance()
 }
 
 // Dependencies are the other components of the controller that the reconciler uses.
--- a/internal/reconcile/token.go
+++ b/internal/reconcile/token.go
@@ -5,11 +5,11 @@
 	"stairrelay/internal/state"
 )
 
-// applyToken updates whether a worker has acknowledged its machine's current token, given
-// the highest token that the worker has seen. Unless the token is being raised, an
-// acknowledgement proves that pushed starts in doubt can no longer be executed.
+// applyToken updates whether a worker has acknowledged its machine's token, given the highest
+// token that the worker has seen. Unless the token is being raised, an acknowledgement
+// proves that pushed starts in doubt can no longer be executed.
 func (r *Reconciler) applyToken(machine *state.Machine, seen cluster.FencingToken) {
-	acknowledged := seen == machine.Token || seen == 0 && hasNoEarlierCommands(machine)
+	acknowledged := machine.IsTokenAcknowledgedBy(seen) || seen == 0 && hasNoEarlierCommands(machine)
 	if machine.TokenAcknowledged && !acknowledged {
 		machine.UnacknowledgedSince = r.loop.Now()
 	}
--- a/internal/simulation/command_calls.go
+++ b/internal/simulation/command_calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"stairrelay/internal/cluster"
 	"stairrelay/internal/messages"
@@ -71,6 +72,7 @@
 	reply := worker.HandleCommands(commands)
 	c.logCommands(call.node, worker, commands.FencingToken, commands.Commands)
 	c.machines.heartbeats.schedule(worker)
+	c.repeatLater(worker, commands, reply.Outcome)
 	if c.Chance(0.01) {
 		call.replyAfter(commandReplyTimeout, unknown)
 		return
@@ -78,6 +80,25 @@
 	call.replyAfter(c.network.delay(), reply)
 }
 
+// repeatLater delivers a push that was executed once more after a random delay, if the
+// network repeats it.
+func (c *commandChannel) repeatLater(worker *SimulatedWorker, commands messages.PushCommands, outcome messages.Outcome) {
+	if outcome != messages.OK {
+		return
+	}
+	if delay, repeats := c.network.pushRepeatDelay(); repeats {
+		c.After(delay, func() { c.repeat(worker, commands) })
+	}
+}
+
+func (c *commandChannel) repeat(worker *SimulatedWorker, commands messages.PushCommands) {
+	isStart := func(command cluster.Command) bool { return command.Kind == cluster.Start }
+	if !worker.removed && slices.ContainsFunc(commands.Commands, isStart) {
+		c.FaultCounts[FaultRepeatedStart]++
+	}
+	c.deliverLate(worker, commands)
+}
+
 // deliverLate delivers commands after the controller's call has timed out. A machine
 // that hangs handles them when it recovers. If the worker's lease has expired by then,
 // the worker first drops its tasks.
--- a/internal/simulation/fault_kinds.go
+++ b/internal/simulation/fault_kinds.go
@@ -15,6 +15,7 @@
 	FaultHeartbeatBlocked                   FaultKind = "blocked heartbeats"
 	FaultCommandToBlockedMachine            FaultKind = "commands to a machine with blocked heartbeats"
 	FaultCommandToUnreachableMachine        FaultKind = "commands to an unreachable machine"
+	FaultRepeatedStart                      FaultKind = "executed pushes of starts delivered again"
 	FaultResponseToUnreachableMachine       FaultKind = "heartbeat responses to an unreachable machine"
 	FaultResponseFromIsolatedNode           FaultKind = "heartbeat responses from a controller that reaches only its workers"
 	FaultDuplicateHeartbeat                 FaultKind = "duplicate heartbeats"
--- a/internal/simulation/network.go
+++ b/internal/simulation/network.go
@@ -14,12 +14,18 @@
 	// HeartbeatDuplicateChance is the probability that a heartbeat is delivered a
 	// second time, up to three lease durations later.
 	HeartbeatDuplicateChance float64
+	// PushRepeatChance is the probability that a push that was executed is delivered a
+	// second time, up to maxPushRepeatDelay later.
+	PushRepeatChance float64
 	// SlowPeerChance is the probability that a message between controllers is
 	// slow. Slow messages expose races between replication to another controller
 	// and a user's request to that controller.
 	SlowPeerChance float64
 }
 
+// maxPushRepeatDelay is the maximum delay of the second delivery of a push.
+const maxPushRepeatDelay = 120 * second
+
 // delay returns a random message delay.
 func (n *Network) delay() cluster.Time {
 	if n.Chance(0.02) {
@@ -46,3 +52,12 @@
 func (n *Network) isHeartbeatDuplicated() bool {
 	return n.HeartbeatDuplicateChance > 0 && n.Chance(n.HeartbeatDuplicateChance)
 }
+
+// pushRepeatDelay returns a random delay after which an executed push is delivered a second
+// time, and whether it is.
+func (n *Network) pushRepeatDelay() (cluster.Time, bool) {
+	if n.PushRepeatChance == 0 || !n.Chance(n.PushRepeatChance) {
+		return 0, false
+	}
+	return n.RandomBetween(second/10, maxPushRepeatDelay), true
+}
--- a/internal/state/assignment.go
+++ b/internal/state/assignment.go
@@ -75,6 +75,17 @@
 // unless it has ended or is proven not to be on the machine.
 func (a *Assignment) IsLive() bool { return a.Phase != PhaseEnded && !a.ConfirmedAbsent }
 
+// MayRun reports whether the start was sent, by this or an earlier owner, and the task has
+// neither ended nor been proven absent.
+func (a *Assignment) MayRun() bool {
+	switch a.Phase {
+	case PhaseDispatched, PhaseAcknowledged, PhaseUnverified:
+		return !a.ConfirmedAbsent
+	case PhaseRecording, PhaseReady, PhaseEnded:
+	}
+	return false
+}
+
 // IsCheckpointable reports whether a heartbeat has shown the task, the task has not ended,
 // and its job saves checkpoints.
 func (a *Assignment) IsCheckpointable() bool {
--- a/internal/state/transitions.go
+++ b/internal/state/transitions.go
@@ -101,6 +101,9 @@
 	m.LastPushAt = now
 }
 
+// MarkStartsPushed records that starts are pushed under the machine's token.
+func (m *Machine) MarkStartsPushed() { m.PushedStartToken = m.Token }
+
 // EndPush records that the outcome of the push is known.
 func (m *Machine) EndPush() { m.PushInFlight = false }
 
