A pushed start stays in doubt until its worker has seen a higher token, also during a release

Cause: an acknowledgement under any token ended the doubt about a pushed start unless the token was being raised. The token of a machine that is being released is not raised. If a release began while a push was under way and the push then had no answer, the next heartbeat ended the doubt under the push's own token: the start counted as lost, and the task of a cancelled job as absent. The start could still arrive while the machine was up, for as long as the cloud did not answer the release. Change: the doubt ends once the worker has seen a token higher than that of the latest pushed start. Test: TestStartInDoubtUntilHigherTokenSeen; "machine being released" failed before (phase 1, in doubt false), the two other cases passed. The harness's RaiseToken now begins a raise only where the inventory would. The case "pushed, outcome unknown" of TestLostStartRequeuedOnlyWithProof sets the token of the push too, as a push does; what it asserts is unchanged.

--- a/internal/reconcile/absence_test.go
+++ b/internal/reconcile/absence_test.go
@@ -57,6 +57,7 @@
 	{
 		name: "pushed, outcome unknown",
 		prepare: func(machine *state.Machine, assignment *state.Assignment) {
+			machine.MarkStartsPushed()
 			assignment.Pushed, machine.StartInDoubt, machine.RaisingToken = true, true, true
 		},
 	},
--- a/internal/reconcile/harness_test.go
+++ b/internal/reconcile/harness_test.go
@@ -134,8 +134,9 @@
 }
 
 func (h *harness) RaiseToken(machine *state.Machine) {
-	machine.RaisingToken = true
-	h.raisedTokens = append(h.raisedTokens, machine.ID)
+	if machine.BeginTokenRaise() {
+		h.raisedTokens = append(h.raisedTokens, machine.ID)
+	}
 }
 
 func (h *harness) CheckOwner(machine *state.Machine) {
--- /dev/null
+++ b/internal/reconcile/start_in_doubt_test.go
@@ -0,0 +1,49 @@
+package reconcile
+
+import (
+	"testing"
+
+	"stairrelay/internal/messages"
+	"stairrelay/internal/state"
+)
+
+// TestStartInDoubtUntilHigherTokenSeen guards against ran_twice and ran_cancelled: a pushed
+// start without an answer stays in doubt until the worker has seen a higher token, also on a
+// machine that is being released, whose token is not raised.
+func TestStartInDoubtUntilHigherTokenSeen(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		releasing bool
+		raised    bool // a higher token is stored and seen by the worker
+		lost      bool // the start is requeued
+	}{
+		{name: "token being raised"},
+		{name: "higher token seen", raised: true, lost: true},
+		{name: "machine being released", releasing: true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t)
+			machine := h.addMachine()
+			assignment := h.assign(machine, h.addJob(), state.PhaseReady)
+			h.Commands.QueuePush(machine)
+			h.Commands.PushQueued()
+			push := h.pushes()[0]
+			machine.Releasing = test.releasing
+			h.loop.Deliver(messages.Reply{Call: push.Call, Body: messages.WorkerReply{Outcome: messages.UnknownOutcome}})
+			if test.raised {
+				machine.MarkTokenRaised(machine.Token+1, h.loop.Now())
+			}
+			h.ApplyStatus(machine, statusWithCurrentToken(machine, machine.SequenceNumber+1), false)
+			want := state.PhaseDispatched
+			if test.lost {
+				want = state.PhaseReady
+			}
+			if assignment.Phase != want || assignment.ConfirmedAbsent {
+				t.Errorf("phase %d, confirmed absent %v; want phase %d, not absent", assignment.Phase, assignment.ConfirmedAbsent, want)
+			}
+			if machine.StartInDoubt == test.lost {
+				t.Errorf("in doubt: %v, want %v", machine.StartInDoubt, !test.lost)
+			}
+		})
+	}
+}
--- a/internal/reconcile/token.go
+++ b/internal/reconcile/token.go
@@ -6,8 +6,9 @@
 )
 
 // applyToken updates whether a worker has acknowledged its machine's token, given the highest
-// token that the worker has seen. Unless the token is being raised, an acknowledgement
-// proves that pushed starts in doubt can no longer be executed.
+// token that the worker has seen. Pushed starts in doubt can no longer be executed once that
+// token is higher than theirs. The token of a machine that is being released is not raised, so
+// its starts stay in doubt until the machine is gone.
 func (r *Reconciler) applyToken(machine *state.Machine, seen cluster.FencingToken) {
 	acknowledged := machine.IsTokenAcknowledgedBy(seen) || seen == 0 && hasNoEarlierCommands(machine)
 	if machine.TokenAcknowledged && !acknowledged {
@@ -17,7 +18,7 @@
 	if acknowledged && machine.AwaitingFirstAcknowledgement {
 		r.state.Shards[machine.ShardID].RecordFirstAcknowledgement(machine, r.loop.Now())
 	}
-	if acknowledged && !machine.RaisingToken {
+	if acknowledged && machine.RejectsPushedStarts(seen) {
 		machine.StartInDoubt = false
 	}
 }
