Simulated networks deliver every kind of executed request again

Cause: a request that was carried out may arrive again minutes later, whoever sent it. Change: transactions, calls to the cloud, messages between controllers, and users' submissions and cancellations that were executed are delivered a second time up to 120 s later, one in twenty. TestRandomFaults requires each of the kinds to occur. A raise under way (acknowledgements), a worker's lease that ran out (repeated pushes) and the attempt that a stop names have tests of their own.

--- a/internal/controller/random_faults_test.go
+++ b/internal/controller/random_faults_test.go
@@ -31,6 +31,10 @@
 var requiredRandomFaults = []simulation.FaultKind{
 	simulation.FaultCommandToUnreachableMachine,
 	simulation.FaultRepeatedStart,
+	simulation.FaultRepeatedWrite,
+	simulation.FaultRepeatedCloudCall,
+	simulation.FaultRepeatedPeerMessage,
+	simulation.FaultRepeatedUserRequest,
 	simulation.FaultResponseToUnreachableMachine,
 	simulation.FaultDuplicateHeartbeat,
 	simulation.FaultDuplicateHeartbeatOfRemovedMachine,
@@ -204,11 +208,13 @@
 }
 
 // enableRandomMessageFaults enables random message faults. Messages sent during a partition
-// may arrive after it, heartbeats and pushes may arrive twice, and peer messages may be slow.
+// may arrive after it, heartbeats and executed requests may arrive twice, and peer messages
+// may be slow.
 func enableRandomMessageFaults(sim *simulation.Simulator) {
 	sim.Network.LateDelivery = true
 	sim.Network.HeartbeatDuplicateChance = 0.03
 	sim.Network.PushRepeatChance = 0.2
+	sim.Network.RepeatChance = 0.05
 	sim.Network.SlowPeerChance = 0.03
 }
 
--- a/internal/controller/repeated_push_test.go
+++ b/internal/controller/repeated_push_test.go
@@ -81,6 +81,13 @@
 		c.RunUntil(c.Now + c.config.CancelDeadline)
 		c.checkRepeatedPush(push)
 	})
+	t.Run("worker's lease expired", func(t *testing.T) {
+		c, job, push := newPushCluster(t)
+		first := cluster.MachineID(push.Addr)
+		c.Machines.Reboot(first)
+		c.waitFor("the task runs again", 60*second, func() bool { return c.countRunningTasks(job) == 1 })
+		c.checkRepeatedPush(push)
+	})
 	t.Run("owner killed", func(t *testing.T) {
 		c, job, push := newPushCluster(t)
 		c.cancelVia(c.Nodes[0], job)
--- a/internal/reconcile/acknowledgements_test.go
+++ b/internal/reconcile/acknowledgements_test.go
@@ -58,6 +58,13 @@
 			machine.MarkStartInDoubt()
 		},
 	},
+	{
+		name: "start pushed, token being raised",
+		prepare: func(machine *state.Machine) {
+			machine.MarkStartsPushed()
+			machine.RaisingToken = true
+		},
+	},
 	{
 		name: "start pushed, record not stored since the token was raised",
 		prepare: func(machine *state.Machine) {
--- a/internal/reconcile/stale_heartbeat_test.go
+++ b/internal/reconcile/stale_heartbeat_test.go
@@ -86,3 +86,16 @@
 		})
 	}
 }
+
+// TestRepeatedStopNamesAttempt checks that a stop names the attempt that it is meant for, so
+// that a late copy does not stop a later attempt of the task on the same machine.
+func TestRepeatedStopNamesAttempt(t *testing.T) {
+	h := newHarness(t)
+	machine, assignment := h.addRunningMachine(h.addJob())
+	h.Stops.Preempt(machine, assignment)
+	h.Commands.PushQueued()
+	stop := h.pushes()[0].Commands[0]
+	if stop.Kind != cluster.Stop || stop.Task != assignment.Task || stop.Attempt != testAttempt {
+		t.Errorf("sent %+v, want the stop of attempt %d", stop, testAttempt)
+	}
+}
--- a/internal/simulation/cloud_calls.go
+++ b/internal/simulation/cloud_calls.go
@@ -41,18 +41,34 @@
 	default:
 		// Draw the delay before the boot durations, so that runs stay reproducible.
 		delay := c.network.delay()
-		call.replyAfter(delay, c.cloud.ScaleOut(c.Now, request))
+		reply := c.cloud.ScaleOut(c.Now, request)
+		if reply.Outcome == messages.OK {
+			c.repeat(func() { c.cloud.ScaleOut(c.Now, request) })
+		}
+		call.replyAfter(delay, reply)
 	}
 }
 
+// repeat executes a call that was already executed a second time.
+func (c *CloudAPI) repeat(execute func()) {
+	c.network.repeat(c.network.RepeatChance, func() {
+		c.FaultCounts[FaultRepeatedCloudCall]++
+		execute()
+	})
+}
+
 func (c *CloudAPI) scaleIn(call pendingCall, request messages.CloudScaleIn) {
 	if c.isDown() {
 		call.replyAfter(c.network.delay(), messages.ScaleInReply{Outcome: messages.UnknownOutcome})
 		return
 	}
-	for _, id := range request.IDs {
-		c.machines.Remove(id)
+	remove := func() {
+		for _, id := range request.IDs {
+			c.machines.Remove(id)
+		}
 	}
+	remove()
+	c.repeat(remove)
 	call.replyAfter(c.network.delay(), messages.ScaleInReply{Outcome: messages.OK})
 }
 
--- a/internal/simulation/command_calls.go
+++ b/internal/simulation/command_calls.go
@@ -72,7 +72,9 @@
 	reply := worker.HandleCommands(commands)
 	c.logCommands(call.node, worker, commands.FencingToken, commands.Commands)
 	c.machines.heartbeats.schedule(worker)
-	c.repeatLater(worker, commands, reply.Outcome)
+	if reply.Outcome == messages.OK {
+		c.network.repeat(c.network.PushRepeatChance, func() { c.repeat(worker, commands) })
+	}
 	if c.Chance(0.01) {
 		call.replyAfter(commandReplyTimeout, unknown)
 		return
@@ -80,17 +82,7 @@
 	call.replyAfter(c.network.delay(), reply)
 }
 
-// repeatLater delivers a push that was executed once more after a random delay, if the
-// network repeats it.
-func (c *commandChannel) repeatLater(worker *SimulatedWorker, commands messages.PushCommands, outcome messages.Outcome) {
-	if outcome != messages.OK {
-		return
-	}
-	if delay, repeats := c.network.pushRepeatDelay(); repeats {
-		c.After(delay, func() { c.repeat(worker, commands) })
-	}
-}
-
+// repeat delivers a push that was executed a second time.
 func (c *commandChannel) repeat(worker *SimulatedWorker, commands messages.PushCommands) {
 	isStart := func(command cluster.Command) bool { return command.Kind == cluster.Start }
 	if !worker.removed && slices.ContainsFunc(commands.Commands, isStart) {
--- a/internal/simulation/network.go
+++ b/internal/simulation/network.go
@@ -15,16 +15,19 @@
 	// second time, up to three lease durations later.
 	HeartbeatDuplicateChance float64
 	// PushRepeatChance is the probability that a push that was executed is delivered a
-	// second time, up to maxPushRepeatDelay later.
+	// second time, up to maxRepeatDelay later.
 	PushRepeatChance float64
+	// RepeatChance is the probability of the same for the controllers' requests to the store,
+	// to the cloud and to each other, and for users' requests.
+	RepeatChance float64
 	// SlowPeerChance is the probability that a message between controllers is
 	// slow. Slow messages expose races between replication to another controller
 	// and a user's request to that controller.
 	SlowPeerChance float64
 }
 
-// maxPushRepeatDelay is the maximum delay of the second delivery of a push.
-const maxPushRepeatDelay = 120 * second
+// maxRepeatDelay is the maximum delay of the second delivery of an executed request.
+const maxRepeatDelay = 120 * second
 
 // delay returns a random message delay.
 func (n *Network) delay() cluster.Time {
@@ -53,11 +56,10 @@
 	return n.HeartbeatDuplicateChance > 0 && n.Chance(n.HeartbeatDuplicateChance)
 }
 
-// pushRepeatDelay returns a random delay after which an executed push is delivered a second
-// time, and whether it is.
-func (n *Network) pushRepeatDelay() (cluster.Time, bool) {
-	if n.PushRepeatChance == 0 || !n.Chance(n.PushRepeatChance) {
-		return 0, false
+// repeat delivers an executed request a second time after a random delay, with the given
+// probability.
+func (n *Network) repeat(chance float64, deliver func()) {
+	if chance > 0 && n.Chance(chance) {
+		n.After(n.RandomBetween(second/10, maxRepeatDelay), deliver)
 	}
-	return n.RandomBetween(second/10, maxPushRepeatDelay), true
 }
--- a/internal/simulation/peer_calls.go
+++ b/internal/simulation/peer_calls.go
@@ -58,9 +58,16 @@
 		x.call.replyAfter(0, messages.PeerReply{Outcome: messages.UnknownOutcome})
 		return
 	}
+	x.channel.network.repeat(x.channel.network.RepeatChance, x.sendAgain)
 	x.call.replyAfter(x.channel.network.delay(), messages.PeerReply{Outcome: messages.OK, Message: *response.Peer})
 }
 
+// sendAgain delivers the message a second time, to the process that runs by then.
+func (x *peerExchange) sendAgain() {
+	x.channel.FaultCounts[FaultRepeatedPeerMessage]++
+	x.send()
+}
+
 func (x *peerExchange) timeOut() {
 	if x.finished {
 		return
--- a/internal/simulation/simulator.go
+++ b/internal/simulation/simulator.go
@@ -100,7 +100,7 @@
 // their behalf.
 func (s *Simulator) assembleUsers() {
 	env, nodes, jobs := s.environment, s.nodeSet, s.jobTable
-	s.Users = &Users{environment: env, nodes: nodes, jobs: jobs}
+	s.Users = &Users{environment: env, nodes: nodes, jobs: jobs, network: s.Network}
 	s.ReadAfterWrite = &ReadAfterWrite{environment: env, nodes: nodes, users: s.Users}
 	s.Users.readAfterWrite = s.ReadAfterWrite
 	s.EdgeCaseRequests = &EdgeCaseRequests{environment: env, nodes: nodes, users: s.Users, jobs: jobs}
--- a/internal/simulation/store_calls.go
+++ b/internal/simulation/store_calls.go
@@ -147,6 +147,9 @@
 
 func (s *StoreAPI) applyAndReply(call storeCall) {
 	reply := call.apply()
+	if isApplied(reply) {
+		s.network.repeat(s.network.RepeatChance, func() { s.applyAgain(call) })
+	}
 	if s.Chance(0.005) { // applied, but the reply is lost
 		call.replyAfter(storeCallTimeout, call.timedOut)
 		return
@@ -196,6 +199,15 @@
 	}
 }
 
+// applyAgain applies a transaction that was already applied a second time, unless a compare
+// fails.
+func (s *StoreAPI) applyAgain(call storeCall) {
+	if s.Now >= s.DownUntil {
+		s.FaultCounts[FaultRepeatedWrite]++
+		call.apply()
+	}
+}
+
 func isApplied(reply any) bool {
 	txn, ok := reply.(messages.TxnReply)
 	return ok && txn.Outcome == messages.OK
--- a/internal/simulation/users.go
+++ b/internal/simulation/users.go
@@ -28,6 +28,7 @@
 	jobs           *jobTable
 	checker        *invariantChecker
 	readAfterWrite *ReadAfterWrite
+	network        *Network
 }
 
 // Submit submits a job and retries until it is accepted.
@@ -61,6 +62,7 @@
 	node.SendRequest(submitRequest(job.Spec), func(response messages.Respond) {
 		switch response.Status {
 		case messages.StatusOK, messages.StatusCreated:
+			u.repeat(submitRequest(job.Spec))
 			u.handleAccepted(job, sentAt, response.View.Status)
 		case messages.StatusBadRequest, messages.StatusUnschedulable:
 			u.reportViolation("valid job %s rejected with status %d", job.Spec.ID, response.Status)
@@ -142,6 +144,7 @@
 	u.nodes.randomNode().SendRequest(cancelRequest(job.Spec.ID), func(response messages.Respond) {
 		switch {
 		case response.Status == messages.StatusOK:
+			u.repeat(cancelRequest(job.Spec.ID))
 			u.CheckReportedStatus(job, response.View.Status)
 		case response.Status == messages.StatusJobNotFound && accepted:
 			u.reportViolation("forgotten: cancellation of accepted job %s returned not found", job.Spec.ID)
@@ -151,6 +154,15 @@
 	})
 }
 
+// repeat delivers a request that was executed a second time, to any controller. Nobody
+// receives the response.
+func (u *Users) repeat(request func(messages.RequestID) messages.Event) {
+	u.network.repeat(u.network.RepeatChance, func() {
+		u.FaultCounts[FaultRepeatedUserRequest]++
+		u.nodes.randomNode().SendRequest(request, func(messages.Respond) {})
+	})
+}
+
 // QueryUnknownJob queries a job that was never submitted. The query must not succeed.
 func (u *Users) QueryUnknownJob(id cluster.JobID) {
 	u.nodes.randomNode().SendRequest(queryRequest(id), func(response messages.Respond) {
