--- a/internal/reconcile/acknowledgements.go
+++ b/internal/reconcile/acknowledgements.go
@@ -8,9 +8,10 @@
 
 // acknowledgements returns the commands that acknowledge the machine's ended attempts whose
 // outcome is stored or need not be stored. It returns none while the worker might execute a
-// late copy of a pushed start after it has forgotten the attempt.
-func (c *Commands) acknowledgements(machine *state.Machine) []cluster.Command {
-	attempts := attemptsToAcknowledge(machine)
+// late copy of a pushed start after it has forgotten the attempt. The attempts are in the order
+// of the machine's given assignments, followed by those without an assignment.
+func (c *Commands) acknowledgements(machine *state.Machine, assignments []*state.Assignment) []cluster.Command {
+	attempts := attemptsToAcknowledge(machine, assignments)
 	if len(attempts) == 0 || !c.fencePushedStarts(machine) {
 		return nil
 	}
@@ -23,9 +24,9 @@
 
 // attemptsToAcknowledge returns the ended attempts to acknowledge: those of completed tasks
 // whose outcomes are stored, and those that the record no longer lists.
-func attemptsToAcknowledge(machine *state.Machine) []state.TaskAttempt {
+func attemptsToAcknowledge(machine *state.Machine, assignments []*state.Assignment) []state.TaskAttempt {
 	var attempts []state.TaskAttempt
-	for _, assignment := range machine.SortedAssignments() {
+	for _, assignment := range assignments {
 		if !assignment.ConfirmedAbsent && assignment.IsCompleted() && assignment.IsOutcomeStored() {
 			attempts = append(attempts, assignment.TaskAttempt())
 		}
--- a/internal/reconcile/commands.go
+++ b/internal/reconcile/commands.go
@@ -20,18 +20,19 @@
 // stops that were already sent. It marks the stops that it returns as sent. To acknowledge
 // ended attempts, it may advance the machine's token.
 func (c *Commands) For(machine *state.Machine, urgentOnly bool) []cluster.Command {
-	commands := c.stops(machine, urgentOnly)
+	assignments := machine.SortedAssignments()
+	commands := c.stops(assignments, urgentOnly)
 	if !urgentOnly {
 		commands = append(commands, unrecordedStops(machine)...)
-		commands = append(commands, c.acknowledgements(machine)...)
+		commands = append(commands, c.acknowledgements(machine, assignments)...)
 	}
-	return append(commands, c.starts(machine)...)
+	return append(commands, c.starts(machine, assignments)...)
 }
 
-// stops returns the stops of the machine's assignments that are due.
-func (c *Commands) stops(machine *state.Machine, urgentOnly bool) []cluster.Command {
+// stops returns the stops of the given assignments that are due.
+func (c *Commands) stops(assignments []*state.Assignment, urgentOnly bool) []cluster.Command {
 	var stops []cluster.Command
-	for _, assignment := range machine.SortedAssignments() {
+	for _, assignment := range assignments {
 		if assignment.MayRun() && c.isStopDue(assignment, urgentOnly) {
 			stops = append(stops, c.stop(assignment))
 		}
@@ -48,13 +49,14 @@
 	return stops
 }
 
-// starts returns the starts of the recorded tasks that may be sent now.
-func (c *Commands) starts(machine *state.Machine) []cluster.Command {
+// starts returns the starts of the machine's recorded tasks that may be sent now, in the order
+// of its given assignments.
+func (c *Commands) starts(machine *state.Machine, assignments []*state.Assignment) []cluster.Command {
 	if !c.mayStartOn(machine) {
 		return nil
 	}
 	var starts []cluster.Command
-	for _, assignment := range machine.SortedAssignments() {
+	for _, assignment := range assignments {
 		isReady := assignment.Phase == state.PhaseReady && !assignment.ConfirmedAbsent
 		if isReady && assignment.Job.IsActive() && !machine.HasStaleAttempt(assignment.Task) {
 			starts = append(starts, cluster.Command{Kind: cluster.Start, Task: assignment.Task, Attempt: assignment.Attempt})
