--- a/internal/controller/transfer_lost_test.go
+++ b/internal/controller/transfer_lost_test.go
@@ -43,3 +43,37 @@
 		t.Errorf("the group's record can't be written: known mod revision %d, stored %d", group.ModRevision, kv.ModRevision)
 	}
 }
+
+// TestRepeatedTransferOffer guards against ran_twice: the token of a transferred machine is
+// higher than any that the previous owner has sent, and a late copy of the offer does not
+// transfer the machine again.
+func TestRepeatedTransferOffer(t *testing.T) {
+	h := newControllerHarness()
+	source, recipient, other := h.state.Shards[0], h.state.Shards[1], h.state.Shards[2]
+	kind := grouprecord.Kind{Type: "small", Zone: "a"}
+	h.inventory.RegisterMachines(source, []grouprecord.Machine{{ID: "m-1", Kind: kind, Address: "m-1"}}, func() {})
+	h.runFor(100 * millisecond)
+	machine := h.state.Machines["m-1"]
+	h.inventory.WriteMachine(machine, writequeue.PriorityStart)
+	h.runFor(100 * millisecond)
+	if !machine.AdvanceToken() {
+		t.Fatal("the token was not advanced")
+	}
+	group, sent := machine.Group, machine.Token
+	offered := group.ModRevision
+	group.Offer = &state.GroupOffer{ToShard: recipient.ID, Until: h.loop.Now() + 5*second}
+	h.inventory.AcquireGroup(recipient, group.Key(), offered)
+	h.runFor(200 * millisecond)
+	machine = h.state.Machines["m-1"]
+	if machine == nil || machine.ShardID != recipient.ID {
+		t.Fatalf("the machine was not transferred: %+v", machine)
+	}
+	if machine.RequiredToken <= sent {
+		t.Errorf("token %d is required after the transfer, which is not higher than %d of the previous owner", machine.RequiredToken, sent)
+	}
+	h.inventory.AcquireGroup(other, group.Key(), offered)
+	h.runFor(200 * millisecond)
+	if owner := h.state.Machines["m-1"].ShardID; owner != recipient.ID {
+		t.Errorf("a copy of the offer transferred the machine to shard %d", owner)
+	}
+}
--- a/internal/inventory/stored_test.go
+++ b/internal/inventory/stored_test.go
@@ -132,4 +132,7 @@
 	if m.Token != 40 || m.TokenAcknowledged || m.RaisingToken {
 		t.Errorf("token is %d, acknowledged %v, raising %v; want 40, false, false", m.Token, m.TokenAcknowledged, m.RaisingToken)
 	}
+	if m.IsTokenAcknowledgedBy(31) || !m.IsTokenAcknowledgedBy(40) {
+		t.Error("the token before the raise counts as an acknowledgement, or the raised one does not")
+	}
 }
--- a/internal/reconcile/start_in_doubt_test.go
+++ b/internal/reconcile/start_in_doubt_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"stairrelay/internal/cluster"
 	"stairrelay/internal/messages"
 	"stairrelay/internal/state"
 )
@@ -47,3 +48,19 @@
 		})
 	}
 }
+
+// TestPushNamesIncarnation guards against ran_twice: a copy of a push that arrives after the
+// worker's lease has expired must be rejected, so the push names the incarnation.
+func TestPushNamesIncarnation(t *testing.T) {
+	for incarnation := cluster.Incarnation(1); incarnation <= 2; incarnation++ {
+		h := newHarness(t)
+		machine := h.addMachine()
+		machine.Incarnation = incarnation
+		h.assign(machine, h.addJob(), state.PhaseReady)
+		h.Commands.QueuePush(machine)
+		h.Commands.PushQueued()
+		if push := h.pushes()[0]; push.Incarnation != incarnation {
+			t.Errorf("pushed to incarnation %d, want %d", push.Incarnation, incarnation)
+		}
+	}
+}
