Writes keep a quarter of the request budget beside the reads for queries

What callers saw: jobs of a shard that had an owner and free machines never started, or an admission and all else of that owner waited, while users asked often. Cause: reads are not delayed and writes wait until the request budget is positive. Reads at the rate of the budget therefore stopped every write for good. Change: a second bucket lets transactions go at a quarter of the budget's rate while the budget is used up.

--- a/internal/writequeue/batch.go
+++ b/internal/writequeue/batch.go
@@ -43,10 +43,12 @@
 	now := q.loop.Now()
 	q.putBudget.Refill(now)
 	q.requestBudget.Refill(now)
+	q.writeReserve.Refill(now)
 	if q.Depth() == 0 {
 		return nil
 	}
-	if q.requestBudget.Level() < 1 {
+	usesReserve := q.requestBudget.Level() < 1
+	if usesReserve && q.writeReserve.Level() < 1 {
 		q.wakeAfter(requestBudgetDelay)
 		return nil
 	}
@@ -67,7 +69,11 @@
 		rest := b.fillFrom(queue, priority)
 		q.queues[priority] = append(rest, q.queues[priority]...)
 	}
-	return b.finish()
+	t := b.finish()
+	if t != nil && usesReserve {
+		q.writeReserve.Spend(1)
+	}
+	return t
 }
 
 func (q *Queue) newBatch() *batch {
--- a/internal/writequeue/queue.go
+++ b/internal/writequeue/queue.go
@@ -24,6 +24,10 @@
 	backgroundCreditPerPut = 0.25
 	// maxBackgroundCredit limits the credit for background writes.
 	maxBackgroundCredit = 2
+	// writeReserveShare is the fraction of the request budget's rate at which transactions
+	// are sent even while reads have used up the budget. Without it, the reads for frequent
+	// queries could delay all writes for good.
+	writeReserveShare = 0.25
 	// demandSmoothing is the weight of the latest sample in the exponential moving
 	// average of the demand.
 	demandSmoothing = 0.4
@@ -93,7 +97,7 @@
 
 // Queue sends reads and writes to the store. It delays writes to stay within this
 // controller's share of the store's rate limits. Reads count against the share but are
-// not delayed.
+// not delayed. A part of the share is reserved for writes.
 //
 // A transaction whose outcome is unknown is sent again unchanged. It is conditional
 // on the mod revisions of the keys that it sets, so at most one copy of it is
@@ -114,7 +118,8 @@
 
 	putBudget        ratelimit.TokenBucket
 	requestBudget    ratelimit.TokenBucket
-	writeRPS         float64 // limit on puts per second, shared by all controllers
+	writeReserve     ratelimit.TokenBucket // transactions that may be sent without request budget
+	writeRPS         float64               // limit on puts per second, shared by all controllers
 	liveControllers  int
 	demand           float64 // smoothed, in puts per second
 	putsSent         int     // since the last call of MeasureDemand
@@ -136,6 +141,7 @@
 	q.SetLiveControllers(config.Controllers)
 	q.putBudget.Fill()
 	q.requestBudget.Fill()
+	q.writeReserve.Fill()
 }
 
 // SetLiveControllers sets the number of live controllers, which share the limits, and
@@ -144,6 +150,7 @@
 	q.liveControllers = max(live, 1)
 	requests := q.config.RequestRPS * (q.config.BudgetShare / float64(q.liveControllers))
 	q.requestBudget.SetRate(requests, requests)
+	q.writeReserve.SetRate(requests*writeReserveShare, 1)
 	q.divideWriteRate()
 }
 
--- a/internal/writequeue/queue_test.go
+++ b/internal/writequeue/queue_test.go
@@ -58,3 +58,29 @@
 		}
 	}
 }
+
+// TestReadsDoNotStopWrites guards against an owner that stores nothing while the reads for
+// queries use up the request budget: no task of its shard would start.
+func TestReadsDoNotStopWrites(t *testing.T) {
+	const step = 10 * millisecond
+	loop, q, _ := newTestQueue()
+	share := q.requestBudget.Rate()
+	reads, sent := 0.0, 0
+	for loop.Begin(step, 0); loop.Now() < 60*second; loop.Begin(loop.Now()+step, 0) {
+		for ; reads < 2*share*loop.Now().Seconds(); reads++ { // twice the budget
+			q.ReadKey("parts/0", func(messages.GetReply) {})
+		}
+		loop.RunTimers()
+		loop.Effects()
+		if q.Depth() == 0 && q.InFlight() == 0 {
+			q.Enqueue(PriorityStart, &newTestWrite("groups/1").Write)
+		}
+		for _, transaction := range dispatch(loop, q) {
+			reply(loop, transaction, messages.TxnReply{Outcome: messages.OK, Revision: 8})
+			sent++
+		}
+	}
+	if want := int(share * 60 * writeReserveShare * 9 / 10); sent < want {
+		t.Errorf("%d transactions sent in 60 s beside too many reads, want at least %d", sent, want)
+	}
+}
