--- a/internal/reconcile/stale_heartbeat_test.go
+++ b/internal/reconcile/stale_heartbeat_test.go
@@ -99,3 +99,21 @@
 		t.Errorf("sent %+v, want the stop of attempt %d", stop, testAttempt)
 	}
 }
+
+// TestStartWaitsForEarlierAttempt checks that a task is not started on a machine while the
+// worker holds an earlier attempt of it, which would make the worker reject the start.
+func TestStartWaitsForEarlierAttempt(t *testing.T) {
+	h := newHarness(t)
+	machine := h.addMachine()
+	current := h.assign(machine, h.addJob(), state.PhaseReady)
+	current.Attempt = currentAttempt
+	earlier := state.TaskAttempt{Task: current.Task, Attempt: earlierAttempt}
+	machine.EndedToAcknowledge[earlier] = true
+	if commands := h.Commands.For(machine, true); len(commands) != 0 {
+		t.Errorf("sent %+v while the earlier attempt is not acknowledged", commands)
+	}
+	machine.PruneStaleAttempts(map[state.TaskAttempt]bool{})
+	if commands := h.Commands.For(machine, true); len(commands) != 1 || commands[0].Attempt != currentAttempt {
+		t.Errorf("sent %+v after the acknowledgement, want the start", commands)
+	}
+}
--- a/internal/reconcile/start_in_doubt_test.go
+++ b/internal/reconcile/start_in_doubt_test.go
@@ -24,11 +24,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			h := newHarness(t)
-			machine := h.addMachine()
-			assignment := h.assign(machine, h.addJob(), state.PhaseReady)
-			h.Commands.QueuePush(machine)
-			h.Commands.PushQueued()
-			push := h.pushes()[0]
+			machine, assignment, push := h.pushStart()
 			machine.Releasing = test.releasing
 			h.loop.Deliver(messages.Reply{Call: push.Call, Body: messages.WorkerReply{Outcome: messages.UnknownOutcome}})
 			if test.raised {
