--- a/internal/ownership/manager_test.go
+++ b/internal/ownership/manager_test.go
@@ -510,6 +510,11 @@
 	if m.shards[0].FailbackOffered {
 		t.Error("shard 0 still offered back after a ping without the offer")
 	}
+	m.shards[0].RecordOwner("n2", 5, 30, m.loop.Now())
+	m.ApplyPing("n1", &messages.Ping{FailbackOffers: []cluster.ShardID{0}})
+	if m.shards[0].FailbackOffered {
+		t.Error("shard 0 offered back by a late ping of a former owner")
+	}
 }
 
 // TestOwnershipChecksShareReads checks that pending ownership checks share a read, and
