--- a/internal/controller/transfer_lost_test.go
+++ b/internal/controller/transfer_test.go
@@ -44,12 +44,11 @@
 	}
 }
 
-// TestRepeatedTransferOffer guards against ran_twice: the token of a transferred machine is
-// higher than any that the previous owner has sent, and a late copy of the offer does not
-// transfer the machine again.
-func TestRepeatedTransferOffer(t *testing.T) {
+// TestTokenAfterTransfer guards against ran_twice: the token of a transferred machine is higher
+// than any that the previous owner has sent, so that late starts of that owner are rejected.
+func TestTokenAfterTransfer(t *testing.T) {
 	h := newControllerHarness()
-	source, recipient, other := h.state.Shards[0], h.state.Shards[1], h.state.Shards[2]
+	source, recipient := h.state.Shards[0], h.state.Shards[1]
 	kind := grouprecord.Kind{Type: "small", Zone: "a"}
 	h.inventory.RegisterMachines(source, []grouprecord.Machine{{ID: "m-1", Kind: kind, Address: "m-1"}}, func() {})
 	h.runFor(100 * millisecond)
@@ -71,9 +70,41 @@
 	if machine.RequiredToken <= sent {
 		t.Errorf("token %d is required after the transfer, which is not higher than %d of the previous owner", machine.RequiredToken, sent)
 	}
-	h.inventory.AcquireGroup(other, group.Key(), offered)
-	h.runFor(200 * millisecond)
-	if owner := h.state.Machines["m-1"].ShardID; owner != recipient.ID {
-		t.Errorf("a copy of the offer transferred the machine to shard %d", owner)
+}
+
+// TestLateTransferOffer guards against ran_twice: a late copy of an offer must not transfer a
+// group of another controller that has changed since, nor one whose machines are in use.
+func TestLateTransferOffer(t *testing.T) {
+	const stored = cluster.ModRevision(30)
+	kind := grouprecord.Kind{Type: "small", Zone: "a"}
+	task := grouprecord.Task{ID: cluster.TaskID{Job: "j-1"}, Attempt: 7}
+	for _, test := range []struct {
+		name     string
+		offered  cluster.ModRevision
+		machine  grouprecord.Machine
+		acquired bool
+	}{
+		{"unchanged since the offer", stored, grouprecord.Machine{ID: "m-1", Kind: kind, Address: "m-1"}, true},
+		{"changed since the offer", stored - 1, grouprecord.Machine{ID: "m-1", Kind: kind, Address: "m-1"}, false},
+		{"with a task", stored, grouprecord.Machine{ID: "m-1", Kind: kind, Address: "m-1", Tasks: []grouprecord.Task{task}}, false},
+		{"being released", stored, grouprecord.Machine{ID: "m-1", Kind: kind, Address: "m-1", Releasing: true}, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newControllerHarness()
+			source, recipient := h.state.Shards[2], h.state.Shards[0]
+			source.Owned, source.Owner = false, "n2"
+			h.store.keys[source.Key()] = messages.KV{Key: source.Key(), Value: []byte(`{"holder":"n2","term":1,"w":"b2-1"}`), ModRevision: 30}
+			key := state.GroupKey("b2-30-1")
+			value := grouprecord.Encode(grouprecord.Record{ShardID: source.ID, Machines: []grouprecord.Machine{test.machine}})
+			h.store.keys[key] = messages.KV{Key: key, Value: value, ModRevision: stored}
+			h.inventory.AcquireGroup(recipient, key, test.offered)
+			h.runFor(200 * millisecond)
+			if acquired := h.state.Machines["m-1"] != nil; acquired != test.acquired {
+				t.Errorf("acquired: %v, want %v", acquired, test.acquired)
+			}
+			if changed := h.store.keys[key].ModRevision != stored; changed != test.acquired {
+				t.Errorf("record changed: %v, want %v", changed, test.acquired)
+			}
+		})
 	}
 }
