--- a/internal/controller/repeated_cancel_test.go
+++ b/internal/controller/repeated_cancel_test.go
@@ -9,8 +9,7 @@
 )
 
 // TestRepeatedCancellationOfFinishedJob guards against went_back: a cancellation that reaches
-// the owner late or again, after the job has ended, is answered with the job's final status at
-// once and does not write the job's record.
+// the owner after the job has ended must not change the job's final status.
 func TestRepeatedCancellationOfFinishedJob(t *testing.T) {
 	for _, final := range []cluster.JobStatus{cluster.JobDone, cluster.JobCancelled} {
 		h := newControllerHarness()
--- a/internal/controller/repeated_push_test.go
+++ b/internal/controller/repeated_push_test.go
@@ -59,9 +59,8 @@
 	c.waitFor("the worker has forgotten the attempt", 30*second, func() bool { return c.Machines.Workers[id].Tasks[task] == nil })
 }
 
-// TestRepeatedPushStartsNoTask guards against ran_twice and ran_cancelled: a worker that
-// receives an executed push again must not start the task a second time, although the push
-// was answered and no controller has acquired the shard since.
+// TestRepeatedPushStartsNoTask guards against ran_twice and ran_cancelled: a worker must reject
+// an executed push that arrives again after it has forgotten the attempt.
 func TestRepeatedPushStartsNoTask(t *testing.T) {
 	t.Run("moved to another machine", func(t *testing.T) {
 		c, job, push := newPushCluster(t)
--- a/internal/reconcile/start_in_doubt_test.go
+++ b/internal/reconcile/start_in_doubt_test.go
@@ -9,8 +9,7 @@
 )
 
 // TestStartInDoubtUntilHigherTokenSeen guards against ran_twice and ran_cancelled: a pushed
-// start without an answer stays in doubt until the worker has seen a higher token, also on a
-// machine that is being released, whose token is not raised.
+// start without an answer may be executed until the worker has seen a higher token.
 func TestStartInDoubtUntilHigherTokenSeen(t *testing.T) {
 	for _, test := range []struct {
 		name      string
--- a/internal/writequeue/queue.go
+++ b/internal/writequeue/queue.go
@@ -26,7 +26,7 @@
 	maxBackgroundCredit = 2
 	// writeReserveShare is the fraction of the request budget's rate at which transactions
 	// are sent even while reads have used up the budget. Without it, the reads for frequent
-	// queries could delay all writes for good.
+	// queries could delay all writes indefinitely.
 	writeReserveShare = 0.25
 	// demandSmoothing is the weight of the latest sample in the exponential moving
 	// average of the demand.
