--- a/internal/controller/random_faults_test.go
+++ b/internal/controller/random_faults_test.go
@@ -252,3 +252,16 @@
 	}
 	return largest
 }
+
+// longRunSeeds are seeds outside the range of TestRandomFaults that have failed in long runs.
+var longRunSeeds = []uint64{1323}
+
+// TestLongRunSeeds repeats the runs of TestRandomFaults with longRunSeeds.
+func TestLongRunSeeds(t *testing.T) {
+	for _, seed := range longRunSeeds {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			simulateRandomFaults(t, seed, testConfig())
+		})
+	}
+}
