The comment on the fence of pushed starts says when it writes and why it waits

Cause: the comment did not mention the background write, and gave a raise as the reason although the token of a machine that is being released is not raised. Change: comments only.

--- a/internal/reconcile/acknowledgements.go
+++ b/internal/reconcile/acknowledgements.go
@@ -35,7 +35,8 @@
 }
 
 // fencePushedStarts reports whether the machine's token is higher than those of all starts
-// that were pushed to it, and advances the token if necessary.
+// that were pushed to it, and advances the token if necessary. If no record was stored since the
+// token was set, it enqueues a background write, after which the token can be advanced.
 //
 // A worker ignores the start of an attempt that it holds, but after the acknowledgement it
 // forgets the attempt. A copy of a push may arrive minutes later, even if the push was
@@ -45,7 +46,7 @@
 func (c *Commands) fencePushedStarts(machine *state.Machine) bool {
 	switch {
 	case machine.StartInDoubt || machine.RaisingToken:
-		return false // the token is being raised
+		return false // a start may still be executed, or the token is about to change
 	case machine.RejectsPushedStarts(machine.Token):
 		return true
 	case machine.PushInFlight:
@@ -55,7 +56,6 @@
 		return true
 	}
 	if !machine.Group.WritePending {
-		// The token can be advanced once the record has been stored again.
 		c.deps.Machines.WriteMachine(machine, writequeue.PriorityBackground)
 	}
 	return false
