Heartbeat responses and pushes contain no more commands than fit into 64 KiB

Cause: the commands of a message were all that were due, without a bound: starts, stops, stops of unrecorded attempts and acknowledgements.

Change: a message takes commands while the longest encoding of a command fits (attempt of 20 digits, job ID of 40 digits, grace period of 24 characters; an ID that is no job's ID counts as escaped). Stops that did not fit are not marked as sent. What is left is sent in the response to the next heartbeat, or pushed after the reply to the full push.

--- a/internal/reconcile/acknowledgements.go
+++ b/internal/reconcile/acknowledgements.go
@@ -6,20 +6,20 @@
 	"stairrelay/internal/writequeue"
 )
 
-// acknowledgements returns the commands that acknowledge the machine's ended attempts whose
-// outcome is stored or need not be stored. It returns none while the worker might execute a
-// late copy of a pushed start after it has forgotten the attempt. The attempts are in the order
-// of the machine's given assignments, followed by those without an assignment.
-func (c *Commands) acknowledgements(machine *state.Machine, assignments []*state.Assignment) []cluster.Command {
+// addAcknowledgements adds the commands that acknowledge the machine's ended attempts whose
+// outcome is stored or need not be stored. It adds none while the worker might execute a late
+// copy of a pushed start after it has forgotten the attempt. The attempts are in the order of
+// the machine's given assignments, followed by those without an assignment.
+func (c *Commands) addAcknowledgements(batch *commandBatch, machine *state.Machine, assignments []*state.Assignment) {
 	attempts := attemptsToAcknowledge(machine, assignments)
 	if len(attempts) == 0 || !c.fencePushedStarts(machine) {
-		return nil
+		return
 	}
-	commands := make([]cluster.Command, 0, len(attempts))
 	for _, attempt := range attempts {
-		commands = append(commands, cluster.Command{Kind: cluster.Acknowledge, Task: attempt.Task, Attempt: attempt.Attempt})
+		if batch.reserve(attempt.Task) {
+			batch.add(cluster.Command{Kind: cluster.Acknowledge, Task: attempt.Task, Attempt: attempt.Attempt})
+		}
 	}
-	return commands
 }
 
 // attemptsToAcknowledge returns the ended attempts to acknowledge: those of completed tasks
--- a/internal/reconcile/commands.go
+++ b/internal/reconcile/commands.go
@@ -15,54 +15,58 @@
 	queued     []*state.Machine // machines to push to at the end of this event loop step
 }
 
-// For returns the commands to send to a machine now, with the starts last. If urgentOnly
-// is true, it omits the commands that can wait for the machine's next heartbeat and the
-// stops that were already sent. It marks the stops that it returns as sent. To acknowledge
-// ended attempts, it may advance the machine's token.
+// For returns the commands to send to a machine now, with the starts last, as many as fit
+// into a message. If urgentOnly is true, it omits the commands that can wait for the machine's
+// next heartbeat and the stops that were already sent. It marks the stops that it returns as
+// sent. To acknowledge ended attempts, it may advance the machine's token.
 func (c *Commands) For(machine *state.Machine, urgentOnly bool) []cluster.Command {
 	assignments := machine.SortedAssignments()
-	commands := c.stops(assignments, urgentOnly)
+	batch := &commandBatch{}
+	c.addStops(batch, assignments, urgentOnly)
 	if !urgentOnly {
-		commands = append(commands, unrecordedStops(machine)...)
-		commands = append(commands, c.acknowledgements(machine, assignments)...)
+		addUnrecordedStops(batch, machine)
+		c.addAcknowledgements(batch, machine, assignments)
 	}
-	return append(commands, c.starts(machine, assignments)...)
+	c.addStarts(batch, machine, assignments)
+	machine.CommandsLeft = batch.full
+	return batch.commands
 }
 
-// stops returns the stops of the given assignments that are due.
-func (c *Commands) stops(assignments []*state.Assignment, urgentOnly bool) []cluster.Command {
-	var stops []cluster.Command
+// addStops adds the stops of the given assignments that are due.
+func (c *Commands) addStops(batch *commandBatch, assignments []*state.Assignment, urgentOnly bool) {
 	for _, assignment := range assignments {
-		if assignment.MayRun() && c.isStopDue(assignment, urgentOnly) {
-			stops = append(stops, c.stop(assignment))
+		isDue := assignment.MayRun() && c.isStopDue(assignment, urgentOnly)
+		if isDue && batch.reserve(assignment.Task) {
+			batch.add(c.stop(assignment))
 		}
 	}
-	return stops
 }
 
-// unrecordedStops returns the stops of the running attempts that the record does not list.
-func unrecordedStops(machine *state.Machine) []cluster.Command {
-	var stops []cluster.Command
+// addUnrecordedStops adds the stops of the running attempts that the record does not list.
+func addUnrecordedStops(batch *commandBatch, machine *state.Machine) {
 	for _, attempt := range state.SortedAttempts(machine.UnrecordedToStop) {
-		stops = append(stops, cluster.Command{Kind: cluster.Stop, Task: attempt.Task, Attempt: attempt.Attempt})
+		if batch.reserve(attempt.Task) {
+			batch.add(cluster.Command{Kind: cluster.Stop, Task: attempt.Task, Attempt: attempt.Attempt})
+		}
 	}
-	return stops
 }
 
-// starts returns the starts of the machine's recorded tasks that may be sent now, in the order
+// addStarts adds the starts of the machine's recorded tasks that may be sent now, in the order
 // of its given assignments.
-func (c *Commands) starts(machine *state.Machine, assignments []*state.Assignment) []cluster.Command {
+func (c *Commands) addStarts(batch *commandBatch, machine *state.Machine, assignments []*state.Assignment) {
 	if !c.mayStartOn(machine) {
-		return nil
+		return
 	}
-	var starts []cluster.Command
 	for _, assignment := range assignments {
 		isReady := assignment.Phase == state.PhaseReady && !assignment.ConfirmedAbsent
-		if isReady && assignment.Job.IsActive() && !machine.HasStaleAttempt(assignment.Task) {
-			starts = append(starts, cluster.Command{Kind: cluster.Start, Task: assignment.Task, Attempt: assignment.Attempt})
+		if !isReady || !assignment.Job.IsActive() || machine.HasStaleAttempt(assignment.Task) {
+			continue
+		}
+		if !batch.reserve(assignment.Task) {
+			return
 		}
+		batch.add(cluster.Command{Kind: cluster.Start, Task: assignment.Task, Attempt: assignment.Attempt})
 	}
-	return starts
 }
 
 // mayStartOn reports whether starts may be sent to a machine now. No starts are sent while
--- a/internal/reconcile/push.go
+++ b/internal/reconcile/push.go
@@ -77,6 +77,9 @@
 		machine.EndPush()
 		if c.state.Machines[machine.ID] == machine {
 			c.handlePushReply(machine, starts, reply)
+			if machine.CommandsLeft {
+				c.QueuePush(machine)
+			}
 		}
 	})
 	c.loop.Emit(messages.PushCommands{
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -100,6 +100,7 @@
 type CommandState struct {
 	EndedToAcknowledge map[TaskAttempt]bool // ended attempts whose ends are to be acknowledged to the worker
 	UnrecordedToStop   map[TaskAttempt]bool // running attempts that the record does not list
+	CommandsLeft       bool                 // more commands were due than fit into the last message
 	StartInDoubt       bool                 // a pushed start with unknown outcome may still arrive
 
 	PushQueued   bool // urgent commands are to be pushed at the end of the event loop step
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -69,10 +69,14 @@
 //	permit              | lease of the store; not used
 package wire
 
-import "encoding/json"
+import (
+	"encoding/json"
+
+	"stairrelay/internal/cluster"
+)
 
 // MaxBodySize is the protocol's size limit for request bodies, in bytes.
-const MaxBodySize = 64 << 10
+const MaxBodySize = cluster.MaxBodySize
 
 // marshal encodes a payload as JSON. It returns nil if the payload contains a
 // json.RawMessage that is not valid JSON or a number that is not finite. The controller
