A machine gets no more tasks than its heartbeats can list within 64 KiB

Cause: a worker lists all its tasks in each heartbeat until their ends are acknowledged, and the protocol limits a request body to 64 KiB, but nothing limited the tasks of a machine.

Change: cluster.Allocatable joins the free resources of a machine with the number of tasks that its heartbeats can list beside all that they list now or will: assigned tasks in any state, ended attempts that are not acknowledged, unrecorded attempts and those of jobs that are being loaded. The number is derived from the protocol's limit and the longest entry that it allows (424 tasks). Placement, preemption, the capacity that renting counts (free, unacknowledged, booting, requested, offered machines), the price per task and the progress check use it; the load that decides about release and transfer counts a task with at least its part of the machine, so that a machine whose heartbeats are full is not released as unused. Starts are sent only while the heartbeat can list them, also those that were assigned or taken over when it could list more. A machine whose group's record is full and can't be split has no room for preemption, reservation and renting either, and tasks without CPUs count as fitting on a machine whose CPUs are in use, as placement has always done.

--- a/internal/cluster/bodylimit.go
+++ b/internal/cluster/bodylimit.go
@@ -8,6 +8,10 @@
 // spells out optional fields. The identifiers are the longest that the protocol allows:
 // attempts and tokens of 20 digits, and job IDs of 40 digits.
 const (
+	// maxTaskEntryBytes is the size of a task in a heartbeat with its separator.
+	maxTaskEntryBytes = 152
+	// maxHeartbeatHeaderBytes is the size of a heartbeat without tasks.
+	maxHeartbeatHeaderBytes = 1024
 	// maxCommandBytes is the size of a command with its separator.
 	maxCommandBytes = 144
 	// maxCommandHeaderBytes is the size of a message without commands.
@@ -29,3 +33,83 @@
 func CommandBytes(task TaskID) int {
 	return maxCommandBytes + maxEscapedBytes*max(len(task.Job)-maxJobIDLength, 0)
 }
+
+const (
+	// taskEntryFieldCount is the number of fields of a task in a heartbeat, plus two for its
+	// braces, which may be on lines of their own.
+	taskEntryFieldCount = 7
+	// taskEntryDepth is the nesting depth of the fields of a task. Indentation is
+	// proportional to the depth, which is 1 for the fields of a heartbeat.
+	taskEntryDepth = 3
+)
+
+// MaxTasksPerHeartbeat returns the number of tasks that a heartbeat can list without
+// exceeding MaxBodySize, in whatever states the tasks are. fieldOverhead is the
+// HeartbeatStatus.FieldOverhead of the worker.
+func MaxTasksPerHeartbeat(fieldOverhead int) int {
+	entry := maxTaskEntryBytes + fieldOverhead*taskEntryFieldCount*taskEntryDepth
+	return MaxTaskEntriesBytes(fieldOverhead) / entry
+}
+
+// TaskEntryBytes returns the maximum size of a task of a job in a heartbeat with its
+// separator, in whatever state the task is.
+func TaskEntryBytes(job JobID, fieldOverhead int) int {
+	return maxTaskEntryBytes - maxJobIDLength + len(job) + fieldOverhead*taskEntryFieldCount*taskEntryDepth
+}
+
+// MaxTaskEntriesBytes returns the maximum size of all tasks in a heartbeat.
+func MaxTaskEntriesBytes(fieldOverhead int) int {
+	return max(MaxBodySize-maxHeartbeatHeaderBytes-fieldOverhead*heartbeatFieldCount, 0)
+}
+
+const (
+	// heartbeatFieldCount is the number of fields of a heartbeat.
+	heartbeatFieldCount = 10
+	// taskFieldCount is the number of fields of a task in a heartbeat.
+	taskFieldCount = 5
+)
+
+// FieldOverhead returns the mean number of bytes by which each field of a heartbeat exceeds
+// its compact encoding, rounded up. size is the size of the heartbeat's body, and compactSize
+// that of its compact encoding.
+func FieldOverhead(size, compactSize, tasks int) int {
+	fields := heartbeatFieldCount + taskFieldCount*tasks
+	return max(size-compactSize+fields-1, 0) / fields
+}
+
+// Allocatable is what further tasks can use on a machine.
+type Allocatable struct {
+	Resources Resources
+	Tasks     int // how many more tasks the machine's heartbeat can list; may be negative
+}
+
+// Allocatable returns what tasks can use on an empty machine of the type.
+func (t *MachineType) Allocatable() Allocatable {
+	return Allocatable{Resources: t.Capacity, Tasks: MaxTasksPerHeartbeat(0)}
+}
+
+// TaskCPU returns the CPUs of a machine of the type that a task occupies: the requested ones,
+// or the machine's CPUs divided by the number of tasks that it can have, if that is more.
+func (t *MachineType) TaskCPU(request Resources) Amount {
+	return max(request.CPU, t.Capacity.CPU/Amount(t.Allocatable().Tasks))
+}
+
+// Fits reports whether a task with a request can be placed on the machine.
+func (a Allocatable) Fits(request Resources) bool {
+	return a.Tasks > 0 && request.FitsIn(a.Resources)
+}
+
+// FitCount returns how many tasks with a request can be placed on the machine.
+func (a Allocatable) FitCount(request Resources) int {
+	return max(min(a.Tasks, a.Resources.FitCount(request)), 0)
+}
+
+// Minus returns what is left after count tasks with a request were placed on the machine.
+func (a Allocatable) Minus(request Resources, count int) Allocatable {
+	return Allocatable{Resources: a.Resources.Minus(request.Times(count)), Tasks: a.Tasks - count}
+}
+
+// Plus returns what is available after a task with a request has left the machine.
+func (a Allocatable) Plus(request Resources) Allocatable {
+	return Allocatable{Resources: a.Resources.Plus(request), Tasks: a.Tasks + 1}
+}
--- a/internal/provisioning/scaleout.go
+++ b/internal/provisioning/scaleout.go
@@ -149,7 +149,7 @@
 }
 
 func (s *ScaleOut) packMachine(machine *state.Machine, work scheduling.PendingWork) {
-	free := s.state.MachineTypes[machine.MachineType].Capacity.Minus(machine.UsedResources())
+	free := machine.Allocatable(s.state.MachineTypes[machine.MachineType].Capacity)
 	work.Pack(free, func(job *state.Job) bool { return s.deps.Eligibility.IsAllowedOn(job, machine) })
 }
 
@@ -166,8 +166,8 @@
 // packOption removes from the work the tasks that fit on one machine of an option, and
 // returns their number.
 func (s *ScaleOut) packOption(option state.ProvisioningOption, work scheduling.PendingWork) int {
-	capacity := s.state.MachineTypes[option.Type].Capacity
-	return work.Pack(capacity, func(job *state.Job) bool { return s.deps.Eligibility.IsOptionAllowed(job, option) })
+	machineType := s.state.MachineTypes[option.Type]
+	return work.Pack(machineType.Allocatable(), func(job *state.Job) bool { return s.deps.Eligibility.IsOptionAllowed(job, option) })
 }
 
 // requestMachines requests machines for the work, for each job those with the lowest
@@ -244,7 +244,7 @@
 	lowestCost := 0.0
 	for _, name := range slices.Sorted(maps.Keys(s.state.MachineTypes)) {
 		machineType := s.state.MachineTypes[name]
-		tasks := scheduling.TasksPerMachine(machineType.Capacity, job.Spec.ResourceRequest)
+		tasks := scheduling.TasksPerMachine(machineType, job.Spec.ResourceRequest)
 		for _, option := range optionsOf(name, machineType.Zones) {
 			if !s.deps.Eligibility.IsOptionAllowed(job, option) || shard.IsBackedOff(option, s.loop.Now()) {
 				continue
@@ -282,7 +282,7 @@
 	cpus := float64(s.expectedCPU(shard)) / microCPUsPerCPU
 	cpuSeconds := 0.0
 	for _, pending := range work {
-		cpuSeconds += float64(pending.Count) * float64(pending.Job.Spec.ResourceRequest.CPU) / microCPUsPerCPU * s.deps.Runtimes.ExpectedSeconds(pending.Job)
+		cpuSeconds += float64(pending.Count) * float64(machineType.TaskCPU(pending.Job.Spec.ResourceRequest)) / microCPUsPerCPU * s.deps.Runtimes.ExpectedSeconds(pending.Job)
 	}
 	return cpuSeconds > cpus*machineType.BootSeconds
 }
--- a/internal/provisioning/scaleout_test.go
+++ b/internal/provisioning/scaleout_test.go
@@ -104,6 +104,29 @@
 	}
 }
 
+// TestMachinesForSmallTasks checks that as many machines are requested as the heartbeats need
+// to list all tasks, and that booting and requested machines count with what theirs can list.
+func TestMachinesForSmallTasks(t *testing.T) {
+	perMachine := cluster.MaxTasksPerHeartbeat(0)
+	small := state.ProvisioningOption{Type: "small", Zone: "a"}
+	for name, prepare := range map[string]func(*harness, *state.Shard){
+		"no machines":   func(*harness, *state.Shard) {},
+		"one booting":   func(h *harness, _ *state.Shard) { h.ownShardWithMachines(1)[0].Booting = true },
+		"one acquired":  func(h *harness, _ *state.Shard) { h.ownShardWithMachines(1) },
+		"one requested": func(h *harness, shard *state.Shard) { h.Requests.Create(shard, small, 1) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			h, shard := newScaleOutHarness(t, 2*perMachine+1, false)
+			h.fakes.work[0].Job.Spec.ResourceRequest = cluster.Resources{CPU: 1000}
+			prepare(h, shard)
+			h.ScaleOut.RunShard(shard)
+			if total := requested(shard)[small] + len(shard.Machines); total != 3 {
+				t.Errorf("%d machines requested or present, want 3", total)
+			}
+		})
+	}
+}
+
 // TestOnDemandFallback checks that, without spot machines, on-demand ones are requested only
 // if the existing capacity would need longer for the work than a machine takes to boot.
 func TestOnDemandFallback(t *testing.T) {
--- a/internal/reconcile/commands.go
+++ b/internal/reconcile/commands.go
@@ -52,23 +52,36 @@
 }
 
 // addStarts adds the starts of the machine's recorded tasks that may be sent now, in the order
-// of its given assignments.
+// of its given assignments. It adds no more than the worker's heartbeats can list.
 func (c *Commands) addStarts(batch *commandBatch, machine *state.Machine, assignments []*state.Assignment) {
 	if !c.mayStartOn(machine) {
 		return
 	}
+	listable := machine.MaxTasks() - machine.ListableTaskCount() + countUnsent(assignments)
 	for _, assignment := range assignments {
 		isReady := assignment.Phase == state.PhaseReady && !assignment.ConfirmedAbsent
 		if !isReady || !assignment.Job.IsActive() || machine.HasStaleAttempt(assignment.Task) {
 			continue
 		}
-		if !batch.reserve(assignment.Task) {
+		if listable <= 0 || !batch.reserve(assignment.Task) {
 			return
 		}
+		listable--
 		batch.add(cluster.Command{Kind: cluster.Start, Task: assignment.Task, Attempt: assignment.Attempt})
 	}
 }
 
+// countUnsent returns the number of assignments whose starts were not sent.
+func countUnsent(assignments []*state.Assignment) int {
+	unsent := 0
+	for _, assignment := range assignments {
+		if assignment.IsUnsent() {
+			unsent++
+		}
+	}
+	return unsent
+}
+
 // mayStartOn reports whether starts may be sent to a machine now. No starts are sent while
 // the machine is being released, during its backoff after a rejected start, or while this
 // controller must not start tasks of the shard. While the outcome of a pushed start is
--- a/internal/reconcile/status.go
+++ b/internal/reconcile/status.go
@@ -59,6 +59,7 @@
 // attempt of a task, which must not be mistaken for the current one.
 func (r *Reconciler) applyReportedTasks(machine *state.Machine, status *cluster.HeartbeatStatus) map[state.TaskAttempt]bool {
 	reported := make(map[state.TaskAttempt]bool, len(status.Tasks))
+	machine.UntrackedTaskCount = 0
 	for i := range status.Tasks {
 		task := &status.Tasks[i]
 		reported[state.TaskAttempt{Task: task.Task, Attempt: task.Attempt}] = true
--- a/internal/reconcile/unrecorded.go
+++ b/internal/reconcile/unrecorded.go
@@ -43,6 +43,7 @@
 		return false
 	}
 	if job.ChunksLoading > 0 { // the completion may already be stored
+		machine.UntrackedTaskCount++
 		return true
 	}
 	if job.TaskStates[task.Task.Index] != state.TaskPending {
--- a/internal/scheduling/assign.go
+++ b/internal/scheduling/assign.go
@@ -115,7 +115,10 @@
 		if machine.ID == job.ReservedMachine {
 			return machine
 		}
-		if free := r.shared.freeResources(machine).CPU; best == nil || free > mostFree {
+		if !r.shared.recordCanHaveRoom(job, machine) {
+			continue
+		}
+		if free := r.shared.allocatable(machine).Resources.CPU; best == nil || free > mostFree {
 			best, mostFree = machine, free
 		}
 	}
@@ -185,10 +188,10 @@
 	return true
 }
 
-// hasRoom reports whether one more task of the job fits on a machine and into its
-// group's record.
+// hasRoom reports whether one more task of the job fits on a machine, into its heartbeats and
+// into its group's record.
 func (a *jobAssigner) hasRoom(capacity *freeCapacity) bool {
-	return a.job.Spec.ResourceRequest.FitsIn(capacity.available) && a.shared.deps.Records.HasRoom(capacity.machine.Group, a.job)
+	return capacity.available.Fits(a.job.Spec.ResourceRequest) && a.shared.deps.Records.HasRoom(capacity.machine.Group, a.job)
 }
 
 // assignTask assigns a task to a machine and queues the write of its group's record.
@@ -203,7 +206,7 @@
 	job.SetAssigned(task.Index, assignment)
 	a.tasksByZone[machine.Zone]++
 	a.usage[job.Spec.Team] = a.usage[job.Spec.Team].Plus(request)
-	capacity.available = capacity.available.Minus(request)
+	capacity.available = capacity.available.Minus(request, 1)
 	if candidate.Image == ImageAbsent {
 		capacity.addFetch(job)
 	}
@@ -243,7 +246,7 @@
 			continue
 		}
 		if image := capacity.imageState(job); image != ImageBlocked {
-			candidate := Candidate{Image: image, Spot: capacity.machine.Spot, FreeCPU: capacity.available.CPU}
+			candidate := Candidate{Image: image, Spot: capacity.machine.Spot, FreeCPU: capacity.available.Resources.CPU}
 			candidates = append(candidates, machineCandidate{candidate, capacity})
 		}
 	}
@@ -262,7 +265,7 @@
 // has checked that the job may use the machine's kind.
 func (r *round) isCandidate(job *state.Job, capacity *freeCapacity) bool {
 	machine := capacity.machine
-	return job.Spec.ResourceRequest.FitsIn(capacity.available) &&
+	return capacity.available.Fits(job.Spec.ResourceRequest) &&
 		r.shared.deps.Records.HasRoom(machine.Group, job) &&
 		!avoids(job, machine) &&
 		r.Eligibility.IsAllowedDespiteScaleIn(job, machine)
--- a/internal/scheduling/capacity.go
+++ b/internal/scheduling/capacity.go
@@ -11,14 +11,14 @@
 // freeCapacity is a machine with free resources.
 type freeCapacity struct {
 	machine      *state.Machine
-	available    cluster.Resources
+	available    cluster.Allocatable
 	kindIndex    int // index in the list of kinds that listFreeCapacity returns
 	imageFetches ImageFetches
 	machineCPU   cluster.Amount // total CPUs of the machine
 }
 
-// listFreeCapacity returns the schedulable machines of a shard with at least minCPU free,
-// and their distinct kinds. It omits machines of unknown types, machines of groups that are
+// listFreeCapacity returns the schedulable machines of a shard that can get another task of
+// minCPU, and their distinct kinds. It omits machines of unknown types, machines of groups that are
 // offered to another shard, and cordoned machines other than scale-in candidates. The kinds
 // let the caller check once per kind, rather than once per machine, what a job may use.
 func (s *Scheduler) listFreeCapacity(shard *state.Shard, minCPU cluster.Amount) ([]freeCapacity, []grouprecord.Kind) {
@@ -35,10 +35,10 @@
 		}
 		capacity := freeCapacity{
 			machine:    machine,
-			available:  machineType.Capacity.Minus(machine.UsedResources()),
+			available:  machine.Allocatable(machineType.Capacity),
 			machineCPU: machineType.Capacity.CPU,
 		}
-		if capacity.available.CPU < minCPU {
+		if capacity.available.Resources.CPU < minCPU || capacity.available.Tasks <= 0 {
 			continue
 		}
 		capacity.addPendingFetches()
@@ -76,11 +76,13 @@
 // PackFreeCapacity removes from work the tasks that fit into the free resources of a
 // shard's machines, taking into account which machines a job may use.
 func (s *Scheduler) PackFreeCapacity(shard *state.Shard, work PendingWork) {
-	capacities, _ := s.listFreeCapacity(shard, 1)
+	capacities, _ := s.listFreeCapacity(shard, work.minCPU())
 	for i := range capacities {
 		capacity := &capacities[i]
 		work.Pack(capacity.available, func(job *state.Job) bool {
-			return s.Eligibility.IsAllowedOn(job, capacity.machine) && s.Eligibility.IsAllowedDespiteScaleIn(job, capacity.machine)
+			return s.Eligibility.IsAllowedOn(job, capacity.machine) &&
+				s.Eligibility.IsAllowedDespiteScaleIn(job, capacity.machine) &&
+				s.shared.recordCanHaveRoom(job, capacity.machine)
 		})
 	}
 }
@@ -92,7 +94,7 @@
 		return false
 	}
 	work := s.Queue.PendingWork(shard)
-	capacities, _ := s.listFreeCapacity(shard, 1)
+	capacities, _ := s.listFreeCapacity(shard, work.minCPU())
 	for i := range capacities {
 		capacity := &capacities[i]
 		if work.Pack(capacity.available, func(job *state.Job) bool { return s.isStartable(job, capacity) }) > 0 {
--- a/internal/scheduling/fixture_test.go
+++ b/internal/scheduling/fixture_test.go
@@ -22,6 +22,7 @@
 	regrouped            [][]*state.Machine
 	acquired             []string // keys of the acquired groups
 	ownershipChanges     int
+	recordFull           bool // the records have no room for further tasks
 }
 
 func newFixture() *fixture {
@@ -69,7 +70,7 @@
 func (f *fixture) Drain(machine *state.Machine) { machine.Draining = true }
 
 // HasRoom implements MachineRecords.
-func (f *fixture) HasRoom(*state.MachineGroup, *state.Job) bool { return true }
+func (f *fixture) HasRoom(*state.MachineGroup, *state.Job) bool { return !f.recordFull }
 
 // WriteMachine implements MachineRecords.
 func (f *fixture) WriteMachine(machine *state.Machine, _ writequeue.Priority) {
--- a/internal/scheduling/loads.go
+++ b/internal/scheduling/loads.go
@@ -72,9 +72,10 @@
 			continue
 		}
 		load.Available += l.machineCapacity(machine).CPU
+		machineType := l.state.MachineTypes[machine.MachineType]
 		for _, assignment := range machine.Assignments {
 			if assignment.IsLive() && assignment.Job.IsActive() {
-				load.Demand[assignment.Job.EffectivePriority] += assignment.ResourceRequest.CPU
+				load.Demand[assignment.Job.EffectivePriority] += machineType.TaskCPU(assignment.ResourceRequest)
 			}
 		}
 	}
@@ -83,7 +84,22 @@
 		if pending.Starving {
 			priority = max(priority, cluster.Urgent) // scheduled before all other work
 		}
-		load.Demand[priority] += pending.Job.Spec.ResourceRequest.CPU * cluster.Amount(pending.Count)
+		load.Demand[priority] += l.pendingTaskCPU(&pending.Job.Spec) * cluster.Amount(pending.Count)
 	}
 	return load
 }
+
+// pendingTaskCPU returns the CPUs that a pending task of a job will occupy on a machine of
+// the type on which it occupies the fewest.
+func (l *ShardLoads) pendingTaskCPU(spec *cluster.JobSpec) cluster.Amount {
+	fewest, found := spec.ResourceRequest.CPU, false
+	for _, machineType := range l.state.MachineTypes {
+		if !spec.AllowsMachineType(machineType, "") {
+			continue
+		}
+		if occupied := machineType.TaskCPU(spec.ResourceRequest); !found || occupied < fewest {
+			fewest, found = occupied, true
+		}
+	}
+	return fewest
+}
--- a/internal/scheduling/offers.go
+++ b/internal/scheduling/offers.go
@@ -111,7 +111,7 @@
 	var spare []*state.Machine
 	for _, machine := range idle {
 		isAllowed := func(job *state.Job) bool { return r.eligibility.IsAllowedOn(job, machine) }
-		if machine.Cordoned || work.Pack(r.machineCapacity(machine), isAllowed) == 0 {
+		if machine.Cordoned || work.Pack(r.allocatable(machine), isAllowed) == 0 {
 			spare = append(spare, machine)
 		}
 	}
@@ -238,8 +238,9 @@
 	for _, kind := range offer.Kinds {
 		option := state.ProvisioningOption{Type: kind.Type, Zone: kind.Zone, Spot: kind.Spot}
 		isAllowed := func(job *state.Job) bool { return r.eligibility.IsOptionAllowed(job, option) }
+		machineType := r.state.MachineTypes[kind.Type]
 		for range kind.Count {
-			packed += work.Pack(r.state.MachineTypes[kind.Type].Capacity, isAllowed)
+			packed += work.Pack(machineType.Allocatable(), isAllowed)
 		}
 	}
 	return packed > 0
--- a/internal/scheduling/pendingwork.go
+++ b/internal/scheduling/pendingwork.go
@@ -45,26 +45,38 @@
 	return work
 }
 
-// Pack removes from w the tasks that fit into the free resources of one machine, in
-// order, and returns their number. Jobs for which isAllowed returns false are skipped.
-func (w PendingWork) Pack(free cluster.Resources, isAllowed func(*state.Job) bool) int {
+// minCPU returns the smallest number of CPUs that a task of w requests, or 0 if w is empty.
+func (w PendingWork) minCPU() cluster.Amount {
+	if len(w) == 0 {
+		return 0
+	}
+	smallest := w[0].Job.Spec.ResourceRequest.CPU
+	for i := range w {
+		smallest = min(smallest, w[i].Job.Spec.ResourceRequest.CPU)
+	}
+	return smallest
+}
+
+// Pack removes from w the tasks that fit on one machine, in order, and returns their number.
+// Jobs for which isAllowed returns false are skipped.
+func (w PendingWork) Pack(free cluster.Allocatable, isAllowed func(*state.Job) bool) int {
 	packed := 0
 	for i := range w {
 		pending := &w[i]
 		request := pending.Job.Spec.ResourceRequest
-		if pending.Count <= 0 || !request.FitsIn(free) || !isAllowed(pending.Job) {
+		if pending.Count <= 0 || !free.Fits(request) || !isAllowed(pending.Job) {
 			continue
 		}
 		count := min(pending.Count, free.FitCount(request))
-		free = free.Minus(request.Times(count))
+		free = free.Minus(request, count)
 		pending.Count -= count
 		packed += count
 	}
 	return packed
 }
 
-// TasksPerMachine returns how many tasks with a request fit on an empty machine. The
-// result is 1 even if none fits, because callers divide by it.
-func TasksPerMachine(capacity, request cluster.Resources) int {
-	return max(capacity.FitCount(request), 1)
+// TasksPerMachine returns how many tasks with a request fit on an empty machine of a type.
+// The result is 1 even if none fits, because callers divide by it.
+func TasksPerMachine(machineType cluster.MachineType, request cluster.Resources) int {
+	return max(machineType.Allocatable().FitCount(request), 1)
 }
--- a/internal/scheduling/pendingwork_test.go
+++ b/internal/scheduling/pendingwork_test.go
@@ -31,14 +31,14 @@
 	}
 	work := PendingWork{{Job: jobOf("large", 6), Count: 5}, {Job: jobOf("forbidden", 1), Count: 5}, {Job: jobOf("small", 1), Count: 5}}
 	allowed := func(job *state.Job) bool { return job.Spec.ID != "forbidden" }
-	machine := cluster.Resources{CPU: 16 * cpu}
+	machine := cluster.Allocatable{Resources: cluster.Resources{CPU: 16 * cpu}, Tasks: 100}
 	if packed := work.Pack(machine, allowed); packed != 6 {
 		t.Errorf("%d tasks packed, want 2 large and 4 small ones", packed)
 	}
 	if work[0].Count != 3 || work[1].Count != 5 || work[2].Count != 1 {
 		t.Errorf("%d large, %d forbidden and %d small tasks left, want 3, 5 and 1", work[0].Count, work[1].Count, work[2].Count)
 	}
-	if packed := work.Pack(cluster.Resources{}, allowed); packed != 0 {
+	if packed := work.Pack(cluster.Allocatable{Tasks: 100}, allowed); packed != 0 {
 		t.Errorf("%d tasks packed on a full machine, want 0", packed)
 	}
 }
--- a/internal/scheduling/preempt.go
+++ b/internal/scheduling/preempt.go
@@ -81,8 +81,11 @@
 		if !p.Eligibility.IsAllowedOn(job, machine) || !p.Eligibility.satisfiesColocation(job, machine.Zone) {
 			continue
 		}
+		if !p.shared.recordCanHaveRoom(job, machine) {
+			continue
+		}
 		victims, free := p.selectVictims(job, machine)
-		if !request.FitsIn(free) {
+		if !free.Fits(request) {
 			continue
 		}
 		added, withinQuota := fitWithinQuota(request, free, job.PendingCount()-fitting, &quotaLeft)
@@ -103,16 +106,16 @@
 	return true
 }
 
-// fitWithinQuota returns how many times a request fits into the free resources of a
-// machine, up to limit, and subtracts these requests from quotaLeft. withinQuota is
-// false, and quotaLeft negative, if the quota allows fewer of them.
-func fitWithinQuota(request, free cluster.Resources, limit int, quotaLeft *cluster.Resources) (count int, withinQuota bool) {
-	for count < limit && request.FitsIn(free) {
+// fitWithinQuota returns how many tasks with a request fit on a machine, up to limit, and
+// subtracts their requests from quotaLeft. withinQuota is false, and quotaLeft negative, if
+// the quota allows fewer of them.
+func fitWithinQuota(request cluster.Resources, free cluster.Allocatable, limit int, quotaLeft *cluster.Resources) (count int, withinQuota bool) {
+	for count < limit && free.Fits(request) {
 		*quotaLeft = quotaLeft.Minus(request)
 		if quotaLeft.CPU < 0 || quotaLeft.GPU < 0 {
 			return count, false
 		}
-		free = free.Minus(request)
+		free = free.Minus(request, 1)
 		count++
 	}
 	return count, true
@@ -121,10 +124,10 @@
 // selectVictims returns the tasks to stop on a machine so that one task of a job fits. free
 // is what will be available once these tasks and those already stopping have stopped; it
 // may be too little for the task.
-func (p *preemption) selectVictims(job *state.Job, machine *state.Machine) (victims []*state.Assignment, free cluster.Resources) {
-	free = p.shared.freeResources(machine)
+func (p *preemption) selectVictims(job *state.Job, machine *state.Machine) (victims []*state.Assignment, free cluster.Allocatable) {
+	free = p.shared.allocatable(machine)
 	for _, assignment := range machine.SortedAssignments() {
-		if job.Spec.ResourceRequest.FitsIn(free) {
+		if free.Fits(job.Spec.ResourceRequest) {
 			break
 		}
 		if !assignment.IsCheckpointable() || !p.isPreemptibleFor(assignment.Job, job) {
--- a/internal/scheduling/rebalance.go
+++ b/internal/scheduling/rebalance.go
@@ -130,7 +130,7 @@
 	if request.CPU == 0 {
 		return price / float64(machineType.Capacity.CPU)
 	}
-	return price / float64(request.CPU*cluster.Amount(TasksPerMachine(machineType.Capacity, request)))
+	return price / float64(request.CPU*cluster.Amount(TasksPerMachine(machineType, request)))
 }
 
 // typicalRequest returns the mean resource request of a shard's unfinished tasks, with CPU
--- a/internal/scheduling/scheduler.go
+++ b/internal/scheduling/scheduler.go
@@ -180,9 +180,15 @@
 	return s.state.MachineTypes[machine.MachineType].Capacity
 }
 
-// freeResources returns the resources of a machine that its tasks don't use.
-func (s *shared) freeResources(machine *state.Machine) cluster.Resources {
-	return s.machineCapacity(machine).Minus(machine.UsedResources())
+// allocatable returns what further tasks can use on a machine.
+func (s *shared) allocatable(machine *state.Machine) cluster.Allocatable {
+	return machine.Allocatable(s.machineCapacity(machine))
+}
+
+// recordCanHaveRoom reports whether the record of a machine's group can list one more task of
+// a job, now or after the group was split. A group of one machine can't be split.
+func (s *shared) recordCanHaveRoom(job *state.Job, machine *state.Machine) bool {
+	return len(machine.Group.Machines) > 1 || s.deps.Records.HasRoom(machine.Group, job)
 }
 
 // secondsSince returns the time elapsed since start, in seconds.
--- a/internal/simulation/command_calls.go
+++ b/internal/simulation/command_calls.go
@@ -69,6 +69,11 @@
 		call.replyAfter(commandReplyTimeout, unknown)
 		return
 	}
+	if isPushTooLarge(&commands) {
+		c.reportViolation("large_body: a push to %s has %d commands in more than 64 KiB", worker.ID, len(commands.Commands))
+		call.replyAfter(c.network.delay(), unknown) // the worker rejects the request with 400
+		return
+	}
 	reply := worker.HandleCommands(commands)
 	c.logCommands(call.node, worker, commands.FencingToken, commands.Commands)
 	c.machines.heartbeats.schedule(worker)
--- a/internal/simulation/fault_kinds.go
+++ b/internal/simulation/fault_kinds.go
@@ -13,6 +13,7 @@
 	FaultStoreLimitsLowered                 FaultKind = "limits of the store lowered"
 	FaultNodeUpgraded                       FaultKind = "controllers upgraded"
 	FaultHeartbeatBlocked                   FaultKind = "blocked heartbeats"
+	FaultHeartbeatTooLarge                  FaultKind = "heartbeats larger than the size limit"
 	FaultCommandToBlockedMachine            FaultKind = "commands to a machine with blocked heartbeats"
 	FaultCommandToUnreachableMachine        FaultKind = "commands to an unreachable machine"
 	FaultRepeatedStart                      FaultKind = "executed pushes of starts delivered again"
--- a/internal/simulation/heartbeats.go
+++ b/internal/simulation/heartbeats.go
@@ -108,6 +108,11 @@
 	if s.network.isHeartbeatDuplicated() {
 		s.deliverDuplicate(x.status, s.RandomBetween(second, 3*s.config.WorkerLease))
 	}
+	if isHeartbeatTooLarge(&x.status) {
+		s.FaultCounts[FaultHeartbeatTooLarge]++
+		s.After(s.network.delay(), x.tryNextNode) // the controller rejects the request with 400
+		return
+	}
 	s.failovers.captureHeartbeat(x.status)
 	x.node.SendRequest(heartbeatRequest(x.status), x.handleResponse)
 }
@@ -177,6 +182,9 @@
 // accept passes a successful response to the worker and ends the exchange. It queues
 // another heartbeat if the response has a new fencing token or commands.
 func (x *heartbeatExchange) accept(response messages.HeartbeatResponse) {
+	if isResponseTooLarge(&response) {
+		x.sender.reportViolation("long_line: the response to a heartbeat of %s has %d commands in a line over 64 KiB", x.worker.ID, len(response.Commands))
+	}
 	previousToken := x.worker.FencingToken
 	x.worker.HandleHeartbeatResponse(x.status.Incarnation, x.sentAt, response)
 	x.sender.logCommands(x.node, x.worker, response.FencingToken, response.Commands)
--- a/internal/state/assignment.go
+++ b/internal/state/assignment.go
@@ -86,6 +86,11 @@
 	return false
 }
 
+// IsUnsent reports whether the start was not sent and the assignment was not withdrawn.
+func (a *Assignment) IsUnsent() bool {
+	return (a.Phase == PhaseRecording || a.Phase == PhaseReady) && !a.ConfirmedAbsent
+}
+
 // IsCheckpointable reports whether a heartbeat has shown the task, the task has not ended,
 // and its job saves checkpoints.
 func (a *Assignment) IsCheckpointable() bool {
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -87,6 +87,11 @@
 	ResponseDeadline      cluster.Time // latest time for the response
 	HeartbeatHeld         bool         // the heartbeat awaits the next scan of held heartbeats
 
+	FieldOverhead      int          // of the last heartbeat; see cluster.FieldOverhead
+	OversizedSince     cluster.Time // first of the heartbeats that were rejected as too large since the last accepted one; 0 if there is none
+	StatusQueryPending bool
+	UntrackedTaskCount int // attempts in the last status that are neither assigned nor in CommandState
+
 	CachedImages []CachedImage // least recently used first
 }
 
@@ -144,6 +149,25 @@
 // have ended.
 func (m *Machine) TaskCount() int { return len(m.Assignments) }
 
+// ListableTaskCount returns an upper bound of the number of attempts that the worker's next
+// heartbeat lists once all assigned tasks were started. Attempts that have ended count until
+// a status no longer lists them.
+func (m *Machine) ListableTaskCount() int {
+	return len(m.Assignments) + len(m.EndedToAcknowledge) + len(m.UnrecordedToStop) + m.UntrackedTaskCount
+}
+
+// MaxTasks returns how many attempts the worker's heartbeats can list.
+func (m *Machine) MaxTasks() int { return cluster.MaxTasksPerHeartbeat(m.FieldOverhead) }
+
+// Allocatable returns what further tasks can use on the machine. capacity is that of the
+// machine's type.
+func (m *Machine) Allocatable(capacity cluster.Resources) cluster.Allocatable {
+	return cluster.Allocatable{
+		Resources: capacity.Minus(m.UsedResources()),
+		Tasks:     m.MaxTasks() - m.ListableTaskCount(),
+	}
+}
+
 // AddAssignment adds an assignment to the machine and to the assignment's job. It replaces
 // the machine's assignment of the same task, if any.
 func (m *Machine) AddAssignment(a *Assignment) {
