A machine with more tasks than its heartbeats can list recovers within its lease

What callers could see: a machine that has too many tasks already, from an owner of another release or because its worker changed its encoding, has all its heartbeats rejected with 400 until its lease expires, and then loses all its tasks. What was taken over and not started was started again in full.

Cause: the controller learned nothing from a heartbeat above 64 KiB, and nothing took work off a machine whose heartbeats it rejected.

Change: if the beginning of an oversized heartbeat names the machine, its owner reads the worker's status by a call, whose response has no size limit, and pushes what it would have sent in the response: stops and acknowledgements, the latter under the same fence as before. Whenever a status shows more tasks than heartbeats can list, starts that were not sent are withdrawn, and if the running tasks alone do not fit, the excess is stopped: first what does not run yet, then what was started last. Both are logged. The machine gets no new tasks meanwhile, and is released ("heartbeats too large") if its heartbeats stay too large 5 s after the lease, when its worker has lost all tasks. A heartbeat above 64 KiB still gets 400.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -105,6 +105,9 @@
 	case messages.Heartbeat:
 		c.counters.Heartbeats++
 		c.reconciler.Heartbeats.Handle(e)
+	case messages.OversizedHeartbeat:
+		c.counters.Heartbeats++
+		c.reconciler.Heartbeats.HandleOversized(e)
 	case messages.PeerRequest:
 		c.handlePeerRequest(e)
 	case messages.ProcessLoad:
--- a/internal/controller/small_tasks_test.go
+++ b/internal/controller/small_tasks_test.go
@@ -118,3 +118,26 @@
 	}
 	return unstarted
 }
+
+// TestMachineBeyondHeartbeatLimitRecovers guards against a machine that loses lease after
+// lease because it has more tasks than its heartbeats can list, for example from an owner of
+// another release: its heartbeats fit again within its lease, and the tasks that fit go on.
+func TestMachineBeyondHeartbeatLimitRecovers(t *testing.T) {
+	c := newLargeMachineCluster(t, 0)
+	job := c.submitSmallTasks("j-000001", 420, cluster.Resources{CPU: cpu / 8, Memory: 4 * cpu / 10}, 60*second)
+	worker := c.Machines.Workers["m-000004"]
+	c.waitFor("the large machine has many tasks", 30*second, func() bool { return len(worker.Tasks) > 250 })
+	started := len(worker.Tasks)
+	const overhead = 40 // makes the heartbeats too large
+	worker.FieldOverhead = overhead
+	c.waitFor("a heartbeat is rejected", 10*second, func() bool { return c.FaultCounts[simulation.FaultHeartbeatTooLarge] > 0 })
+	limit := cluster.MaxTasksPerHeartbeat(overhead)
+	c.waitFor("a heartbeat is accepted", c.config.WorkerLease, func() bool { return len(worker.Tasks) <= 2*limit })
+	if len(worker.Tasks) < limit || worker.Incarnation != 1 {
+		t.Errorf("%d of %d tasks left in incarnation %d, want at least %d in the first", len(worker.Tasks), started, worker.Incarnation, limit)
+	}
+	c.waitFor("the job is done", 400*second, func() bool { return job.ReportedStatus == cluster.JobDone })
+	if worker.Incarnation != 1 {
+		t.Errorf("the worker lost its lease: incarnation %d", worker.Incarnation)
+	}
+}
--- a/internal/messages/events.go
+++ b/internal/messages/events.go
@@ -42,6 +42,14 @@
 	Status  cluster.HeartbeatStatus
 }
 
+// OversizedHeartbeat is a heartbeat that is larger than the protocol allows. Only the sender is
+// known.
+type OversizedHeartbeat struct {
+	Request RequestID
+	Machine cluster.MachineID
+	Reason  string // why the heartbeat is rejected
+}
+
 // PeerRequest is a message from another controller, which waits for a response.
 type PeerRequest struct {
 	Request RequestID
@@ -62,12 +70,13 @@
 	Body ReplyBody
 }
 
-func (Tick) isEvent()        {}
-func (Submit) isEvent()      {}
-func (Query) isEvent()       {}
-func (Cancel) isEvent()      {}
-func (Health) isEvent()      {}
-func (Heartbeat) isEvent()   {}
-func (PeerRequest) isEvent() {}
-func (Reply) isEvent()       {}
-func (ProcessLoad) isEvent() {}
+func (Tick) isEvent()               {}
+func (Submit) isEvent()             {}
+func (Query) isEvent()              {}
+func (Cancel) isEvent()             {}
+func (Health) isEvent()             {}
+func (Heartbeat) isEvent()          {}
+func (OversizedHeartbeat) isEvent() {}
+func (PeerRequest) isEvent()        {}
+func (Reply) isEvent()              {}
+func (ProcessLoad) isEvent()        {}
--- a/internal/reconcile/maintenance.go
+++ b/internal/reconcile/maintenance.go
@@ -38,6 +38,7 @@
 	ReleaseHungWithCancelledTasks ReleaseReason = "silent with cancelled tasks"
 	ReleaseIgnoresStop            ReleaseReason = "does not stop a cancelled task"
 	ReleaseUnreachable            ReleaseReason = "unreachable for commands"
+	ReleaseOversizedHeartbeats    ReleaseReason = "heartbeats too large"
 	ReleaseDrained                ReleaseReason = "drained"
 	ReleasePreempted              ReleaseReason = "preempted"
 	ReleaseCordoned               ReleaseReason = "cordoned"
--- a/internal/reconcile/push.go
+++ b/internal/reconcile/push.go
@@ -43,9 +43,10 @@
 		c.loop.Now()-machine.LastHeartbeat <= 2*c.config.HeartbeatInterval
 }
 
-// pushable returns the urgent commands that may be pushed to a machine.
+// pushable returns the urgent commands that may be pushed to a machine, or all commands if
+// its heartbeats are too large to be answered.
 func (c *Commands) pushable(machine *state.Machine) []cluster.Command {
-	commands := c.For(machine, true)
+	commands := c.For(machine, machine.OversizedSince == 0)
 	if !machine.TokenAcknowledged || machine.RaisingToken {
 		commands = onlyStops(commands)
 	}
--- a/internal/reconcile/status.go
+++ b/internal/reconcile/status.go
@@ -43,6 +43,10 @@
 		r.deps.Machines.RaiseToken(machine)
 	}
 	machine.PruneStaleAttempts(reported)
+	if !pushed {
+		machine.OversizedSince = 0
+	}
+	r.reduceExcessTasks(machine)
 	return true
 }
 
--- a/internal/reconcile/unresponsive.go
+++ b/internal/reconcile/unresponsive.go
@@ -45,10 +45,18 @@
 		return ReleaseIgnoresStop
 	case m.isUnreachableForCommands(machine):
 		return ReleaseUnreachable
+	case m.hasOnlyOversizedHeartbeats(machine):
+		return ReleaseOversizedHeartbeats
 	}
 	return releaseNone
 }
 
+// hasOnlyOversizedHeartbeats reports whether the heartbeats of a machine have been too large
+// for so long that the worker has lost its lease, after which it has no tasks.
+func (m *Maintenance) hasOnlyOversizedHeartbeats(machine *state.Machine) bool {
+	return machine.OversizedSince > 0 && m.elapsedSince(machine.OversizedSince) > m.config.WorkerLease+lossMargin
+}
+
 // isUnreachableForCommands reports whether a machine sends heartbeats but has not
 // acknowledged its token for so long that it seems to receive no commands.
 func (m *Maintenance) isUnreachableForCommands(machine *state.Machine) bool {
--- a/internal/scheduling/assign_test.go
+++ b/internal/scheduling/assign_test.go
@@ -32,6 +32,7 @@
 		"releasing":              func(m *state.Machine) { m.Releasing = true },
 		"start in doubt":         func(m *state.Machine) { m.StartInDoubt = true },
 		"raising token":          func(m *state.Machine) { m.RaisingToken = true },
+		"heartbeats too large":   func(m *state.Machine) { m.OversizedSince = 1 },
 		"after an error":         func(m *state.Machine) { m.NoStartsBefore = second },
 		"missed heartbeats":      func(m *state.Machine) { m.LastHeartbeat = -11 * second },
 		"cordoned":               func(m *state.Machine) { m.Cordon() },
--- a/internal/scheduling/eligibility.go
+++ b/internal/scheduling/eligibility.go
@@ -22,7 +22,7 @@
 	now := e.loop.Now()
 	return machine.TokenAcknowledged &&
 		!machine.Booting && !machine.Draining && !machine.Releasing &&
-		!machine.StartInDoubt && !machine.RaisingToken &&
+		!machine.StartInDoubt && !machine.RaisingToken && machine.OversizedSince == 0 &&
 		now >= machine.NoStartsBefore &&
 		now-machine.LastHeartbeat < 2*e.config.HeartbeatInterval+second
 }
--- a/internal/simulation/bodysize.go
+++ b/internal/simulation/bodysize.go
@@ -16,6 +16,12 @@
 // maxBodySize, so that its size need not be computed.
 const maxSmallMessage = 200
 
+// Numbers of fields of a heartbeat and of a task in it.
+const (
+	heartbeatFieldCount = 10
+	taskFieldCount      = 5
+)
+
 // taskStateNames and taskCauseNames are the protocol's names of task states and of causes for
 // which tasks ended.
 var (
@@ -34,7 +40,7 @@
 		size += len(task.Task.String()) + digitCount(uint64(task.Attempt))
 		size += len(taskStateNames[task.State]) + len(taskCauseNames[task.Cause])
 	}
-	return size
+	return size + status.FieldOverhead*(heartbeatFieldCount+taskFieldCount*len(status.Tasks))
 }
 
 func digitCount(number uint64) int { return len(strconv.FormatUint(number, 10)) }
--- a/internal/simulation/fake_worker.go
+++ b/internal/simulation/fake_worker.go
@@ -45,6 +45,7 @@
 	OnStart       func(w *FakeWorker, t *Task)
 	OnDone        func(t cluster.TaskID) // optional
 	FaultyUntil   cluster.Time           // every task fails until then
+	FieldOverhead int                    // of the encoding of heartbeats; see cluster.FieldOverhead
 
 	Incarnation      cluster.Incarnation
 	SequenceNumber   cluster.SequenceNumber
@@ -176,6 +177,7 @@
 		SequenceNumber:   w.SequenceNumber,
 		FencingToken:     w.FencingToken,
 		PreemptionNotice: w.PreemptionNotice,
+		FieldOverhead:    w.FieldOverhead,
 	}
 	for _, task := range w.sortedTasks() {
 		status.Tasks = append(status.Tasks, cluster.TaskStatus{
--- a/internal/simulation/heartbeats.go
+++ b/internal/simulation/heartbeats.go
@@ -84,6 +84,12 @@
 	}
 }
 
+func oversizedHeartbeatRequest(machine cluster.MachineID) func(messages.RequestID) messages.Event {
+	return func(id messages.RequestID) messages.Event {
+		return messages.OversizedHeartbeat{Request: id, Machine: machine}
+	}
+}
+
 // heartbeatExchange is a heartbeat and its response.
 type heartbeatExchange struct {
 	sender   *heartbeatSender
@@ -110,7 +116,7 @@
 	}
 	if isHeartbeatTooLarge(&x.status) {
 		s.FaultCounts[FaultHeartbeatTooLarge]++
-		s.After(s.network.delay(), x.tryNextNode) // the controller rejects the request with 400
+		x.node.SendRequest(oversizedHeartbeatRequest(x.status.Machine), x.handleResponse)
 		return
 	}
 	s.failovers.captureHeartbeat(x.status)
--- a/internal/wire/heartbeat_size_test.go
+++ b/internal/wire/heartbeat_size_test.go
@@ -146,3 +146,22 @@
 		t.Errorf("a task has %d bytes, the bound is %d", entry, bound)
 	}
 }
+
+// TestDecodeMachineID checks that the sender of a heartbeat is found in its first part.
+func TestDecodeMachineID(t *testing.T) {
+	for text, want := range map[string]cluster.MachineID{
+		`{"coach":"m-000231","legs":[{"leg":`:                     "m-000231",
+		`{"later":{"coach":"m-1"},"shift":1,"coach":"m-000231","`: "m-000231",
+		`{"legs":[{"leg":"j-1/0"},`:                               "",
+		`{"coach":"","shift":1}`:                                  "",
+		`{"coach":"m 1","shift":1}`:                               "",
+		`{"coach":231,"shift":1}`:                                 "",
+		`{"shift":1}`:                                             "",
+		`["coach","m-000231"]`:                                    "",
+		``:                                                        "",
+	} {
+		if got, found := DecodeMachineID([]byte(text)); got != want || found != (want != "") {
+			t.Errorf("%s: %q, %v; want %q", text, got, found, want)
+		}
+	}
+}
--- a/internal/wire/worker.go
+++ b/internal/wire/worker.go
@@ -1,12 +1,17 @@
 package wire
 
 import (
+	"bytes"
+	"encoding/json"
 	"strings"
 
 	"stairrelay/internal/cluster"
 	"stairrelay/internal/messages"
 )
 
+// machineIDField is the field of a heartbeat that contains the machine ID.
+const machineIDField = "coach"
+
 // heartbeatBody is the kind of body of a heartbeat, as named in errors.
 const heartbeatBody = "heartbeat"
 
@@ -135,6 +140,30 @@
 	return length
 }
 
+// DecodeMachineID returns the machine ID in the beginning of a heartbeat. It returns false if
+// the ID is invalid or does not precede the end of the text.
+func DecodeMachineID(beginning []byte) (cluster.MachineID, bool) {
+	decoder := json.NewDecoder(bytes.NewReader(beginning))
+	if start, err := decoder.Token(); err != nil || start != json.Delim('{') {
+		return "", false
+	}
+	for decoder.More() {
+		name, err := decoder.Token()
+		if err != nil {
+			return "", false
+		}
+		var value json.RawMessage
+		if decoder.Decode(&value) != nil {
+			return "", false
+		}
+		var id string
+		if name == machineIDField && json.Unmarshal(value, &id) == nil && isValidMachineID(id) {
+			return cluster.MachineID(id), true
+		}
+	}
+	return "", false
+}
+
 // isValidMachineID reports whether a machine ID is not empty, at most maxMachineIDLength
 // bytes long, and without forbidden characters.
 func isValidMachineID(id string) bool {
--- a/internal/workers/handler.go
+++ b/internal/workers/handler.go
@@ -29,7 +29,7 @@
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, wire.MaxBodySize))
 	if err != nil {
 		h.logMalformed(r.RemoteAddr, err)
-		http.Error(w, "body unreadable or too large", http.StatusBadRequest)
+		h.rejectUnreadable(w, r, body)
 		return
 	}
 	status, err := wire.DecodeHeartbeatStatus(body)
@@ -55,6 +55,20 @@
 	_, _ = w.Write(wire.EncodeHeartbeatResponse(response.Status, *response.Heartbeat))
 }
 
+// unreadableReason is the response to a heartbeat whose body can't be read or is too large.
+const unreadableReason = "body unreadable or too large"
+
+// rejectUnreadable rejects a heartbeat whose body can't be read or is too large. If the part
+// of the body that was read names the machine, the controller is notified.
+func (h *handler) rejectUnreadable(w http.ResponseWriter, r *http.Request, body []byte) {
+	if machine, found := wire.DecodeMachineID(body); found && len(body) == wire.MaxBodySize {
+		h.requester.Request(r.Context(), func(id messages.RequestID) messages.Event {
+			return messages.OversizedHeartbeat{Request: id, Machine: machine, Reason: unreadableReason}
+		})
+	}
+	http.Error(w, unreadableReason, http.StatusBadRequest)
+}
+
 // logMalformed logs an error unless the same error of the same host has been logged before
 // or too many errors have been logged.
 func (h *handler) logMalformed(remoteAddress string, err error) {
