Responses to users contain no line above 64 KiB

What callers saw: a submission of 64 KiB that consists of one long number got 400 with a line of 65,620 bytes; the protocol allows 64 KiB.

Cause: the text of a JSON decoding error quotes the number, and the response contained the text in full. Reasons that another controller gives for a proxied submission were passed on without a limit too.

Change: a reason of more than 1,000 bytes is shortened when the response is written.

Evidence: TestErrorLinesAreShort failed before for three of six bodies of 64 KiB (65,620 to 65,631 bytes).

--- a/internal/users/users.go
+++ b/internal/users/users.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"stairrelay/internal/cluster"
 	"stairrelay/internal/engine"
@@ -54,7 +55,7 @@
 	submit := messages.Submit{Spec: spec}
 	if err != nil {
 		if spec.ID == "" {
-			http.Error(w, err.Error(), http.StatusBadRequest)
+			respondError(w, err.Error(), http.StatusBadRequest)
 			return
 		}
 		// If a job with this ID exists, this is a repeated submission and must not be
@@ -114,6 +115,18 @@
 	case response.Status == messages.StatusOK:
 		w.WriteHeader(http.StatusOK)
 	default:
-		http.Error(w, response.Error, int(response.Status))
+		respondError(w, response.Error, int(response.Status))
 	}
 }
+
+// maxReasonLength limits the length of the reason in a response, in bytes. The protocol
+// limits a line to 64 KiB, and the text of a decoding error may quote the whole submission.
+const maxReasonLength = 1000
+
+// respondError writes a response with a reason, which is shortened if it is too long.
+func respondError(w http.ResponseWriter, reason string, status int) {
+	if len(reason) > maxReasonLength {
+		reason = strings.ToValidUTF8(reason[:maxReasonLength], "") + "..."
+	}
+	http.Error(w, reason, status)
+}
