Responses to queries of other controllers fit into a message

What callers could see: a controller of the production release sends all waiting queries in one message. For more than some 10,000 jobs with long IDs the response exceeded 1 MiB and could not be encoded; the call got 500, and all these jobs were read from the store one by one.

Cause: the response contained a view for each queried job, and only our own queries were split into messages of 1,000.

Change: jobs beyond 1,000 are omitted from the response, which means to the sender that it has to look them up in the store.

Evidence: TestPeerQueryResponseFits (30,000 queries) failed before.

--- a/internal/jobs/queries.go
+++ b/internal/jobs/queries.go
@@ -181,8 +181,10 @@
 
 // HandlePeerQuery answers another controller's query with the status of the jobs that are
 // known to be finished or for which this controller is authoritative, and omits the
-// others.
+// others. It also omits the jobs beyond maxQueriesPerMessage, which a controller of another
+// release may exceed, because the response has a size limit.
 func (q *Queries) HandlePeerQuery(ids []cluster.JobID, handle func([]cluster.JobView)) {
+	ids = ids[:min(len(ids), maxQueriesPerMessage)]
 	response := &peerQueryResponse{queries: q, ids: ids, handle: handle, confirmed: map[cluster.ShardID]bool{}, outstanding: 1}
 	if slices.ContainsFunc(ids, response.isBlockedOwned) {
 		response.outstanding++
