The test of responses to other controllers' queries compiles

The test now encodes the response itself. With the limit of 1,000 jobs taken out it fails; with it, it passes.

--- a/internal/controller/peer_response_size_test.go
+++ b/internal/controller/peer_response_size_test.go
@@ -7,14 +7,15 @@
 
 	"stairrelay/internal/cluster"
 	"stairrelay/internal/messages"
-	"stairrelay/internal/peers"
 	"stairrelay/internal/state"
+
+	"github.com/fxamacker/cbor/v2"
 )
 
 // TestPeerQueryResponseFits guards against a response that is too large to be sent: a
 // controller of another release may query more jobs at once than this one does.
 func TestPeerQueryResponseFits(t *testing.T) {
-	const queried = 30_000
+	const queried, maxMessageSize = 30_000, 1 << 20
 	h := newControllerHarness()
 	var ids []cluster.JobID
 	for i := range queried {
@@ -24,8 +25,8 @@
 	}
 	var views []cluster.JobView
 	h.jobs.Queries.HandlePeerQuery(ids, func(v []cluster.JobView) { views = v })
-	response := h.members.WithSender(messages.PeerMessage{Views: views})
-	if _, err := peers.Encode(response); err != nil || len(views) == 0 {
-		t.Errorf("a response with %d views: %v", len(views), err)
+	response, err := cbor.Marshal(h.members.WithSender(messages.PeerMessage{Views: views}))
+	if err != nil || len(response) > maxMessageSize || len(views) == 0 {
+		t.Errorf("a response with %d views has %d bytes; error %v", len(views), len(response), err)
 	}
 }
