A record whose task ranges are divided by ended tasks still fits into the store

What callers could see: the tasks of one machine are assigned as one range of some 20 bytes. If every other one is stopped or ends, the record lists each of the others by itself: 212 ranges take 1,914 bytes. A record above the value limit is rejected; a group is then split, but the group of a single machine was only written again each second, forever, so that nothing started on the machine any more and no stopped task started elsewhere. With 424 tasks on a machine this needs a limit of some 2 to 4 KiB, with tasks of several jobs and high indexes.

Cause: the size of a record was bounded when tasks are added. Removing tasks was assumed to make it smaller.

Change: if a record would exceed the limit, tasks that it need not list, but that lie within a range of tasks that it lists, stay listed, as in the stored record, until their neighbours are removed too. They stay assigned, so nothing of them starts elsewhere. The record is written again after a second.

--- a/internal/inventory/record.go
+++ b/internal/inventory/record.go
@@ -43,21 +43,26 @@
 func newMachineSnapshot(m *state.Machine) machineSnapshot {
 	snapshot := machineSnapshot{machine: m, raisesToken: m.RaisingToken, releases: m.Releasing}
 	for _, a := range m.SortedAssignments() {
-		switch {
-		case a.ConfirmedAbsent:
-			snapshot.removed = append(snapshot.removed, a)
-		case a.IsCompleted():
-			// The record need not list a completed task, because the worker reports
-			// the task until its outcome is stored. A new owner of the shard learns
-			// of the completion from the worker's heartbeat.
-			snapshot.completed = append(snapshot.completed, a)
-		default:
-			snapshot.listed = append(snapshot.listed, a)
-		}
+		snapshot.add(a)
 	}
 	return snapshot
 }
 
+// add lists an assignment, unless the record need not list it.
+func (s *machineSnapshot) add(a *state.Assignment) {
+	switch {
+	case a.ConfirmedAbsent:
+		s.removed = append(s.removed, a)
+	case a.IsCompleted():
+		// The record need not list a completed task, because the worker reports
+		// the task until its outcome is stored. A new owner of the shard learns
+		// of the completion from the worker's heartbeat.
+		s.completed = append(s.completed, a)
+	default:
+		s.listed = append(s.listed, a)
+	}
+}
+
 // encode returns the encoded record, which contains the ID of the write that stores it.
 //
 // A record that lists no machine is stored too. If its key were deleted, a delayed copy
--- a/internal/inventory/write.go
+++ b/internal/inventory/write.go
@@ -85,6 +85,8 @@
 	groupClaim
 	priority writequeue.Priority
 	snapshot *recordSnapshot // of the last record built
+
+	isPartial bool // the record still lists tasks that it need not list
 }
 
 // WriteGroup enqueues a write of a group's record. If a write is already queued, it raises
@@ -123,10 +125,15 @@
 		group.WritePending = false
 		return nil, nil
 	}
-	group.WriteInFlight = true
+	group.WriteInFlight, w.isPartial = true, false
 	group.MarkRecordBuilt()
 	w.snapshot = newRecordSnapshot(group.SortedMachines())
 	value := w.snapshot.encode(group.ShardID, writeID)
+	if len(value) > int(w.inventory.config.ValueLimit) {
+		w.snapshot.keepRanges()
+		value = w.snapshot.encode(group.ShardID, writeID)
+		w.isPartial = true
+	}
 	group.RecordSize = w.snapshot.size
 	return []messages.TxnOp{{Key: group.Key(), Value: value}}, []cluster.ModRevision{group.ModRevision}
 }
@@ -139,6 +146,13 @@
 	w.group.ModRevision = cluster.ModRevision(revision)
 	w.inventory.applyStored(w.group, w.snapshot, revision)
 	w.inventory.queueNextWrite(w.group)
+	if w.isPartial {
+		w.inventory.loop.After(second, func() {
+			if w.isCurrent() {
+				w.inventory.WriteGroup(w.group, w.priority)
+			}
+		})
+	}
 }
 
 // handleTooLarge splits the group after the store has rejected its record as too large. A
