Transactions stay below 64 KiB with large values too

What callers could see: with value_kb of 24 or more, a transaction that already had nearly 40,000 bytes took another value and exceeded 64 KiB. The store rejected it, and its writes were sent again one by one: no loss, but rejected requests and a delay.

Cause: the size was compared with 40,000 before a write was added, which leaves 25 KB for its value and the compares.

Change: no write is added if a value of the maximum size and all compares might not fit.

Evidence: TestTransactionsFitIntoBody fails without it. TestDecisions has the same digests.

--- a/internal/controller/storeaccess.go
+++ b/internal/controller/storeaccess.go
@@ -18,6 +18,7 @@
 		CurrentWriteRPS: c.config.CurrentWriteRPS,
 		BudgetShare:     c.config.Tuning.RateBudgetShare,
 		MaxTxnOps:       c.config.MaxTxnOps,
+		MaxValueBytes:   c.config.MaxValueBytes,
 		Controllers:     len(c.config.Nodes),
 		ShareByDemand: func(limit, demand float64, liveControllers int) float64 {
 			return c.shareByDemand(limit, demand, liveControllers, func(ping *messages.Ping) float64 { return ping.WriteDemand })
--- a/internal/writequeue/batch.go
+++ b/internal/writequeue/batch.go
@@ -16,6 +16,8 @@
 	MaxBatchBytes = 40_000
 	// operationOverheadBytes is the estimated encoding overhead of an operation.
 	operationOverheadBytes = 80
+	// compareBytes is the maximum size of a compare of a job's record, the longest key.
+	compareBytes = 96
 )
 
 // The delays before the next dispatch after a budget is exhausted.
@@ -99,7 +101,7 @@
 			b.queue.wakeAfter(putBudgetDelay)
 			return append(rest, queue[i:]...)
 		}
-		if b.conflictsWith(write) || b.bytes > MaxBatchBytes {
+		if b.conflictsWith(write) || b.isFull() {
 			rest = append(rest, write)
 			continue
 		}
@@ -117,6 +119,14 @@
 	return b.transaction.priority != PriorityCount && priority > max(b.transaction.priority, PriorityAdmission)+1
 }
 
+// isFull reports whether another write might make the transaction larger than the protocol
+// allows. The first write is always added.
+func (b *batch) isFull() bool {
+	config := &b.queue.config
+	room := cluster.MaxBodySize - config.MaxValueBytes - ComparesPerOperation*config.MaxTxnOps*compareBytes
+	return len(b.transaction.writes) > 0 && b.bytes > min(MaxBatchBytes, room)
+}
+
 // conflictsWith reports whether a write can't be added to the transaction, because
 // it belongs to another shard, exceeds a limit of the protocol, must be sent alone,
 // or has a key that this transaction or one in flight writes.
--- a/internal/writequeue/queue.go
+++ b/internal/writequeue/queue.go
@@ -78,6 +78,9 @@
 	BudgetShare float64
 	// MaxTxnOps is the maximum number of operations of a transaction.
 	MaxTxnOps int
+	// MaxValueBytes is the maximum size of a value. 0 means that values are much smaller
+	// than a transaction.
+	MaxValueBytes int
 	// Controllers is the number of all controllers.
 	Controllers int
 	// ShareByDemand returns this controller's share of a limit on puts per second,
--- a/internal/writequeue/transactions_test.go
+++ b/internal/writequeue/transactions_test.go
@@ -1,11 +1,14 @@
 package writequeue
 
 import (
+	"strconv"
+	"strings"
 	"testing"
 
 	"stairrelay/internal/cluster"
 	"stairrelay/internal/eventloop"
 	"stairrelay/internal/messages"
+	"stairrelay/internal/wire"
 )
 
 // testWrite is a write of one key that counts the calls of its callbacks.
@@ -268,3 +271,33 @@
 		t.Error("failing store is not probed")
 	}
 }
+
+// TestTransactionsFitIntoBody guards against transactions above 64 KiB, which the store rejects:
+// with values of up to 60 KB, two of them may be too much.
+func TestTransactionsFitIntoBody(t *testing.T) {
+	loop, q, _ := newTestQueue()
+	q.config.MaxValueBytes = 60 << 10
+	for i, size := range []int{30_000, 1000, 60_000, 20_000, 100} {
+		write := newTestWrite("key-" + strconv.Itoa(i))
+		value := []byte(`"` + strings.Repeat("x", size) + `"`)
+		write.Build = func(string) ([]messages.TxnOp, []cluster.ModRevision) {
+			return []messages.TxnOp{{Key: write.Keys[0], Value: value}}, []cluster.ModRevision{3}
+		}
+		q.Enqueue(PriorityStart, &write.Write)
+	}
+	keys := 0
+	for range 10 {
+		for _, transaction := range dispatch(loop, q) {
+			if size := len(wire.EncodeTxn(transaction)); size > wire.MaxBodySize {
+				t.Errorf("a transaction has %d bytes", size)
+			}
+			keys += len(transaction.Then)
+			loop.Deliver(messages.Reply{Call: transaction.Call, Body: messages.TxnReply{Outcome: messages.OK, Revision: 40}})
+		}
+		loop.Begin(loop.Now()+second, 0)
+		loop.RunTimers()
+	}
+	if keys != 5 {
+		t.Errorf("%d keys written, want 5", keys)
+	}
+}
