--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -58,24 +58,6 @@
 	}
 }
 
-// TokenState is the state of a machine's fencing token. The worker rejects commands with a
-// lower token than the highest one that it has seen.
-//
-// Until the worker has seen RequiredToken, it still executes commands of an earlier owner, so
-// only stops are sent to it. Token may be higher: AdvanceToken makes the worker reject late
-// copies of this controller's own pushes, for which nothing has to wait.
-type TokenState struct {
-	Token                        cluster.FencingToken // sent with all commands
-	RequiredToken                cluster.FencingToken // lowest token that rejects the commands of earlier owners and pushed starts in doubt
-	PushedStartToken             cluster.FencingToken // highest token under which a start was pushed; 0 if none was
-	TokenAcknowledged            bool                 // the worker has seen RequiredToken, and no token higher than Token
-	UnacknowledgedSince          cluster.Time         // when RequiredToken was set or the worker ceased to acknowledge it; meaningless while TokenAcknowledged is set
-	AwaitingFirstAcknowledgement bool                 // the machine was acquired with its shard, and its worker has not acknowledged RequiredToken since
-	InitialToken                 cluster.FencingToken // initial token of a machine that this controller added to the records under the current claim; 0 for other machines
-	FencedOff                    bool                 // the worker has seen a higher token
-	RaisingToken                 bool                 // a higher token is to be stored
-}
-
 // WorkerState is the last reported state of a machine's worker and its pending heartbeat.
 type WorkerState struct {
 	Incarnation    cluster.Incarnation
@@ -95,12 +77,6 @@
 	CachedImages []CachedImage // least recently used first
 }
 
-// CachedImage is an image in a worker's cache.
-type CachedImage struct {
-	Name   string
-	SizeGB float64
-}
-
 // CommandState holds the commands for a worker and the state of their push.
 type CommandState struct {
 	EndedToAcknowledge map[TaskAttempt]bool // ended attempts whose ends are to be acknowledged to the worker
@@ -149,25 +125,6 @@
 // have ended.
 func (m *Machine) TaskCount() int { return len(m.Assignments) }
 
-// ListableTaskCount returns an upper bound of the number of attempts that the worker's next
-// heartbeat lists once all assigned tasks were started. Attempts that have ended count until
-// a status no longer lists them.
-func (m *Machine) ListableTaskCount() int {
-	return len(m.Assignments) + len(m.EndedToAcknowledge) + len(m.UnrecordedToStop) + m.UntrackedTaskCount
-}
-
-// MaxTasks returns how many attempts the worker's heartbeats can list.
-func (m *Machine) MaxTasks() int { return cluster.MaxTasksPerHeartbeat(m.FieldOverhead) }
-
-// Allocatable returns what further tasks can use on the machine. capacity is that of the
-// machine's type.
-func (m *Machine) Allocatable(capacity cluster.Resources) cluster.Allocatable {
-	return cluster.Allocatable{
-		Resources: capacity.Minus(m.UsedResources()),
-		Tasks:     m.MaxTasks() - m.ListableTaskCount(),
-	}
-}
-
 // AddAssignment adds an assignment to the machine and to the assignment's job. It replaces
 // the machine's assignment of the same task, if any.
 func (m *Machine) AddAssignment(a *Assignment) {
@@ -200,51 +157,6 @@
 	return true
 }
 
-// BeginTokenRaise records that a higher token is to be stored with the machine's record.
-// It returns false if this is recorded already, or if the machine is being released and
-// needs no new token.
-func (m *Machine) BeginTokenRaise() bool {
-	if m.RaisingToken || m.Releasing {
-		return false
-	}
-	m.RaisingToken = true
-	return true
-}
-
-// MarkTokenRaised records that a higher token is stored. Until the worker has acknowledged
-// it, only stops are sent.
-func (m *Machine) MarkTokenRaised(token cluster.FencingToken, now cluster.Time) {
-	m.RaisingToken = false
-	m.Token, m.RequiredToken = token, token
-	m.TokenAcknowledged, m.UnacknowledgedSince = false, now
-}
-
-// AdvanceToken raises the token to the revision at which the record of the machine's group
-// was last stored. It returns false if the token is not lower than that.
-//
-// It needs no write. The record was stored under this owner's claim, so the revision is lower
-// than that of any later claim or transfer, from which the next owner's token is taken.
-func (m *Machine) AdvanceToken() bool {
-	stored := cluster.FencingToken(m.Group.ModRevision)
-	if stored <= m.Token {
-		return false
-	}
-	m.Token = stored
-	return true
-}
-
-// IsTokenAcknowledgedBy reports whether a worker that has seen the given token rejects the
-// commands of earlier owners and accepts those of this one.
-func (m *Machine) IsTokenAcknowledgedBy(seen cluster.FencingToken) bool {
-	return seen >= m.RequiredToken && seen <= m.Token
-}
-
-// RejectsPushedStarts reports whether a worker that has seen the given token rejects late
-// copies of all starts that were pushed to it.
-func (m *Machine) RejectsPushedStarts(seen cluster.FencingToken) bool {
-	return seen > m.PushedStartToken
-}
-
 // SortedAssignments returns the machine's assignments sorted by task.
 func (m *Machine) SortedAssignments() []*Assignment {
 	sorted := make([]*Assignment, 0, len(m.Assignments))
@@ -310,37 +222,6 @@
 	}
 }
 
-// AddCachedImage records that the worker has fetched or used a job's image, which becomes
-// the most recently used one. If the image was not cached, the least recently used images
-// that no longer fit into a cache of cacheGB are removed.
-func (m *Machine) AddCachedImage(j *Job, cacheGB float64) {
-	for i, image := range m.CachedImages {
-		if image.Name == j.Spec.Image {
-			m.CachedImages = append(append(m.CachedImages[:i:i], m.CachedImages[i+1:]...), image)
-			return
-		}
-	}
-	m.CachedImages = append(m.CachedImages, CachedImage{j.Spec.Image, j.Spec.ImageGB})
-	totalGB := 0.0
-	for _, image := range m.CachedImages {
-		totalGB += image.SizeGB
-	}
-	for len(m.CachedImages) > 1 && totalGB > cacheGB {
-		totalGB -= m.CachedImages[0].SizeGB
-		m.CachedImages = m.CachedImages[1:]
-	}
-}
-
-// HasCachedImage reports whether the worker has the image in its cache.
-func (m *Machine) HasCachedImage(name string) bool {
-	for _, image := range m.CachedImages {
-		if image.Name == name {
-			return true
-		}
-	}
-	return false
-}
-
 // ResetSentStops discards the times at which stops were sent, as the stops may not have
 // arrived. They can then be pushed again, and their grace periods begin again.
 func (m *Machine) ResetSentStops() {
