A machine whose heartbeats can list no task is surplus

A worker whose heartbeats are nearly 64 KiB without any task gets none, but its machine was kept as long as pending tasks would be allowed on it. TestMachineThatCanListNoTaskIsSurplus fails without the change.

--- a/internal/scheduling/heartbeatlimit_test.go
+++ b/internal/scheduling/heartbeatlimit_test.go
@@ -196,3 +196,18 @@
 		t.Error("the machine was reserved")
 	}
 }
+
+// TestMachineThatCanListNoTaskIsSurplus guards against idle machines that are kept for pending
+// tasks although their heartbeats are too large to list any.
+func TestMachineThatCanListNoTaskIsSurplus(t *testing.T) {
+	f := newFixture()
+	machine := f.addMachine("m-1")
+	job := f.addTinyJob(cluster.JobSpec{ID: "j-1", Tasks: 1})
+	if f.Rebalancer.SurplusPredicate()(machine) {
+		t.Error("a machine that can run the pending task is surplus")
+	}
+	machine.FieldOverhead = cluster.MaxBodySize
+	if f.ScheduleShard(f.shard); job.AssignedCount != 0 || !f.Rebalancer.SurplusPredicate()(machine) {
+		t.Errorf("%d tasks assigned, and the machine is not surplus", job.AssignedCount)
+	}
+}
--- a/internal/scheduling/rebalance.go
+++ b/internal/scheduling/rebalance.go
@@ -204,6 +204,9 @@
 	var loads fairshare.Snapshot
 	workByShard := map[cluster.ShardID]PendingWork{}
 	return func(machine *state.Machine) bool {
+		if machine.MaxTasks() == 0 {
+			return true // its heartbeats can't list any task
+		}
 		if loads == nil {
 			loads = r.loads.All()
 		}
