Reservations and loads count what a machine's heartbeats can list

A starving job reserved the machine with the most free CPUs even if its heartbeats could list no further task, and a machine whose worker sends long JSON counted as partly unused when its heartbeats were full, so that it could be released and rented again. Both have a test that failed before.

--- a/internal/cluster/allocatable.go
+++ b/internal/cluster/allocatable.go
@@ -11,10 +11,15 @@
 	return Allocatable{Resources: t.Capacity, Tasks: MaxTasksPerHeartbeat(0)}
 }
 
-// TaskCPU returns the CPUs of a machine of the type that a task occupies: the requested ones,
-// or the machine's CPUs divided by the number of tasks that it can have, if that is more.
+// TaskCPU returns the CPUs that a task occupies on a machine with the given CPUs that can have
+// maxTasks tasks: the requested ones, or its part of the machine if that is more.
+func TaskCPU(request, machineCPU Amount, maxTasks int) Amount {
+	return max(request, machineCPU/Amount(max(maxTasks, 1)))
+}
+
+// TaskCPU returns the CPUs that a task occupies on a machine of the type.
 func (t *MachineType) TaskCPU(request Resources) Amount {
-	return max(request.CPU, t.Capacity.CPU/Amount(t.Allocatable().Tasks))
+	return TaskCPU(request.CPU, t.Capacity.CPU, t.Allocatable().Tasks)
 }
 
 // Fits reports whether a task with a request can be placed on the machine.
@@ -36,3 +41,11 @@
 func (a Allocatable) Plus(request Resources) Allocatable {
 	return Allocatable{Resources: a.Resources.Plus(request), Tasks: a.Tasks + 1}
 }
+
+// UsableCPU returns the free CPUs, or 0 if no further task can use them.
+func (a Allocatable) UsableCPU() Amount {
+	if a.Tasks <= 0 {
+		return 0
+	}
+	return a.Resources.CPU
+}
--- a/internal/scheduling/assign.go
+++ b/internal/scheduling/assign.go
@@ -118,7 +118,7 @@
 		if !r.shared.recordCanHaveRoom(job, machine) {
 			continue
 		}
-		if free := r.shared.allocatable(machine).Resources.CPU; best == nil || free > mostFree {
+		if free := r.shared.allocatable(machine).UsableCPU(); best == nil || free > mostFree {
 			best, mostFree = machine, free
 		}
 	}
--- a/internal/scheduling/heartbeatlimit_test.go
+++ b/internal/scheduling/heartbeatlimit_test.go
@@ -126,11 +126,34 @@
 // TestFullMachineIsNotReleased guards against machines that are rented and released in turn:
 // the tasks of a machine whose heartbeats are full use few of its CPUs, but occupy all.
 func TestFullMachineIsNotReleased(t *testing.T) {
+	for _, fieldOverhead := range []int{0, 40} {
+		f := newFixture()
+		machine := f.addMachine("m-1")
+		machine.FieldOverhead = fieldOverhead
+		job := f.addTinyJob(cluster.JobSpec{ID: "j-1", Tasks: machine.MaxTasks()})
+		for range machine.MaxTasks() {
+			f.addRunningTask(job, machine)
+		}
+		load := f.Loads.compute(f.shard)
+		if unused := load.Available - load.TotalDemand(); unused > cpu/10 {
+			t.Errorf("%d of %d CPUs count as unused, want none", unused, load.Available)
+		}
+	}
+}
+
+// TestMachineWithoutEntryIsReservedLast checks that a starving job reserves a machine whose
+// heartbeats can list its task, though another one has more free CPUs.
+func TestMachineWithoutEntryIsReservedLast(t *testing.T) {
 	f := newFixture()
 	f.addFullMachine()
-	load := f.Loads.compute(f.shard)
-	if unused := load.Available - load.TotalDemand(); unused > cpu/10 {
-		t.Errorf("%d of %d CPUs count as unused, want none", unused, load.Available)
+	other := f.addMachine("m-2")
+	busy := f.addJob(cluster.JobSpec{ID: "j-2", Tasks: 1, SubmittedAt: f.loop.WallTime()})
+	busy.Spec.ResourceRequest = cluster.Resources{CPU: cpu}
+	f.addRunningTask(busy, other)
+	starving := f.addJob(cluster.JobSpec{ID: "j-3", Tasks: 1})
+	starving.ReadySince = f.loop.WallTime() - cluster.WallTime(f.config.FirstTaskTarget/millisecond)
+	if f.ScheduleShard(f.shard); starving.ReservedMachine != other.ID {
+		t.Errorf("machine %q reserved, want %q", starving.ReservedMachine, other.ID)
 	}
 }
 
--- a/internal/scheduling/loads.go
+++ b/internal/scheduling/loads.go
@@ -71,11 +71,11 @@
 			load.Booting += l.machineCapacity(machine).CPU
 			continue
 		}
-		load.Available += l.machineCapacity(machine).CPU
-		machineType := l.state.MachineTypes[machine.MachineType]
+		machineCPU, maxTasks := l.machineCapacity(machine).CPU, machine.MaxTasks()
+		load.Available += machineCPU
 		for _, assignment := range machine.Assignments {
 			if assignment.IsLive() && assignment.Job.IsActive() {
-				load.Demand[assignment.Job.EffectivePriority] += machineType.TaskCPU(assignment.ResourceRequest)
+				load.Demand[assignment.Job.EffectivePriority] += cluster.TaskCPU(assignment.ResourceRequest.CPU, machineCPU, maxTasks)
 			}
 		}
 	}
