The progress check counts no task that the quota or a reservation holds back

Cause: the next task of a starving job is listed as pending work even beyond the quota, and the check packed that list onto the free machines. The check also counted tasks that fit only on a machine that is reserved for another job.

Change: the check asks for the quota and for reservations, as placing does.

--- a/internal/controller/small_tasks_test.go
+++ b/internal/controller/small_tasks_test.go
@@ -14,7 +14,7 @@
 
 // newLargeMachineCluster returns a cluster with three machines of 4 CPUs and one of 64. The
 // cloud can provision further large machines.
-func newLargeMachineCluster(t *testing.T, furtherMachines int) *testCluster {
+func newLargeMachineCluster(t *testing.T, furtherMachines int, options ...simulation.Option) *testCluster {
 	t.Helper()
 	cfg := testConfig()
 	cfg.Teams = []cluster.Team{testTeam("red", 48*cpu, 96*cpu)}
@@ -24,7 +24,7 @@
 	}
 	capacity := map[string]int{simulation.CapacityKey("large", "a", false): furtherMachines}
 	cloud := simulation.NewFakeCloud(types, capacity, func() cluster.Time { return 20 * second })
-	c := &testCluster{t: t, config: cfg, Simulator: simulation.NewSimulator(1, cfg, cloud)}
+	c := &testCluster{t: t, config: cfg, Simulator: simulation.NewSimulator(1, cfg, cloud, options...)}
 	c.NoRandomFaults = true
 	for range 3 {
 		c.Machines.Add("small", "a", false)
@@ -141,3 +141,34 @@
 		t.Errorf("the worker lost its lease: incarnation %d", worker.Incarnation)
 	}
 }
+
+// TestRepeatedPushedAcknowledgement guards against ran_twice: acknowledgements that are pushed
+// because the heartbeats are too large may arrive again later, when tasks have started anew.
+func TestRepeatedPushedAcknowledgement(t *testing.T) {
+	recorder := &pushRecorder{}
+	c := newLargeMachineCluster(t, 0, simulation.ObserveEffects(recorder.observe))
+	job := c.submitSmallTasks("j-000001", 420, cluster.Resources{CPU: cpu / 8, Memory: 4 * cpu / 10}, 60*second)
+	worker := c.Machines.Workers["m-000004"]
+	c.waitFor("the large machine has many tasks", 30*second, func() bool { return len(worker.Tasks) > 250 })
+	worker.FieldOverhead = 40
+	c.waitFor("a heartbeat is rejected", 10*second, func() bool { return c.FaultCounts[simulation.FaultHeartbeatTooLarge] > 0 })
+	c.RunUntil(c.Now + c.config.WorkerLease)
+	worker.FieldOverhead = 0
+	c.RunUntil(c.Now + c.config.WorkerLease)
+	running := c.countRunningTasks(job)
+	acknowledgements := 0
+	for _, push := range recorder.pushes {
+		for _, command := range push.Commands {
+			if command.Kind == cluster.Acknowledge {
+				acknowledgements++
+			}
+		}
+		if push.Addr == string(worker.ID) {
+			worker.HandleCommands(push)
+		}
+	}
+	if after := c.countRunningTasks(job); acknowledgements == 0 || after < running {
+		t.Errorf("%d acknowledgements repeated, %d of %d tasks still run", acknowledgements, after, running)
+	}
+	c.waitFor("the job is done", 400*second, func() bool { return job.ReportedStatus == cluster.JobDone })
+}
--- a/internal/scheduling/capacity.go
+++ b/internal/scheduling/capacity.go
@@ -95,15 +95,27 @@
 	}
 	work := s.Queue.PendingWork(shard)
 	capacities, _ := s.listFreeCapacity(shard, work.minCPU())
+	reservations := s.Queue.reservations(shard)
+	usage := shard.UsageByTeam()
 	for i := range capacities {
 		capacity := &capacities[i]
-		if work.Pack(capacity.available, func(job *state.Job) bool { return s.isStartable(job, capacity) }) > 0 {
+		isAllowed := func(job *state.Job) bool {
+			reservedFor := reservations[capacity.machine.ID]
+			return (reservedFor == nil || reservedFor == job) && s.isWithinTeamQuota(job, usage) && s.isStartable(job, capacity)
+		}
+		if work.Pack(capacity.available, isAllowed) > 0 {
 			return true
 		}
 	}
 	return false
 }
 
+// isWithinTeamQuota reports whether the quota of a job's team allows one more task of the job.
+func (s *Scheduler) isWithinTeamQuota(job *state.Job, usage state.TeamUsage) bool {
+	team := s.shared.state.Teams[job.Spec.Team]
+	return isWithinQuota(usage[team.Name].Plus(job.Spec.ResourceRequest), team.QuotaLimit)
+}
+
 // isStartable reports whether a job's constraints, its image and the group's record
 // allow a task on a machine. It doesn't check the resource request.
 func (s *Scheduler) isStartable(job *state.Job, capacity *freeCapacity) bool {
--- a/internal/scheduling/queue.go
+++ b/internal/scheduling/queue.go
@@ -71,6 +71,18 @@
 		job.AssignedCount == 0 && float64(q.loop.WallTime()) > float64(job.ReadySince)+starvingHorizons*q.horizon(job)
 }
 
+// reservations returns the starving jobs for which machines of a shard are reserved.
+func (q *JobQueue) reservations(shard *state.Shard) map[cluster.MachineID]*state.Job {
+	reservations := map[cluster.MachineID]*state.Job{}
+	jobs, _ := q.Jobs(shard)
+	for _, job := range jobs {
+		if job.ReservedMachine != "" && q.isStarving(job) {
+			reservations[job.ReservedMachine] = job
+		}
+	}
+	return reservations
+}
+
 // isFirstStartOverdue reports whether a job has waited so long for its first task that
 // this task is scheduled before all other work. Without this, large jobs would starve
 // under a steady load of small and urgent ones.
