--- a/internal/controller/small_tasks_test.go
+++ b/internal/controller/small_tasks_test.go
@@ -119,9 +119,8 @@
 	return unstarted
 }
 
-// TestMachineBeyondHeartbeatLimitRecovers guards against a machine that loses lease after
-// lease because it has more tasks than its heartbeats can list, for example from an owner of
-// another release: its heartbeats fit again within its lease, and the tasks that fit go on.
+// TestMachineBeyondHeartbeatLimitRecovers guards against a machine that loses lease after lease
+// because it has more tasks than its heartbeats can list: the tasks that fit must go on.
 func TestMachineBeyondHeartbeatLimitRecovers(t *testing.T) {
 	c := newLargeMachineCluster(t, 0)
 	job := c.submitSmallTasks("j-000001", 420, cluster.Resources{CPU: cpu / 8, Memory: 4 * cpu / 10}, 60*second)
--- a/internal/wire/heartbeat_size_test.go
+++ b/internal/wire/heartbeat_size_test.go
@@ -79,9 +79,8 @@
 	return spell(marshal(status))
 }
 
-// TestTasksFitIntoHeartbeat guards against heartbeats above 64 KiB, which are rejected: the
-// limit of tasks holds for the longest tasks and for each spelling, also if it is computed
-// from a heartbeat without tasks or with the shortest ones.
+// TestTasksFitIntoHeartbeat guards against heartbeats above 64 KiB: the limit of tasks holds for
+// the longest ones and each spelling, also if computed without tasks or with the shortest.
 func TestTasksFitIntoHeartbeat(t *testing.T) {
 	shortest := taskStatus{Task: "j-1/0", Attempt: 1, State: "ended"}
 	for name, spell := range spellings {
