--- a/internal/scheduling/heartbeatlimit_test.go
+++ b/internal/scheduling/heartbeatlimit_test.go
@@ -175,6 +175,21 @@
 	}
 }
 
+// TestNoPreemptionIfEntriesAreStillMissing guards against preemption in vain: a machine has more
+// tasks than its heartbeats can list, and its only preemptible task would not make room.
+func TestNoPreemptionIfEntriesAreStillMissing(t *testing.T) {
+	f := newFixture()
+	machine := f.addMachine("m-1")
+	for i := range maxTasks + 1 {
+		machine.EndedToAcknowledge[state.TaskAttempt{Task: cluster.TaskID{Job: "j-9", Index: i}}] = true
+	}
+	victim := f.addRunningTask(f.addTinyJob(cluster.JobSpec{ID: "j-1", Tasks: 1, CheckpointIntervalSeconds: 10}), machine)
+	urgent := f.addTinyJob(cluster.JobSpec{ID: "j-2", Tasks: 1, Priority: cluster.Urgent})
+	if f.preemptFor(nil, urgent); victim.StopRequested {
+		t.Error("a task was preempted although the urgent one still would not fit")
+	}
+}
+
 // TestStarvingJobGetsNextHeartbeatEntry checks that a starving job gets the entry that the
 // end of a task frees on its reserved machine.
 func TestStarvingJobGetsNextHeartbeatEntry(t *testing.T) {
