--- a/review/_rig/store.go
+++ b/review/_rig/store.go
@@ -28,8 +28,6 @@
 	names                []string // sorted, as of namesAt
 	namesAt              uint64
 	links                map[int]*storeLink
-	windowStart          time.Time
-	requests, writes     float64
 	levelAt              time.Time
 	reqLevel, writeLevel float64
 }
--- a/review/_rig/users.go
+++ b/review/_rig/users.go
@@ -41,7 +41,6 @@
 	doneTasks   int
 	lastDone    time.Time
 	starts      map[string]int
-	answered    time.Time
 }
 
 func (j *job) body() string {
@@ -147,7 +146,6 @@
 	if !j.submitted {
 		w.breaks("invented", "%s of %s, which nobody submitted, got %d", what, j.ID, a.Code)
 	}
-	j.answered = time.Now()
 	if j.acceptedAt.IsZero() {
 		j.acceptedAt = time.Now()
 	}
--- a/review/_rig/world.go
+++ b/review/_rig/world.go
@@ -86,6 +86,9 @@
 	stopped chan struct{}
 	closing sync.Once
 
+	processes sync.Mutex // held while a process is started or ended
+	closed    bool
+
 	bootFor   func() time.Duration
 	fetchFor  func() time.Duration
 	reportAdd string // raw JSON fields that each report has in addition
@@ -134,33 +137,51 @@
 	w.logf("BROKEN %s", text)
 }
 
+// newNode returns a controller with free addresses and its own way to the state service.
+func (w *world) newNode(index int) (*node, error) {
+	n := &node{index: index, name: fmt.Sprintf("landing-%d", index), listen: freeAddr(), back: freeAddr(), peerProxies: map[int]*proxy{}}
+	var err error
+	if n.workerProxy, err = newProxy(n.listen); err != nil {
+		return nil, err
+	}
+	n.storeAddr, err = w.store.listen(index)
+	return n, err
+}
+
+// connect gives a controller a way to each of the others that it has no way to yet.
+func (w *world) connect(n *node, all []*node) error {
+	for _, other := range all {
+		if other == n || n.peerProxies[other.index] != nil {
+			continue
+		}
+		p, err := newProxy(other.back)
+		if err != nil {
+			return err
+		}
+		n.peerProxies[other.index] = p
+	}
+	return nil
+}
+
 // startNodes writes the settings files and starts all controllers.
 func (w *world) startNodes() error {
 	for i := 0; i < w.site.Nodes; i++ {
-		n := &node{index: i, name: fmt.Sprintf("landing-%d", i), listen: freeAddr(), back: freeAddr(), peerProxies: map[int]*proxy{}}
+		n, err := w.newNode(i)
+		if err != nil {
+			return err
+		}
 		w.nodes = append(w.nodes, n)
 	}
 	for _, n := range w.nodes {
-		var err error
-		if n.workerProxy, err = newProxy(n.listen); err != nil {
-			return err
-		}
-		for _, other := range w.nodes {
-			if other != n {
-				if n.peerProxies[other.index], err = newProxy(other.back); err != nil {
-					return err
-				}
-			}
-		}
-		if n.storeAddr, err = w.store.listen(n.index); err != nil {
+		if err := w.connect(n, w.nodes); err != nil {
 			return err
 		}
-	}
-	for _, n := range w.nodes {
 		n.settings = filepath.Join(w.dir, n.name+".toml")
 		if err := os.WriteFile(n.settings, []byte(w.settings(n)), 0o600); err != nil {
 			return err
 		}
+	}
+	for _, n := range w.nodes {
 		if err := w.startNode(n); err != nil {
 			return err
 		}
@@ -197,8 +218,14 @@
 	return strings.Join(quoted, ", ")
 }
 
-// startNode starts one controller with the run command of the deploy file.
+// startNode starts one controller with the run command of the deploy file. It does nothing after
+// the run has ended.
 func (w *world) startNode(n *node) error {
+	w.processes.Lock()
+	defer w.processes.Unlock()
+	if w.closed {
+		return nil
+	}
 	f, err := os.OpenFile(filepath.Join(w.dir, n.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
@@ -212,11 +239,6 @@
 	w.mu.Lock()
 	n.cmd, n.log = cmd, f
 	w.mu.Unlock()
-	select {
-	case <-w.stopped: // the run ended meanwhile
-		w.kill(n)
-	default:
-	}
 	w.logf("%s started, pid %d", n.name, cmd.Process.Pid)
 	return nil
 }
@@ -230,6 +252,8 @@
 
 // kill ends a controller without a signal that it could handle.
 func (w *world) kill(n *node) {
+	w.processes.Lock()
+	defer w.processes.Unlock()
 	w.mu.Lock()
 	cmd := n.cmd
 	n.cmd = nil
@@ -265,6 +289,9 @@
 // close ends all processes that were started.
 func (w *world) close() {
 	w.closing.Do(func() { close(w.stopped) })
+	w.processes.Lock()
+	w.closed = true
+	w.processes.Unlock()
 	for _, n := range w.nodes {
 		w.kill(n)
 	}
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,4 +5,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-go build -o target/review-2/rig ./review/_rig
+go build -buildvcs=false -o target/review-2/rig ./review/_rig
