Fields of decoded data match by their exact names only

Cause: encoding/json matches names without regard to case if no field has the exact name, so that "recalls" was read as recallS, a preemption notice of 0 s. The default modes of the CBOR and TOML libraries do the same. The protocol says that a receiver must ignore JSON fields it does not know.

Change: package exactjson decodes all JSON (users, workers, cloud, store, records, operators' settings) with github.com/go-json-experiment/json, the mirror of encoding/json/v2, with the semantics and texts of encoding/json except for the matching of names. The CBOR decoder is case-sensitive. The platform's TOML file is decoded into a map, and from there with github.com/go-viper/mapstructure/v2, which can match exactly; errors keep their line and column. The position of a misspelled field is never reported.

TestDecisions is unchanged.

--- a/internal/controller/cluster_harness_test.go
+++ b/internal/controller/cluster_harness_test.go
@@ -1,13 +1,13 @@
 package controller_test
 
 import (
-	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
 
 	"stairrelay/internal/cluster"
 	"stairrelay/internal/controller"
+	"stairrelay/internal/exactjson"
 	"stairrelay/internal/messages"
 	"stairrelay/internal/simulation"
 )
@@ -93,7 +93,7 @@
 	var record struct {
 		Owner cluster.NodeID `json:"holder"`
 	}
-	if err := json.Unmarshal(c.Store.Get(fmt.Sprint("parts/", shard)).KV.Value, &record); err != nil {
+	if err := exactjson.Unmarshal(c.Store.Get(fmt.Sprint("parts/", shard)).KV.Value, &record); err != nil {
 		c.t.Fatal(err)
 	}
 	return record.Owner
--- a/internal/controller/dependencies_test.go
+++ b/internal/controller/dependencies_test.go
@@ -1,13 +1,13 @@
 package controller_test
 
 import (
-	"encoding/json"
 	"fmt"
 	"strings"
 	"testing"
 	"time"
 
 	"stairrelay/internal/cluster"
+	"stairrelay/internal/exactjson"
 	"stairrelay/internal/messages"
 	"stairrelay/internal/simulation"
 )
@@ -79,7 +79,7 @@
 	var record struct {
 		Status cluster.JobStatus `json:"st"`
 	}
-	if err := json.Unmarshal(reply.KV.Value, &record); err != nil {
+	if err := exactjson.Unmarshal(reply.KV.Value, &record); err != nil {
 		c.t.Fatal(err)
 	}
 	return record.Status
--- a/internal/controller/production_test.go
+++ b/internal/controller/production_test.go
@@ -12,12 +12,15 @@
 	"testing"
 
 	"stairrelay/internal/cluster"
+	"stairrelay/internal/exactjson"
+	"stairrelay/internal/exactjson/exactjsontest"
 	"stairrelay/internal/grouprecord"
 	"stairrelay/internal/jobs"
 	"stairrelay/internal/messages"
 	"stairrelay/internal/ownership"
 	"stairrelay/internal/provisioning"
 	"stairrelay/internal/state"
+	"stairrelay/internal/writequeue"
 )
 
 // loadProductionRecords returns the records in testdata/production/records.json by key.
@@ -29,7 +32,7 @@
 		t.Fatal(err)
 	}
 	records := map[string]json.RawMessage{}
-	if err := json.Unmarshal(text, &records); err != nil {
+	if err := exactjson.Unmarshal(text, &records); err != nil {
 		t.Fatal(err)
 	}
 	for key, value := range records { // the file is indented
@@ -145,16 +148,16 @@
 	t.Helper()
 	var request provisioning.RequestRecord
 	wantRequest := provisioning.RequestRecord{Shard: 0, Type: "small", Zone: "a", Spot: true, Count: 3, WriteID: "b1-12"}
-	if json.Unmarshal(records["rentals/r-b1-30-1"], &request) != nil || request != wantRequest {
+	if exactjson.Unmarshal(records["rentals/r-b1-30-1"], &request) != nil || request != wantRequest {
 		t.Errorf("decoded an unexpected provisioning request: %+v", request)
 	}
 	var claim ownership.ClaimRecord
 	wantClaim := ownership.ClaimRecord{Owner: "n0", Term: 7, WriteID: "b1-13"}
-	if json.Unmarshal(records["parts/0"], &claim) != nil || !reflect.DeepEqual(claim, wantClaim) {
+	if exactjson.Unmarshal(records["parts/0"], &claim) != nil || !reflect.DeepEqual(claim, wantClaim) {
 		t.Errorf("decoded an unexpected claim record: %+v", claim)
 	}
 	var cache provisioning.MachineTypesRecord
-	if json.Unmarshal(records["types"], &cache) != nil || len(cache.Types) != 1 || cache.Types[0].SpotPrice != 0.07 || len(cache.Types[0].Zones) != 2 || cache.WriteID != "b1-14" {
+	if exactjson.Unmarshal(records["types"], &cache) != nil || len(cache.Types) != 1 || cache.Types[0].SpotPrice != 0.07 || len(cache.Types[0].Zones) != 2 || cache.WriteID != "b1-14" {
 		t.Errorf("decoded unexpected machine types: %+v", cache)
 	}
 }
@@ -175,7 +178,7 @@
 			continue
 		}
 		var record jobs.Record
-		if err := json.Unmarshal(old, &record); err != nil {
+		if err := exactjson.Unmarshal(old, &record); err != nil {
 			t.Fatalf("%s: %v", key, err)
 		}
 		if record.Spec != nil {
@@ -206,7 +209,7 @@
 		return grouprecord.Encode(group)
 	}
 	record := newRecord(t, key)
-	if err := json.Unmarshal(old, record); err != nil {
+	if err := exactjson.Unmarshal(old, record); err != nil {
 		t.Fatalf("%s: %v", key, err)
 	}
 	value, err := json.Marshal(record)
@@ -248,3 +251,17 @@
 		t.Errorf("%s: encoded outcomes %.80s, production wrote %.80s", key, encoded, record.CompletedIndexes)
 	}
 }
+
+// TestRecordFieldNamesMatchExactly guards against the fault of review/5 in stored records: a
+// field whose name differs from a known one by case must be ignored.
+func TestRecordFieldNamesMatchExactly(t *testing.T) {
+	for key, record := range loadProductionRecords(t) {
+		extended := exactjsontest.AddOtherSpellings(t, record)
+		if reencoded := reencode(t, key, extended); !bytes.Equal(reencoded, record) {
+			t.Errorf("%s with other spellings was read as %.300s, want %.300s", key, reencoded, record)
+		}
+		if writer, want := writequeue.WriterOf(extended), writequeue.WriterOf(record); writer != want || want == "" {
+			t.Errorf("%s with other spellings: writer %q, want %q", key, writer, want)
+		}
+	}
+}
--- a/internal/controller/store_limits_test.go
+++ b/internal/controller/store_limits_test.go
@@ -9,6 +9,7 @@
 	"testing"
 
 	"stairrelay/internal/cluster"
+	"stairrelay/internal/exactjson"
 	"stairrelay/internal/grouprecord"
 	"stairrelay/internal/inventory"
 	"stairrelay/internal/jobs"
@@ -98,7 +99,7 @@
 		}
 	}
 	var record jobs.Record
-	if json.Unmarshal(h.store.keys["jobs/j-1"].Value, &record) != nil || record.FinalStatus != cluster.JobDone || record.Tasks != tasks {
+	if exactjson.Unmarshal(h.store.keys["jobs/j-1"].Value, &record) != nil || record.FinalStatus != cluster.JobDone || record.Tasks != tasks {
 		t.Errorf("final record: %s", h.store.keys["jobs/j-1"].Value)
 	}
 	h.checkTransactionsWithin(t, 4)
@@ -109,7 +110,7 @@
 	count := 0
 	for chunk := range job.ModRevisions {
 		var record jobs.Record
-		if json.Unmarshal(h.store.keys[job.ChunkKey(chunk)].Value, &record) == nil {
+		if exactjson.Unmarshal(h.store.keys[job.ChunkKey(chunk)].Value, &record) == nil {
 			state.DecodeCompleted(record.CompletedIndexes, len(job.ChunkStates(chunk)), func(int) { count++ })
 		}
 	}
--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -5,7 +5,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -17,6 +16,7 @@
 	"time"
 
 	"stairrelay/internal/cluster"
+	"stairrelay/internal/exactjson"
 	"stairrelay/internal/simulation"
 	"stairrelay/internal/simulation/httpfake"
 )
@@ -321,7 +321,7 @@
 	var view struct {
 		Status string `json:"status"`
 	}
-	_ = json.NewDecoder(response.Body).Decode(&view)
+	_ = exactjson.Read(response.Body, &view)
 	return response.StatusCode, view.Status
 }
 
--- a/internal/grouprecord/decode.go
+++ b/internal/grouprecord/decode.go
@@ -1,13 +1,13 @@
 package grouprecord
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"strconv"
 	"strings"
 
 	"stairrelay/internal/cluster"
+	"stairrelay/internal/exactjson"
 )
 
 // Errors of malformed records. ErrInvalidKind and ErrInvalidAddress are wrapped in a
@@ -56,7 +56,7 @@
 // which may wrap a *RangeError, ErrInvalidKind or ErrInvalidAddress.
 func Decode(value []byte) (Record, error) {
 	var form storedForm
-	if err := json.Unmarshal(value, &form); err != nil {
+	if err := exactjson.Unmarshal(value, &form); err != nil {
 		return Record{}, fmt.Errorf("decoding machine group record: %w", err)
 	}
 	if form.Machines == nil {
@@ -79,7 +79,7 @@
 	var form struct {
 		ShardID *cluster.ShardID `json:"p"`
 	}
-	if json.Unmarshal(value, &form) != nil || form.ShardID == nil {
+	if exactjson.Unmarshal(value, &form) != nil || form.ShardID == nil {
 		return 0, false
 	}
 	return *form.ShardID, true
--- a/internal/inventory/recordedmachines.go
+++ b/internal/inventory/recordedmachines.go
@@ -1,9 +1,8 @@
 package inventory
 
 import (
-	"encoding/json"
-
 	"stairrelay/internal/cluster"
+	"stairrelay/internal/exactjson"
 	"stairrelay/internal/grouprecord"
 	"stairrelay/internal/messages"
 	"stairrelay/internal/state"
@@ -47,7 +46,7 @@
 		Count   int             `json:"n"`
 		WriteID string          `json:"w"`
 	}
-	err := json.Unmarshal(value, &record)
+	err := exactjson.Unmarshal(value, &record)
 	return record.Kind, err
 }
 
--- a/internal/jobs/admissionrecords.go
+++ b/internal/jobs/admissionrecords.go
@@ -1,9 +1,8 @@
 package jobs
 
 import (
-	"encoding/json"
-
 	"stairrelay/internal/cluster"
+	"stairrelay/internal/exactjson"
 	"stairrelay/internal/messages"
 	"stairrelay/internal/state"
 	"stairrelay/internal/writequeue"
@@ -40,7 +39,7 @@
 	}
 	a.markWriterAlive(kv)
 	var record AdmissionRecord
-	if err := json.Unmarshal(kv.Value, &record); err != nil {
+	if err := exactjson.Unmarshal(kv.Value, &record); err != nil {
 		a.loop.Log(messages.LogError, "cannot decode admission record; ignoring it", "key", kv.Key, "error", err.Error())
 		return
 	}
--- a/internal/jobs/queries.go
+++ b/internal/jobs/queries.go
@@ -1,10 +1,10 @@
 package jobs
 
 import (
-	"encoding/json"
 	"slices"
 
 	"stairrelay/internal/cluster"
+	"stairrelay/internal/exactjson"
 	"stairrelay/internal/messages"
 	"stairrelay/internal/state"
 )
@@ -113,7 +113,7 @@
 // answerFromRecord answers with the status in a job's own record.
 func (q *Queries) answerFromRecord(id cluster.JobID, kv messages.KV, handle viewHandler) {
 	var record Record
-	if json.Unmarshal(kv.Value, &record) != nil {
+	if exactjson.Unmarshal(kv.Value, &record) != nil {
 		handle(messages.StatusUnavailable, cluster.JobView{})
 		return
 	}
--- a/internal/jobs/records.go
+++ b/internal/jobs/records.go
@@ -1,10 +1,10 @@
 package jobs
 
 import (
-	"encoding/json"
 	"strings"
 
 	"stairrelay/internal/cluster"
+	"stairrelay/internal/exactjson"
 	"stairrelay/internal/messages"
 	"stairrelay/internal/state"
 	"stairrelay/internal/writequeue"
@@ -37,7 +37,7 @@
 		return
 	}
 	var record Record
-	if err := json.Unmarshal(kv.Value, &record); err != nil {
+	if err := exactjson.Unmarshal(kv.Value, &record); err != nil {
 		r.loop.Log(messages.LogError, "cannot decode job record; ignoring it", "key", kv.Key, "error", err.Error())
 		return
 	}
@@ -136,7 +136,7 @@
 
 func (r *Records) applyChunk(job *state.Job, chunk int, kv messages.KV) {
 	var record Record
-	if json.Unmarshal(kv.Value, &record) != nil || !job.RestoreCompleted(chunk, record.CompletedIndexes) {
+	if exactjson.Unmarshal(kv.Value, &record) != nil || !job.RestoreCompleted(chunk, record.CompletedIndexes) {
 		r.logCorruptIndexes(kv.Key)
 	}
 	job.ModRevisions[chunk] = kv.ModRevision
--- a/internal/jobs/recordwrite.go
+++ b/internal/jobs/recordwrite.go
@@ -1,10 +1,10 @@
 package jobs
 
 import (
-	"encoding/json"
 	"slices"
 
 	"stairrelay/internal/cluster"
+	"stairrelay/internal/exactjson"
 	"stairrelay/internal/messages"
 	"stairrelay/internal/state"
 	"stairrelay/internal/writequeue"
@@ -214,7 +214,7 @@
 		switch {
 		case reply.Outcome != messages.OK:
 			r.loop.After(readRetryDelay, func() { r.resolveFirstRecordConflict(job, priority) })
-		case json.Unmarshal(reply.KV.Value, &record) != nil || !record.isAdmission():
+		case exactjson.Unmarshal(reply.KV.Value, &record) != nil || !record.isAdmission():
 			r.dropShardOf(job)
 		default:
 			job.ModRevisions[0] = reply.KV.ModRevision
--- a/internal/ownership/claims.go
+++ b/internal/ownership/claims.go
@@ -1,13 +1,13 @@
 package ownership
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"strconv"
 	"strings"
 
 	"stairrelay/internal/cluster"
+	"stairrelay/internal/exactjson"
 	"stairrelay/internal/messages"
 	"stairrelay/internal/state"
 	"stairrelay/internal/writequeue"
@@ -38,7 +38,7 @@
 // DecodeClaim decodes a claim record. A record without an owner is an error.
 func DecodeClaim(value []byte) (ClaimRecord, error) {
 	var record ClaimRecord
-	if err := json.Unmarshal(value, &record); err != nil {
+	if err := exactjson.Unmarshal(value, &record); err != nil {
 		return ClaimRecord{}, fmt.Errorf("decode claim record: %w", err)
 	}
 	if record.Owner == "" {
--- a/internal/peers/codec.go
+++ b/internal/peers/codec.go
@@ -31,9 +31,10 @@
 
 func newDecodeMode() cbor.DecMode {
 	options := cbor.DecOptions{
-		MaxArrayElements: maxElements,
-		MaxMapPairs:      maxElements,
-		MaxNestedLevels:  maxNesting,
+		FieldNameMatching: cbor.FieldNameMatchingCaseSensitive,
+		MaxArrayElements:  maxElements,
+		MaxMapPairs:       maxElements,
+		MaxNestedLevels:   maxNesting,
 	}
 	mode, err := options.DecMode()
 	if err != nil {
@@ -57,7 +58,7 @@
 
 // Decode decodes a message. It returns ErrMissingVersionOrSender if the message has no
 // protocol version or no sender. Unknown fields are ignored, for compatibility between
-// controllers of different releases.
+// controllers of different releases. A field is known only by its exact name.
 func Decode(data []byte) (messages.PeerMessage, error) {
 	var message messages.PeerMessage
 	// Unlike Unmarshal, a Decoder allows trailing bytes.
--- a/internal/provisioning/record.go
+++ b/internal/provisioning/record.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"stairrelay/internal/cluster"
+	"stairrelay/internal/exactjson"
 	"stairrelay/internal/messages"
 	"stairrelay/internal/state"
 )
@@ -43,7 +44,7 @@
 // belongs and the request.
 func decodeRequest(kv messages.KV) (cluster.ShardID, *state.ProvisioningRequest, error) {
 	var record RequestRecord
-	if err := json.Unmarshal(kv.Value, &record); err != nil {
+	if err := exactjson.Unmarshal(kv.Value, &record); err != nil {
 		return 0, nil, fmt.Errorf("decode provisioning request: %w", err)
 	}
 	return record.Shard, &state.ProvisioningRequest{
--- a/internal/provisioning/typecache.go
+++ b/internal/provisioning/typecache.go
@@ -7,6 +7,7 @@
 
 	"stairrelay/internal/cluster"
 	"stairrelay/internal/eventloop"
+	"stairrelay/internal/exactjson"
 	"stairrelay/internal/messages"
 	"stairrelay/internal/writequeue"
 )
@@ -98,7 +99,7 @@
 func (t *TypeCache) applyStored(kv messages.KV) {
 	t.loaded, t.modRevision = true, kv.ModRevision
 	var record MachineTypesRecord
-	if err := json.Unmarshal(kv.Value, &record); err != nil {
+	if err := exactjson.Unmarshal(kv.Value, &record); err != nil {
 		t.loop.Log(messages.LogError, "cannot decode stored machine types; ignoring them", "key", kv.Key, "error", err.Error())
 		return
 	}
--- a/internal/settings/operators.go
+++ b/internal/settings/operators.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	_ "embed" // embeds the schema
-	"encoding/json"
 	"errors"
 	"fmt"
 	"strings"
@@ -12,6 +11,7 @@
 
 	"stairrelay/internal/cluster"
 	"stairrelay/internal/controller"
+	"stairrelay/internal/exactjson"
 )
 
 // schemaName is the file name of the schema and the resource name under which it is
@@ -57,7 +57,7 @@
 		return firstCause(err)
 	}
 	var file operatorsFile
-	if err := json.Unmarshal(text, &file); err != nil {
+	if err := exactjson.Unmarshal(text, &file); err != nil {
 		return err
 	}
 	file.apply(tuning)
--- a/internal/settings/platformfile.go
+++ b/internal/settings/platformfile.go
@@ -1,13 +1,5 @@
 package settings
 
-import (
-	"errors"
-	"fmt"
-	"strings"
-
-	"github.com/pelletier/go-toml/v2"
-)
-
 // platformFile is the TOML file of the platform. Unknown fields in the file are
 // ignored, since the platform may add fields.
 type platformFile struct {
@@ -99,41 +91,3 @@
 	MaxConnections int     `toml:"max_connections"`
 	CPUShare       float64 `toml:"core_share"`
 }
-
-// SyntaxError reports that the platform file is not valid TOML, or that a field has a
-// value of the wrong type.
-type SyntaxError struct {
-	Line   int    // 1-based
-	Column int    // 1-based
-	Key    string // path of the field; empty if it is not known
-	Err    error
-}
-
-// Error returns the position, the field and the decoder's error in one line.
-func (e *SyntaxError) Error() string {
-	return fmt.Sprintf("line %d column %d: %s: %v", e.Line, e.Column, e.Key, e.Err)
-}
-
-// Unwrap returns the decoder's error.
-func (e *SyntaxError) Unwrap() error { return e.Err }
-
-// decodePlatform decodes the text of the platform file. It returns a *SyntaxError if
-// the decoder reports the position of the error.
-func decodePlatform(text []byte) (*platformFile, error) {
-	var file platformFile
-	err := toml.Unmarshal(text, &file)
-	if err == nil {
-		return &file, nil
-	}
-	var decodeError *toml.DecodeError
-	if !errors.As(err, &decodeError) {
-		return nil, err
-	}
-	line, column := decodeError.Position()
-	return nil, &SyntaxError{
-		Line:   line,
-		Column: column,
-		Key:    strings.Join(decodeError.Key(), "."),
-		Err:    decodeError,
-	}
-}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -105,6 +106,34 @@
 	}
 }
 
+// TestFieldNamesMatchExactly guards against the fault of review/5 in the platform file: a
+// field or table whose name differs from a known one by case must be ignored.
+func TestFieldNamesMatchExactly(t *testing.T) {
+	var lines []string
+	for line := range strings.Lines(validPlatformText) {
+		lines = append(lines, line)
+		if name, _, isField := strings.Cut(line, " ="); isField {
+			lines = append(lines, strings.ToUpper(name)+" = [[true]]\n")
+		}
+	}
+	lines = append(lines, "[CLUSTER]\ncount = 7\n[cluster.Machine_limits]\nmem_mb = 1.0\n[[Peers]]\nhost_name = \"n9\"\n")
+	settings, want := mustLoad(t, strings.Join(lines, "")), mustLoad(t, validPlatformText)
+	if !reflect.DeepEqual(settings, want) {
+		t.Errorf("with other spellings: loaded %+v, want %+v", settings, want)
+	}
+}
+
+// TestErrorsOfMisspelledFields checks that a field of the wrong type is reported, but not
+// one whose name differs from a known one by case.
+func TestErrorsOfMisspelledFields(t *testing.T) {
+	text := strings.Replace(validPlatformText, "lease_s = 12.0", "Report_s = []\nlease_s = \"x\"", 1)
+	_, err := Load(writeFile(t, "s.toml", text), "")
+	var fieldError *FieldError
+	if !errors.As(err, &fieldError) || fieldError.Field != "cluster.workers.lease_s" {
+		t.Errorf("%v is not a FieldError of cluster.workers.lease_s", err)
+	}
+}
+
 func TestGuaranteedQuotaAboveLimit(t *testing.T) {
 	settings := mustLoadReplaced(t, "cpus = 4.0", "cpus = 9.0")
 	if len(settings.Warnings) != 1 || !strings.Contains(settings.Warnings[0], "red") {
--- a/internal/simulation/failovers.go
+++ b/internal/simulation/failovers.go
@@ -1,10 +1,10 @@
 package simulation
 
 import (
-	"encoding/json"
 	"strings"
 
 	"stairrelay/internal/cluster"
+	"stairrelay/internal/exactjson"
 	"stairrelay/internal/messages"
 )
 
@@ -59,7 +59,7 @@
 		var record struct {
 			Owner string `json:"holder"`
 		}
-		if json.Unmarshal(operation.Value, &record) != nil {
+		if exactjson.Unmarshal(operation.Value, &record) != nil {
 			continue
 		}
 		previous := f.owners[operation.Key]
--- a/internal/simulation/httpfake/services.go
+++ b/internal/simulation/httpfake/services.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"stairrelay/internal/cluster"
+	"stairrelay/internal/exactjson"
 	"stairrelay/internal/messages"
 	"stairrelay/internal/simulation"
 )
@@ -155,7 +156,7 @@
 // readJSON decodes the JSON body of a request. On failure it responds with 400 and
 // returns false.
 func readJSON(w http.ResponseWriter, request *http.Request, body any) bool {
-	if json.NewDecoder(request.Body).Decode(body) != nil {
+	if exactjson.Read(request.Body, body) != nil {
 		writeJSON(w, http.StatusBadRequest, nil)
 		return false
 	}
--- a/internal/simulation/httpfake/worker.go
+++ b/internal/simulation/httpfake/worker.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"stairrelay/internal/cluster"
+	"stairrelay/internal/exactjson"
 	"stairrelay/internal/messages"
 	"stairrelay/internal/simulation"
 )
@@ -276,6 +277,6 @@
 	}
 	defer response.Body.Close()
 	var decoded heartbeatResponse
-	_ = json.NewDecoder(response.Body).Decode(&decoded)
+	_ = exactjson.Read(response.Body, &decoded)
 	return response.StatusCode, decoded, nil
 }
--- a/internal/simulation/version_filter.go
+++ b/internal/simulation/version_filter.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"strings"
 
+	"stairrelay/internal/exactjson"
 	"stairrelay/internal/messages"
 )
 
@@ -153,7 +154,7 @@
 // the jobs. A value of another type is returned unchanged.
 func withoutDependenciesOfAll(list json.RawMessage) json.RawMessage {
 	var records []json.RawMessage
-	if json.Unmarshal(list, &records) != nil {
+	if exactjson.Unmarshal(list, &records) != nil {
 		return list
 	}
 	for i, record := range records {
@@ -186,7 +187,7 @@
 // another type is returned unchanged.
 func editObject(object []byte, edit func(fields map[string]json.RawMessage)) json.RawMessage {
 	fields := map[string]json.RawMessage{}
-	if json.Unmarshal(object, &fields) != nil {
+	if exactjson.Unmarshal(object, &fields) != nil {
 		return object
 	}
 	edit(fields)
--- a/internal/simulation/version_filter_test.go
+++ b/internal/simulation/version_filter_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"stairrelay/internal/cluster"
+	"stairrelay/internal/exactjson"
 	"stairrelay/internal/messages"
 )
 
@@ -18,7 +19,7 @@
 		t.Fatal(err)
 	}
 	records := map[string]json.RawMessage{}
-	if err := json.Unmarshal(text, &records); err != nil {
+	if err := exactjson.Unmarshal(text, &records); err != nil {
 		t.Fatal(err)
 	}
 	if len(records) < 10 {
--- a/internal/wire/cloud.go
+++ b/internal/wire/cloud.go
@@ -1,9 +1,8 @@
 package wire
 
 import (
-	"encoding/json"
-
 	"stairrelay/internal/cluster"
+	"stairrelay/internal/exactjson"
 	"stairrelay/internal/messages"
 )
 
@@ -160,5 +159,5 @@
 	var payload struct {
 		Error string `json:"error"`
 	}
-	return json.Unmarshal(body, &payload) == nil && payload.Error == outOfCapacityText
+	return exactjson.Unmarshal(body, &payload) == nil && payload.Error == outOfCapacityText
 }
--- a/internal/wire/submission.go
+++ b/internal/wire/submission.go
@@ -1,12 +1,12 @@
 package wire
 
 import (
-	"encoding/json"
 	"math"
 	"regexp"
 	"slices"
 
 	"stairrelay/internal/cluster"
+	"stairrelay/internal/exactjson"
 )
 
 const (
@@ -90,7 +90,7 @@
 	var payload struct {
 		ID *string `json:"id"`
 	}
-	if json.Unmarshal(body, &payload) != nil || payload.ID == nil || !IsValidJobID(*payload.ID) {
+	if exactjson.Unmarshal(body, &payload) != nil || payload.ID == nil || !IsValidJobID(*payload.ID) {
 		return ""
 	}
 	return cluster.JobID(*payload.ID)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -73,6 +73,7 @@
 	"encoding/json"
 
 	"stairrelay/internal/cluster"
+	"stairrelay/internal/exactjson"
 )
 
 // MaxBodySize is the protocol's size limit for request bodies, in bytes.
@@ -93,7 +94,7 @@
 // unmarshal decodes a JSON body into payload. Its error is a *DecodeError of the given
 // kind.
 func unmarshal(body []byte, kind string, payload any) error {
-	if err := json.Unmarshal(body, payload); err != nil {
+	if err := exactjson.Unmarshal(body, payload); err != nil {
 		return &DecodeError{Kind: kind, Err: err}
 	}
 	return nil
--- a/internal/wire/worker.go
+++ b/internal/wire/worker.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"strings"
 
+	"github.com/go-json-experiment/json/jsontext"
+
 	"stairrelay/internal/cluster"
+	"stairrelay/internal/exactjson"
 	"stairrelay/internal/messages"
 )
 
@@ -143,25 +145,29 @@
 // DecodeMachineID returns the machine ID in the beginning of a heartbeat. It returns false if
 // the ID is invalid or does not precede the end of the text.
 func DecodeMachineID(beginning []byte) (cluster.MachineID, bool) {
-	decoder := json.NewDecoder(bytes.NewReader(beginning))
-	if start, err := decoder.Token(); err != nil || start != json.Delim('{') {
+	decoder := jsontext.NewDecoder(
+		bytes.NewReader(beginning),
+		jsontext.AllowDuplicateNames(true),
+		jsontext.AllowInvalidUTF8(true),
+	)
+	if start, err := decoder.ReadToken(); err != nil || start.Kind() != jsontext.KindBeginObject {
 		return "", false
 	}
-	for decoder.More() {
-		name, err := decoder.Token()
-		if err != nil {
-			return "", false
+	for {
+		name, err := decoder.ReadToken()
+		if err != nil || name.Kind() != jsontext.KindString {
+			return "", false // the end of the object or of the text
 		}
-		var value json.RawMessage
-		if decoder.Decode(&value) != nil {
+		isMachineID := name.String() == machineIDField // a token is valid until the next read
+		value, err := decoder.ReadValue()
+		if err != nil {
 			return "", false
 		}
 		var id string
-		if name == machineIDField && json.Unmarshal(value, &id) == nil && isValidMachineID(id) {
+		if isMachineID && exactjson.Unmarshal(value, &id) == nil && isValidMachineID(id) {
 			return cluster.MachineID(id), true
 		}
 	}
-	return "", false
 }
 
 // isValidMachineID reports whether a machine ID is not empty, at most maxMachineIDLength
--- a/internal/writequeue/write.go
+++ b/internal/writequeue/write.go
@@ -14,10 +14,10 @@
 package writequeue
 
 import (
-	"encoding/json"
 	"strings"
 
 	"stairrelay/internal/cluster"
+	"stairrelay/internal/exactjson"
 	"stairrelay/internal/messages"
 )
 
@@ -105,7 +105,7 @@
 	var record struct {
 		WriteID string `json:"w"`
 	}
-	if json.Unmarshal(value, &record) != nil {
+	if exactjson.Unmarshal(value, &record) != nil {
 		return ""
 	}
 	return record.WriteID
