Walks over dependencies visit each job and each dependency once

An accepted job of another team never ran.

Cause: notifyDependentOwners followed every path from the cancelled job to its indirect dependents (8^13), in the goroutine that owns all state, and again for each dependent whose own cancellation was stored.

Change: - A job passed by a walk is marked (CancellationAnnounced). The jobs of a pipeline are passed once for all cancellations together. AddDependent, pruneDependencies and the decoding of a submission no longer search a list for each entry.

TestUrgencyPropagated ends the step before it checks, as urgency is passed on then.

--- a/internal/cluster/job.go
+++ b/internal/cluster/job.go
@@ -26,6 +26,19 @@
 	Dependencies              []JobID   `json:"aw,omitempty"` // jobs that must be done before any task starts
 }
 
+// UniqueJobIDs returns the IDs without duplicates, in the order in which they occur first.
+func UniqueJobIDs(ids []JobID) []JobID {
+	var unique []JobID
+	seen := make(map[JobID]bool, len(ids))
+	for _, id := range ids {
+		if !seen[id] {
+			seen[id] = true
+			unique = append(unique, id)
+		}
+	}
+	return unique
+}
+
 // JobStatus is the status of a job as shown to users. Its values are part of the API.
 type JobStatus string
 
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -124,10 +124,11 @@
 // set.
 func (c *Controller) NextWake() (cluster.Time, bool) { return c.loop.NextWake() }
 
-// flush runs the work that the handlers of a step have requested: scheduling, command
-// pushes, writes to the store and responses to heartbeats. It is called once at the end
+// flush runs the work that the handlers of a step have requested: the propagation of
+// urgency to dependencies, scheduling, command pushes, writes to the store and responses to heartbeats. It is called once at the end
 // of each step.
 func (c *Controller) flush() {
+	c.jobs.Records.PropagateUrgency()
 	c.scheduler.RunIfRequested()
 	c.reconciler.Commands.PushQueued()
 	c.writeQueue.Dispatch()
--- a/internal/controller/urgency_test.go
+++ b/internal/controller/urgency_test.go
@@ -69,7 +69,7 @@
 	return h
 }
 
-// applyJobRecord applies a job's record as if the watch had delivered it.
+// applyJobRecord applies a job's record as if the watch had delivered it, and ends the step.
 func (h *controllerHarness) applyJobRecord(t *testing.T, id cluster.JobID, record jobs.Record, modRevision cluster.ModRevision) {
 	t.Helper()
 	record.WriteID = "x"
@@ -78,6 +78,7 @@
 		t.Fatal(err)
 	}
 	h.jobs.Records.Apply(messages.KV{Key: "jobs/" + string(id), Value: value, ModRevision: modRevision}, nil)
+	h.jobs.Records.PropagateUrgency()
 }
 
 // checkUrgencies checks the effective priorities and deadlines of all jobs.
--- a/internal/jobs/cancellations.go
+++ b/internal/jobs/cancellations.go
@@ -86,7 +86,7 @@
 			return
 		}
 		final := reply.Message.Views[0].Status
-		c.cancellations.records.dependencies.applyFinalStatus(c.id, known, final)
+		c.cancellations.records.dependencies.applyFinalStatus(c.id, final)
 		c.answer(final)
 	})
 }
--- a/internal/jobs/dependencies.go
+++ b/internal/jobs/dependencies.go
@@ -13,10 +13,6 @@
 // dependencies. Pings of earlier releases carry no feature level.
 const DependencyFeatureLevel = 1
 
-// DependentStartDelayMillis is the approximate delay between the end of a job and the
-// start of one that depends on it, in milliseconds.
-const DependentStartDelayMillis = 2000
-
 // dependencyGraph tracks the dependencies between jobs. A job's record lists the jobs
 // that it depends on. Whether the job is ready, or cancelled because of a dependency, is
 // derived from the records of these jobs.
@@ -31,32 +27,31 @@
 
 	records *Records
 	notices *noticeSender
+	urgency *urgencyPropagation
 }
 
 // add adds the dependencies of a job whose record is seen for the first time, and
-// propagates the job's urgency to them. If a dependency is cancelled, the job is
-// cancelled, too.
+// requests that the job's urgency is passed on to them. If a dependency is cancelled, the
+// job is cancelled, too.
 func (g *dependencyGraph) add(id cluster.JobID, known *state.KnownJob, spec *cluster.JobSpec) {
 	if known.Spec != nil {
 		return
 	}
 	known.Spec = spec
 	known.InheritUrgency(spec.Priority, spec.Deadline())
-	for _, dependent := range g.state.Jobs.Dependents[id] { // dependents whose records were seen first
-		g.propagateUrgency(dependent)
-	}
+	g.urgency.request(g.state.Jobs.Dependents[id]...) // dependents whose records were seen first
 	if len(spec.Dependencies) == 0 {
 		return
 	}
-	known.Dependencies = spec.Dependencies
+	known.Dependencies = cluster.UniqueJobIDs(spec.Dependencies)
 	for _, dependency := range known.Dependencies {
 		g.state.Jobs.AddDependent(dependency, id)
 		g.notifyOfEarlierEnd(dependency, known)
 	}
-	g.propagateUrgency(id)
+	g.urgency.request(id)
 	for _, dependency := range known.Dependencies {
 		if other := g.state.Jobs.Known[dependency]; other != nil && other.FinalStatus == cluster.JobCancelled {
-			g.applyFinalStatus(id, known, cluster.JobCancelled)
+			g.applyFinalStatus(id, cluster.JobCancelled)
 			return
 		}
 	}
@@ -77,55 +72,39 @@
 	return messages.KV{Key: state.JobKey(id), Value: finalRecord(known).encode()}
 }
 
-// propagateUrgency passes a job's effective priority and deadline on to its direct and
-// indirect dependencies. The deadline is reduced by the job's expected run time and
-// DependentStartDelayMillis.
-func (g *dependencyGraph) propagateUrgency(id cluster.JobID) {
-	known := g.state.Jobs.Known[id]
-	if known == nil || known.Spec == nil {
-		return
-	}
-	deadline := 0.0
-	if known.EffectiveDeadline > 0 {
-		runMillis := g.Scheduler.RuntimeRatio(known.Spec.Class) * known.Spec.RuntimeSeconds * 1000
-		deadline = known.EffectiveDeadline - runMillis - DependentStartDelayMillis
-	}
-	for _, id := range known.Dependencies {
-		dependency := g.state.Jobs.Known[id]
-		if dependency == nil || dependency.FinalStatus != "" || !dependency.InheritUrgency(known.EffectivePriority, deadline) {
+// applyFinalStatus sets the final status of a job, which is either stored or implied by
+// the cancellation of a dependency, and updates the job's dependents. A cancellation
+// reaches the indirect dependents as well. Jobs that already have a final status are
+// skipped together with their dependents, so that each job and each dependency is visited
+// once, whatever the number of paths between the jobs.
+func (g *dependencyGraph) applyFinalStatus(id cluster.JobID, final cluster.JobStatus) {
+	pending := []cluster.JobID{id} // the next job is the last element
+	for len(pending) > 0 {
+		id := pending[len(pending)-1]
+		pending = pending[:len(pending)-1]
+		known := g.state.Jobs.Known[id]
+		if known == nil || known.FinalStatus != "" {
 			continue
 		}
-		if job := g.state.Jobs.Owned[id]; job != nil {
-			job.EffectivePriority = max(job.EffectivePriority, dependency.EffectivePriority)
-			g.state.Shards[job.ShardID].QueueOrder = nil
+		g.setFinalStatus(id, known, final)
+		dependents := g.state.Jobs.Dependents[id]
+		if final != cluster.JobCancelled {
+			g.updateReadinessOf(dependents)
+			continue
+		}
+		for _, dependent := range slices.Backward(dependents) {
+			pending = append(pending, dependent)
 		}
-		g.propagateUrgency(id)
 	}
 }
 
-// applyFinalStatus sets the final status of a job, which is either stored or implied by
-// the cancellation of a dependency, and updates the job's dependents. It does nothing if
-// the job already has a final status. An owned job that is cancelled because of a
-// dependency is stopped, and a write of its cancellation is enqueued.
-func (g *dependencyGraph) applyFinalStatus(id cluster.JobID, known *state.KnownJob, final cluster.JobStatus) {
-	if known.FinalStatus != "" {
-		return
-	}
+// setFinalStatus sets the final status of a job. An owned job that is cancelled because of
+// a dependency is stopped, and a write of its cancellation is enqueued.
+func (g *dependencyGraph) setFinalStatus(id cluster.JobID, known *state.KnownJob, final cluster.JobStatus) {
 	known.FinalStatus, known.FinalSince, known.Spec = final, g.state.Jobs.KnownSince(g.loop.Now()), nil
 	if job := g.state.Jobs.Owned[id]; job != nil && job.IsActive() && final == cluster.JobCancelled && len(known.Dependencies) > 0 {
 		g.cancel(job)
 	}
-	for _, dependentID := range g.state.Jobs.Dependents[id] {
-		dependent := g.state.Jobs.Known[dependentID]
-		if dependent == nil || dependent.FinalStatus != "" {
-			continue
-		}
-		if final == cluster.JobCancelled {
-			g.applyFinalStatus(dependentID, dependent, cluster.JobCancelled)
-		} else if job := g.state.Jobs.Owned[dependentID]; job != nil {
-			g.updateReadiness(job)
-		}
-	}
 }
 
 // cancel stops the tasks of a job that is cancelled because of a dependency, and enqueues
@@ -137,11 +116,22 @@
 	g.records.WriteJob(job, writequeue.PriorityOutcome)
 }
 
+// updateReadinessOf updates whether the owned and unfinished ones of the given jobs are
+// blocked.
+func (g *dependencyGraph) updateReadinessOf(ids []cluster.JobID) {
+	for _, id := range ids {
+		known, job := g.state.Jobs.Known[id], g.state.Jobs.Owned[id]
+		if known != nil && known.FinalStatus == "" && job != nil {
+			g.updateReadiness(job)
+		}
+	}
+}
+
 // updateReadiness updates whether an owned job is blocked. When the last of its
 // dependencies is done, it requests scheduling and scale-out.
 func (g *dependencyGraph) updateReadiness(job *state.Job) {
 	known := g.state.Jobs.Known[job.Spec.ID]
-	blocked := known != nil && len(g.state.Jobs.UnmetDependencies(known)) > 0
+	blocked := known != nil && g.state.Jobs.HasUnmetDependency(known)
 	if blocked == job.Blocked {
 		return
 	}
@@ -157,12 +147,18 @@
 }
 
 // notifyDependentOwners sends a job's stored final status to the owners of its
-// dependents, and for a cancelled job also to the owners of its indirect dependents. If a
-// notice is lost, the owner's watch delivers the change.
+// dependents, and for a cancelled job also to the owners of its indirect dependents. It
+// passes each job once for all cancellations together: the owners of the dependents of a
+// job that was passed before were notified of the earlier cancellation. If a notice is
+// lost, the owner's watch delivers the change.
 func (g *dependencyGraph) notifyDependentOwners(id cluster.JobID, known *state.KnownJob) {
 	notified := map[cluster.ShardID]bool{}
-	var visit func(cluster.JobID)
-	visit = func(at cluster.JobID) {
+	cancelled := known.FinalStatus == cluster.JobCancelled
+	known.CancellationAnnounced = cancelled
+	pending := []cluster.JobID{id} // the next job is the last element
+	for len(pending) > 0 {
+		at := pending[len(pending)-1]
+		pending = pending[:len(pending)-1]
 		for _, dependentID := range g.state.Jobs.Dependents[at] {
 			dependent := g.state.Jobs.Known[dependentID]
 			if dependent == nil {
@@ -172,25 +168,25 @@
 				notified[dependent.ShardID] = true
 				g.notices.send(dependent.ShardID, finalNotice(id, known))
 			}
-			if known.FinalStatus == cluster.JobCancelled {
-				visit(dependentID)
+			if cancelled && !dependent.CancellationAnnounced {
+				dependent.CancellationAnnounced = true
+				pending = append(pending, dependentID)
 			}
 		}
 	}
-	visit(id)
 }
 
 // pruneDependencies removes the dependencies that a record need not list: duplicates and
 // jobs that are done. If one of the dependencies is cancelled, only that one is kept.
 func pruneDependencies(jobs *state.JobRegistry, spec *cluster.JobSpec) {
 	var unfinished []cluster.JobID
-	for _, id := range spec.Dependencies {
+	for _, id := range cluster.UniqueJobIDs(spec.Dependencies) {
 		known := jobs.FinalJob(id)
 		if known != nil && known.FinalStatus == cluster.JobCancelled {
 			spec.Dependencies = []cluster.JobID{id}
 			return
 		}
-		if known == nil && !slices.Contains(unfinished, id) {
+		if known == nil {
 			unfinished = append(unfinished, id)
 		}
 	}
--- a/internal/jobs/harness_test.go
+++ b/internal/jobs/harness_test.go
@@ -15,7 +15,7 @@
 // n0, shard 1 with team green by n1.
 type testJobs struct {
 	*Jobs
-	t         *testing.T
+	tb        testing.TB
 	loop      *eventloop.Loop
 	state     *state.State
 	scheduler *fakeScheduler
@@ -50,8 +50,8 @@
 func (*fakeScheduler) RequestScaleOut()            {}
 func (*fakeScheduler) RuntimeRatio(string) float64 { return 1 }
 
-func newTestJobs(t *testing.T) *testJobs {
-	t.Helper()
+func newTestJobs(tb testing.TB) *testJobs {
+	tb.Helper()
 	nodes := []cluster.NodeID{"n0", "n1"}
 	loop := eventloop.New()
 	loop.Begin(100*second, 0)
@@ -78,7 +78,7 @@
 	tasks, scheduler := &fakeTasks{}, &fakeScheduler{}
 	config := Config{Self: "n0", Nodes: nodes, InstanceID: "b0", MaxValueBytes: 4096, MaxTxnOps: 4, CheckpointInterval: second}
 	return &testJobs{
-		t:         t,
+		tb:        tb,
 		loop:      loop,
 		state:     clusterState,
 		scheduler: scheduler,
@@ -95,19 +95,19 @@
 
 // apply applies a job's record.
 func (j *testJobs) apply(id cluster.JobID, record Record) {
-	j.t.Helper()
+	j.tb.Helper()
 	j.Records.Apply(messages.KV{Key: state.JobKey(id), Value: record.encode(), ModRevision: 20}, nil)
 }
 
 // applySpec applies the record of an unfinished job.
 func (j *testJobs) applySpec(id cluster.JobID, team string, dependencies ...cluster.JobID) {
-	j.t.Helper()
+	j.tb.Helper()
 	j.apply(id, Record{Spec: &cluster.JobSpec{Team: team, Tasks: 1, Dependencies: dependencies}})
 }
 
 // runFor advances the time, runs the timers that are due and returns the effects.
 func (j *testJobs) runFor(duration cluster.Time) []messages.Effect {
-	j.t.Helper()
+	j.tb.Helper()
 	j.loop.Begin(j.loop.Now()+duration, 0)
 	j.loop.RunTimers()
 	return j.loop.Effects()
--- a/internal/jobs/outcomes.go
+++ b/internal/jobs/outcomes.go
@@ -65,7 +65,7 @@
 	job.FinalStatus = final
 	if known := r.state.Jobs.Known[job.Spec.ID]; known != nil {
 		known.FinalRecorded = true
-		r.dependencies.applyFinalStatus(job.Spec.ID, known, final)
+		r.dependencies.applyFinalStatus(job.Spec.ID, final)
 		r.dependencies.notifyDependentOwners(job.Spec.ID, known)
 	}
 	callWaiters(job, final)
--- a/internal/jobs/ownerqueries.go
+++ b/internal/jobs/ownerqueries.go
@@ -92,8 +92,8 @@
 			o.queries.lookUpInStore(query.id, query.handle)
 			continue
 		}
-		if known := o.state.Jobs.Known[query.id]; known != nil && view.Status.IsFinal() {
-			o.queries.records.dependencies.applyFinalStatus(query.id, known, view.Status)
+		if view.Status.IsFinal() {
+			o.queries.records.dependencies.applyFinalStatus(query.id, view.Status)
 		}
 		query.handle(messages.StatusOK, view)
 	}
--- a/internal/jobs/records.go
+++ b/internal/jobs/records.go
@@ -23,7 +23,12 @@
 
 func newRecords(common *shared, notices *noticeSender) *Records {
 	records := &Records{shared: common}
-	records.dependencies = &dependencyGraph{shared: common, records: records, notices: notices}
+	records.dependencies = &dependencyGraph{
+		shared:  common,
+		records: records,
+		notices: notices,
+		urgency: &urgencyPropagation{shared: common},
+	}
 	return records
 }
 
@@ -55,7 +60,7 @@
 	switch {
 	case record.FinalStatus.IsFinal():
 		known.FinalRecorded = true
-		r.dependencies.applyFinalStatus(id, known, record.FinalStatus)
+		r.dependencies.applyFinalStatus(id, record.FinalStatus)
 	case record.Spec != nil:
 		if known.FinalStatus == "" {
 			r.dependencies.add(id, known, record.Spec)
@@ -65,6 +70,10 @@
 	}
 }
 
+// PropagateUrgency passes the urgency of the jobs that were added in this step on to the
+// jobs that they depend on.
+func (r *Records) PropagateUrgency() { r.dependencies.urgency.run() }
+
 // addOwnedJob adds an unfinished job to the owned jobs if its shard is owned. It does
 // nothing if the job is already owned or is known to have finished.
 func (r *Records) addOwnedJob(kv messages.KV, record *Record, known *state.KnownJob, shard, loading *state.Shard) {
--- a/internal/state/jobregistry.go
+++ b/internal/state/jobregistry.go
@@ -1,10 +1,6 @@
 package state
 
-import (
-	"slices"
-
-	"stairrelay/internal/cluster"
-)
+import "stairrelay/internal/cluster"
 
 // JobRegistry holds the jobs of all shards that this controller knows.
 //
@@ -34,7 +30,12 @@
 	Team            string
 	ResourceRequest cluster.Resources // request of each task; known only if the job was cancelled
 	Spec            *cluster.JobSpec  // nil if the job is finished or its record has not been read
-	Dependencies    []cluster.JobID
+	Dependencies    []cluster.JobID   // without duplicates
+
+	// CancellationAnnounced is whether the owners of the job's dependents were notified
+	// that the job, or one that it depends on, was cancelled.
+	CancellationAnnounced bool
+	metDependencies       int // the first dependencies of the list that are known to be done
 
 	// EffectivePriority and EffectiveDeadline are the highest priority and the earliest
 	// deadline among the job and all its dependents. The deadline is a Unix time in
@@ -88,28 +89,29 @@
 // acquired again.
 func (r *JobRegistry) Owns(job *Job) bool { return r.Owned[job.Spec.ID] == job }
 
-// AddDependent records that the job id depends on dependency.
+// AddDependent records that the job id depends on dependency. It must be called once for
+// each dependency of a job.
 func (r *JobRegistry) AddDependent(dependency, id cluster.JobID) {
-	if !slices.Contains(r.Dependents[dependency], id) {
-		r.Dependents[dependency] = append(r.Dependents[dependency], id)
-	}
+	r.Dependents[dependency] = append(r.Dependents[dependency], id)
 }
 
-// UnmetDependencies returns the dependencies of a job that are not known to be done.
-func (r *JobRegistry) UnmetDependencies(known *KnownJob) []cluster.JobID {
-	var unmet []cluster.JobID
-	for _, id := range known.Dependencies {
-		if dependency := r.Known[id]; dependency == nil || dependency.FinalStatus != cluster.JobDone {
-			unmet = append(unmet, id)
+// HasUnmetDependency reports whether a dependency of a job is not known to be done. Since a
+// final status never changes, each call continues after the dependencies that the earlier
+// calls found done.
+func (r *JobRegistry) HasUnmetDependency(known *KnownJob) bool {
+	for ; known.metDependencies < len(known.Dependencies); known.metDependencies++ {
+		dependency := r.Known[known.Dependencies[known.metDependencies]]
+		if dependency == nil || dependency.FinalStatus != cluster.JobDone {
+			return true
 		}
 	}
-	return unmet
+	return false
 }
 
 // IsBlocked reports whether a job is known, unfinished and has unmet dependencies.
 func (r *JobRegistry) IsBlocked(id cluster.JobID) bool {
 	known := r.Known[id]
-	return known != nil && known.FinalStatus == "" && len(r.UnmetDependencies(known)) > 0
+	return known != nil && known.FinalStatus == "" && r.HasUnmetDependency(known)
 }
 
 // InheritUrgency raises the effective priority and advances the effective deadline to
--- a/internal/wire/submission.go
+++ b/internal/wire/submission.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"regexp"
-	"slices"
 
 	"stairrelay/internal/cluster"
 	"stairrelay/internal/exactjson"
@@ -105,11 +104,9 @@
 		if !IsValidJobID(text) || id == ownID {
 			return nil, &InvalidFieldError{Field: "awaits", Problem: invalidDependency}
 		}
-		if !slices.Contains(dependencies, id) {
-			dependencies = append(dependencies, id)
-		}
+		dependencies = append(dependencies, id)
 	}
-	return dependencies, nil
+	return cluster.UniqueJobIDs(dependencies), nil
 }
 
 // fillSpec sets the fields of the spec from a submission that has passed check.
