--- a/internal/simulation/command_calls.go
+++ b/internal/simulation/command_calls.go
@@ -22,6 +22,7 @@
 	*environment
 	network  *Network
 	machines *Machines
+	copies   *StartCopies
 }
 
 func (c *commandChannel) queryStatus(node *Node, query messages.QueryWorkerStatus) {
@@ -79,6 +80,7 @@
 	c.machines.heartbeats.schedule(worker)
 	if reply.Outcome == messages.OK {
 		c.network.repeat(c.network.PushRepeatChance, func() { c.repeat(worker, commands) })
+		c.copies.record(worker.ID, StartCopy{Commands: commands.Commands, deliver: func() { c.deliverLate(worker, commands) }})
 	}
 	if c.Chance(0.01) {
 		call.replyAfter(commandReplyTimeout, unknown)
@@ -89,7 +91,6 @@
 
 // repeat delivers a push that was executed a second time.
 func (c *commandChannel) repeat(worker *SimulatedWorker, commands messages.PushCommands) {
-	isStart := func(command cluster.Command) bool { return command.Kind == cluster.Start }
 	if !worker.removed && slices.ContainsFunc(commands.Commands, isStart) {
 		c.FaultCounts[FaultRepeatedStart]++
 	}
--- a/internal/simulation/fault_kinds.go
+++ b/internal/simulation/fault_kinds.go
@@ -17,6 +17,7 @@
 	FaultCommandToBlockedMachine            FaultKind = "commands to a machine with blocked heartbeats"
 	FaultCommandToUnreachableMachine        FaultKind = "commands to an unreachable machine"
 	FaultRepeatedStart                      FaultKind = "executed pushes of starts delivered again"
+	FaultStartCopyDelivered                 FaultKind = "executed starts delivered again on request"
 	FaultRepeatedWrite                      FaultKind = "executed transactions delivered again"
 	FaultRepeatedCloudCall                  FaultKind = "executed calls to the cloud delivered again"
 	FaultRepeatedPeerMessage                FaultKind = "answered messages between controllers delivered again"
--- a/internal/simulation/heartbeats.go
+++ b/internal/simulation/heartbeats.go
@@ -24,6 +24,7 @@
 	network   *Network
 	machines  *Machines
 	failovers *Failovers
+	copies    *StartCopies
 }
 
 // loop sends a worker's periodic heartbeats, with jitter, until the machine is removed.
@@ -178,6 +179,11 @@
 	switch {
 	case response.Status == messages.StatusOK && response.Heartbeat != nil:
 		x.accept(*response.Heartbeat)
+		s.copies.record(worker.ID, StartCopy{
+			Commands:   response.Heartbeat.Commands,
+			InResponse: true,
+			deliver:    func() { x.handleLate(response) },
+		})
 	case response.Status == messages.StatusMisdirected && response.Heartbeat != nil:
 		x.redirect(response.Heartbeat.RedirectTo)
 	default:
@@ -185,6 +191,12 @@
 	}
 }
 
+// handleLate handles a late copy of a response. A machine that hangs handles it when it
+// recovers.
+func (x *heartbeatExchange) handleLate(response messages.Respond) {
+	x.sender.After(x.worker.hungUntil-x.sender.Now+millisecond, func() { x.handleResponse(response) })
+}
+
 // accept passes a successful response to the worker and ends the exchange. It queues
 // another heartbeat if the response has a new fencing token or commands.
 func (x *heartbeatExchange) accept(response messages.HeartbeatResponse) {
--- a/internal/simulation/simulator.go
+++ b/internal/simulation/simulator.go
@@ -33,6 +33,7 @@
 	Cancellations    *Cancellations
 	ReadAfterWrite   *ReadAfterWrite
 	EdgeCaseRequests *EdgeCaseRequests
+	StartCopies      *StartCopies
 	checker          *invariantChecker
 }
 
@@ -87,12 +88,14 @@
 		nodes:       s.nodeSet,
 		jobs:        s.jobTable,
 	}
+	s.StartCopies = &StartCopies{environment: s.environment, machines: s.Machines, messages: map[cluster.MachineID][]StartCopy{}}
 	s.Machines.heartbeats = &heartbeatSender{
 		environment: s.environment,
 		nodes:       s.nodeSet,
 		network:     s.Network,
 		machines:    s.Machines,
 		failovers:   s.Failovers,
+		copies:      s.StartCopies,
 	}
 }
 
@@ -118,7 +121,7 @@
 		environment: env,
 		store:       s.StoreAPI,
 		cloud:       s.CloudAPI,
-		commands:    &commandChannel{environment: env, network: network, machines: s.Machines},
+		commands:    &commandChannel{environment: env, network: network, machines: s.Machines, copies: s.StartCopies},
 		peers:       &peerChannel{environment: env, network: network, nodes: s.nodeSet},
 	}
 	s.execute = executor.execute
