A new job is not called pending while a cancellation before it is unseen

Cause: the answer to a new submission called the job pending without the linearizable read that any other answer about a blocked job waits for. A controller that had just looked up the direct dependency in the store had not read that one's own dependencies, through which the cancellation reaches the job.

Change: JobRegistry keeps the dependencies whose records have not been read (Unseen). While there are any, a new blocked job is answered after a linearizable read, or with 503 if that fails. It is empty as a rule, and then nothing is read.

TestDependentOfUnseenCancelledJob failed without it: answered 201 with 0 reads.

--- a/internal/jobs/admissionqueue.go
+++ b/internal/jobs/admissionqueue.go
@@ -208,7 +208,9 @@
 
 // answerAdmitted answers a submission that was stored at a revision. It is answered as an
 // idempotent retry if an earlier admission record lists the job or the duplicate check
-// has failed, and otherwise as a new job.
+// has failed, and otherwise as a new job. While the record of a dependency is unseen, a
+// blocked job may follow from a cancellation that is unknown here, and is not answered as
+// pending before the changes stored until now are read.
 func (q *admissionQueue) answerAdmitted(admission *pendingAdmission, revision cluster.ModRevision) {
 	id := admission.spec.ID
 	if admission.duplicateCheckFailed || q.admissionRecords.wasAdmittedBefore(id, revision) {
@@ -219,7 +221,17 @@
 	if known := q.state.Jobs.FinalJob(id); known != nil {
 		view = finalView(id, known)
 	}
-	admission.answer(messages.Respond{Status: messages.StatusCreated, View: &view})
+	if len(q.state.Jobs.Unseen) == 0 {
+		admission.answer(messages.Respond{Status: messages.StatusCreated, View: &view})
+		return
+	}
+	q.queries.answerUnfinished(id, view, func(status messages.ResponseStatus, view cluster.JobView) {
+		if status != messages.StatusOK {
+			admission.answer(messages.Respond{Status: messages.StatusUnavailable, RetryAfter: shortRetryAfterSeconds})
+			return
+		}
+		admission.answer(messages.Respond{Status: messages.StatusCreated, View: &view})
+	})
 }
 
 // requeueUnlessStored answers a submission whose job is stored already. Otherwise, or if
--- a/internal/jobs/admissionqueue_test.go
+++ b/internal/jobs/admissionqueue_test.go
@@ -77,3 +77,42 @@
 		t.Errorf("got %d responses, want 2", len(responses["j-1"]))
 	}
 }
+
+// TestDependentOfUnseenCancelledJob guards against orphaned: a job whose indirect dependency
+// was cancelled, which this controller has not read yet, must not be answered as pending.
+func TestDependentOfUnseenCancelledJob(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		outcome messages.Outcome
+		want    messages.ResponseStatus
+	}{
+		{"changes read", messages.OK, messages.StatusCreated},
+		{"changes not read", messages.UnknownOutcome, messages.StatusUnavailable},
+	} {
+		jobs := newTestJobs(t)
+		jobs.state.Jobs.AppliedRevision = 20
+		jobs.AdmissionRecords.ApplyAll(nil, 20)
+		jobs.applySpec("j-2", "green", "j-1") // the record of j-1 is unseen
+		jobs.applySpec("j-3", "red", "j-2")
+		queue, responses := enqueueTestAdmissions(jobs, cluster.JobSpec{ID: "j-3", Team: "red", Tasks: 1})
+		queue.answerAdmitted(queue.waiting[0], 20)
+		calls := watchCalls(jobs.runFor(linearizableReadInterval))
+		if len(responses["j-3"]) != 0 || len(calls) != 2 {
+			t.Fatalf("%s: answered %+v with %d reads, want no answer before two reads", test.name, responses["j-3"], len(calls))
+		}
+		record := Record{FinalStatus: cluster.JobCancelled, Team: "red", Tasks: 1}
+		changes := messages.WatchReply{Outcome: test.outcome}
+		if test.outcome == messages.OK {
+			changes.Items = []messages.KV{{Key: "jobs/j-1", Value: record.encode(), ModRevision: 21}}
+		}
+		jobs.loop.Deliver(messages.Reply{Call: calls[0], Body: messages.WatchReply{Outcome: messages.OK}})
+		jobs.loop.Deliver(messages.Reply{Call: calls[1], Body: changes})
+		got := responses["j-3"]
+		if len(got) != 1 || got[0].Status != test.want {
+			t.Fatalf("%s: answered %+v, want status %d", test.name, got, test.want)
+		}
+		if test.want == messages.StatusCreated && got[0].View.Status != cluster.JobCancelled {
+			t.Errorf("%s: answered %+v, want cancelled", test.name, got[0].View)
+		}
+	}
+}
--- a/internal/state/jobregistry.go
+++ b/internal/state/jobregistry.go
@@ -15,6 +15,9 @@
 	Owned map[cluster.JobID]*Job
 	// Dependents maps a job to the jobs whose records name it as a dependency.
 	Dependents map[cluster.JobID][]cluster.JobID
+	// Unseen holds the jobs that a known job depends on and whose record has not been read.
+	// It is empty but for the moments in which records arrive out of order.
+	Unseen map[cluster.JobID]bool
 	// AppliedRevision is the store revision up to which the jobs' own records have been
 	// applied. It is 0 until the first read has been applied.
 	AppliedRevision cluster.Revision
@@ -50,6 +53,7 @@
 		Known:      map[cluster.JobID]*KnownJob{},
 		Owned:      map[cluster.JobID]*Job{},
 		Dependents: map[cluster.JobID][]cluster.JobID{},
+		Unseen:     map[cluster.JobID]bool{},
 	}
 }
 
@@ -59,6 +63,7 @@
 	if known == nil {
 		known = &KnownJob{ShardID: shard, Tasks: tasks, Team: team}
 		r.Known[id] = known
+		delete(r.Unseen, id)
 	}
 	return known
 }
@@ -93,6 +98,9 @@
 // each dependency of a job.
 func (r *JobRegistry) AddDependent(dependency, id cluster.JobID) {
 	r.Dependents[dependency] = append(r.Dependents[dependency], id)
+	if r.Known[dependency] == nil {
+		r.Unseen[dependency] = true
+	}
 }
 
 // HasUnmetDependency reports whether a dependency of a job is not known to be done. Since a
