TestRandomFaults has unknown fields, deep pipelines and quick returns with copies of starts

Change: a third group of runs, "additional faults", adds to the faults and jobs of each seed, drawn from a random stream of its own: 30% of the statuses of workers and of the store's replies have fields whose names differ from known ones by case; a controller, all of them or a machine returns within a second ten times, and copies of all executed starts follow; two pipelines of 14 to 18 steps of 4 jobs, half of them cancelled. The runs of the other groups, TestLongRunSeeds and TestDecisions are as they were. Submissions and messages between controllers get no unknown fields there; TestFieldNamesMatchExactly covers them.

workerjson has the JSON encoding of heartbeats, which httpfake and the simulation share.

--- a/internal/controller/fault_kinds_test.go
+++ b/internal/controller/fault_kinds_test.go
@@ -5,6 +5,8 @@
 // The kinds of faults that the scenarios of this package count, in addition to those of
 // package simulation.
 const (
+	faultQuickReturn                 simulation.FaultKind = "a controller or a machine returns within a second, and copies of starts follow"
+	faultDeepPipelineCancelled       simulation.FaultKind = "jobs of deep pipelines cancelled through a dependency"
 	faultNodePaused                  simulation.FaultKind = "a controller paused"
 	faultAllNodesPaused              simulation.FaultKind = "all controllers paused"
 	faultZonePartitioned             simulation.FaultKind = "a zone partitioned"
--- a/internal/controller/production_test.go
+++ b/internal/controller/production_test.go
@@ -256,7 +256,10 @@
 // field whose name differs from a known one by case must be ignored.
 func TestRecordFieldNamesMatchExactly(t *testing.T) {
 	for key, record := range loadProductionRecords(t) {
-		extended := exactjsontest.AddOtherSpellings(t, record)
+		extended, err := exactjsontest.AddOtherSpellings(record)
+		if err != nil {
+			t.Fatal(err)
+		}
 		if reencoded := reencode(t, key, extended); !bytes.Equal(reencoded, record) {
 			t.Errorf("%s with other spellings was read as %.300s, want %.300s", key, reencoded, record)
 		}
--- a/internal/controller/random_faults_test.go
+++ b/internal/controller/random_faults_test.go
@@ -76,6 +76,14 @@
 	simulation.FaultDependentCancelled,
 }
 
+// requiredAdditionalFaults are the kinds of additional faults that must occur.
+var requiredAdditionalFaults = []simulation.FaultKind{
+	simulation.FaultUnknownFields,
+	simulation.FaultStartCopyDelivered,
+	faultQuickReturn,
+	faultDeepPipelineCancelled,
+}
+
 // TestRandomFaults checks the protocol's invariants under random crashes, partitions,
 // hangs, outages and late messages, and that all jobs end in bounded time afterwards.
 func TestRandomFaults(t *testing.T) {
@@ -94,6 +102,16 @@
 		})
 	})
 	seen.check(t, requiredRandomFaults, to-from >= 20)
+	t.Run("additional faults", func(t *testing.T) {
+		var seen faultTotals
+		t.Run("seeds", func(t *testing.T) {
+			forEachSeed(t, from, to, func(t *testing.T, seed uint64) {
+				t.Helper()
+				seen.add(simulateAdditionalFaults(t, seed, testConfig()))
+			})
+		})
+		seen.check(t, requiredAdditionalFaults, to-from >= 20)
+	})
 	// Starts after a cancellation are allowed until its deadline, but waste capacity.
 	t.Logf("%s: %d", simulation.FaultStartAfterCancel, seen.counts[simulation.FaultStartAfterCancel])
 }
@@ -154,6 +172,13 @@
 // each kind occurred. It makes the checks of runWithFaults, and checks that the largest
 // job of each class starts within maxStartDelay.
 func simulateRandomFaults(t *testing.T, seed uint64, cfg controller.Config, options ...simulation.Option) map[simulation.FaultKind]int {
+	t.Helper()
+	return simulateFaults(t, seed, cfg, func(*simulation.Simulator, []string, cluster.Time) {}, options...)
+}
+
+// simulateFaults is like simulateRandomFaults. It calls planMore after it has planned the
+// faults and jobs of the seed.
+func simulateFaults(t *testing.T, seed uint64, cfg controller.Config, planMore func(sim *simulation.Simulator, teams []string, until cluster.Time), options ...simulation.Option) map[simulation.FaultKind]int {
 	t.Helper()
 	sim := newSimulator(seed, cfg, options...)
 	if len(cfg.Nodes) == 3 { // in larger clusters no machine is running at the start
@@ -164,6 +189,7 @@
 		planSingleFaults(sim, until)
 		planCombinedFaults(sim, until, cfg.CancelDeadline)
 		planPipelines(sim, teams, until)
+		planMore(sim, teams, until)
 	})
 	if len(sim.Jobs) == 0 {
 		t.Error("no job was submitted")
--- a/internal/exactjson/exactjsontest/spellings.go
+++ b/internal/exactjson/exactjsontest/spellings.go
@@ -2,55 +2,61 @@
 package exactjsontest
 
 import (
+	"bytes"
 	"encoding/json"
-	"maps"
-	"slices"
 	"strings"
-	"testing"
 
 	"stairrelay/internal/exactjson"
 )
 
+// unexpectedValue has a type that no field has.
+var unexpectedValue = json.RawMessage(`[[true]]`)
+
 // AddOtherSpellings returns a JSON text in which each object has additional members whose
 // names differ from its own ones only by case. Their values have types that no decoder
 // expects.
-func AddOtherSpellings(t *testing.T, text []byte) []byte {
-	t.Helper()
-	var value any
-	if err := exactjson.Unmarshal(text, &value); err != nil {
-		t.Fatal(err)
-	}
-	addOtherSpellings(value)
-	extended, err := json.Marshal(value)
-	if err != nil {
-		t.Fatal(err)
+func AddOtherSpellings(text []byte) ([]byte, error) {
+	switch text = bytes.TrimSpace(text); {
+	case bytes.HasPrefix(text, []byte("[")):
+		return addToElements(text)
+	case bytes.HasPrefix(text, []byte("{")):
+		return addToObject(text)
 	}
-	return extended
+	return text, nil
 }
 
-func addOtherSpellings(value any) {
-	switch value := value.(type) {
-	case []any:
-		for _, element := range value {
-			addOtherSpellings(element)
-		}
-	case map[string]any:
-		for _, name := range slices.Collect(maps.Keys(value)) {
-			addOtherSpellings(value[name])
-			for _, other := range OtherSpellings(name) {
-				value[other] = [][]bool{{true}}
-			}
+func addToElements(text []byte) ([]byte, error) {
+	var elements []json.RawMessage
+	if err := exactjson.Unmarshal(text, &elements); err != nil {
+		return nil, err
+	}
+	for i, element := range elements {
+		extended, err := AddOtherSpellings(element)
+		if err != nil {
+			return nil, err
 		}
+		elements[i] = extended
 	}
+	return json.Marshal(elements)
 }
 
-// OtherSpellings returns names that differ from the given one only by case.
-func OtherSpellings(name string) []string {
-	var others []string
-	for _, other := range []string{strings.ToLower(name), strings.ToUpper(name)} {
-		if other != name {
-			others = append(others, other)
+func addToObject(text []byte) ([]byte, error) {
+	var members map[string]json.RawMessage
+	if err := exactjson.Unmarshal(text, &members); err != nil {
+		return nil, err
+	}
+	result := map[string]json.RawMessage{}
+	for name, member := range members {
+		extended, err := AddOtherSpellings(member)
+		if err != nil {
+			return nil, err
+		}
+		result[name] = extended
+		for _, other := range []string{strings.ToLower(name), strings.ToUpper(name)} {
+			if _, known := members[other]; !known {
+				result[other] = unexpectedValue
+			}
 		}
 	}
-	return others
+	return json.Marshal(result)
 }
--- a/internal/simulation/fault_kinds.go
+++ b/internal/simulation/fault_kinds.go
@@ -18,6 +18,7 @@
 	FaultCommandToUnreachableMachine        FaultKind = "commands to an unreachable machine"
 	FaultRepeatedStart                      FaultKind = "executed pushes of starts delivered again"
 	FaultStartCopyDelivered                 FaultKind = "executed starts delivered again on request"
+	FaultUnknownFields                      FaultKind = "messages and records with unknown fields"
 	FaultRepeatedWrite                      FaultKind = "executed transactions delivered again"
 	FaultRepeatedCloudCall                  FaultKind = "executed calls to the cloud delivered again"
 	FaultRepeatedPeerMessage                FaultKind = "answered messages between controllers delivered again"
--- a/internal/simulation/httpfake/worker.go
+++ b/internal/simulation/httpfake/worker.go
@@ -12,6 +12,7 @@
 	"stairrelay/internal/exactjson"
 	"stairrelay/internal/messages"
 	"stairrelay/internal/simulation"
+	"stairrelay/internal/simulation/workerjson"
 )
 
 const (
@@ -139,14 +140,14 @@
 	if reply.Outcome == messages.Conflict {
 		status = http.StatusConflict
 	}
-	writeJSON(response, status, encodeHeartbeat(reply.Status, w.address))
+	writeJSON(response, status, workerjson.EncodeHeartbeat(reply.Status, w.address))
 }
 
 func (w *httpWorker) serveStatusQuery(response http.ResponseWriter, request *http.Request) {
 	w.abortIfUnreachable(request)
 	w.services.mu.Lock()
 	defer w.services.mu.Unlock()
-	writeJSON(response, http.StatusOK, encodeHeartbeat(w.NextStatus(), w.address))
+	writeJSON(response, http.StatusOK, workerjson.EncodeHeartbeat(w.NextStatus(), w.address))
 }
 
 // abortIfUnreachable drops a request to an unreachable machine. It holds the connection
@@ -262,7 +263,7 @@
 // postHeartbeat posts a heartbeat and returns the status code and body of the
 // response. It ignores a body that cannot be decoded, as in an error response.
 func (w *httpWorker) postHeartbeat(client *http.Client, address string, status cluster.HeartbeatStatus) (int, heartbeatResponse, error) {
-	body, err := json.Marshal(encodeHeartbeat(status, w.address))
+	body, err := json.Marshal(workerjson.EncodeHeartbeat(status, w.address))
 	if err != nil {
 		return 0, heartbeatResponse{}, fmt.Errorf("encoding heartbeat: %w", err)
 	}
--- a/internal/simulation/machines.go
+++ b/internal/simulation/machines.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"sort"
 
 	"stairrelay/internal/cluster"
@@ -89,12 +90,15 @@
 func (m *Machines) LiveCount() int { return len(m.liveIDs()) }
 
 // Random returns a random machine that is up, or an empty ID if there is none.
-func (m *Machines) Random() cluster.MachineID {
+func (m *Machines) Random() cluster.MachineID { return m.RandomFrom(m.Rand) }
+
+// RandomFrom is like Random with another source of randomness.
+func (m *Machines) RandomFrom(random *rand.Rand) cluster.MachineID {
 	ids := m.liveIDs()
 	if len(ids) == 0 {
 		return ""
 	}
-	return ids[m.Rand.IntN(len(ids))]
+	return ids[random.IntN(len(ids))]
 }
 
 // liveIDs returns the IDs of the machines that are up, sorted.
--- a/internal/simulation/node.go
+++ b/internal/simulation/node.go
@@ -104,7 +104,7 @@
 	}
 	now := n.set.Now
 	effects := n.set.measure(func() []messages.Effect {
-		return n.controller.Step(now-n.startedAt, cluster.WallTime(now/millisecond), filterEvent(n.Version, event))
+		return n.controller.Step(now-n.startedAt, cluster.WallTime(now/millisecond), n.set.unknownFields.addTo(filterEvent(n.Version, event)))
 	})
 	for _, effect := range effects {
 		n.set.observe(now, n.ID, effect)
--- a/internal/simulation/nodes.go
+++ b/internal/simulation/nodes.go
@@ -18,6 +18,7 @@
 	network             *Network
 	execute             func(*Node, messages.Effect)
 	observe             EffectObserver
+	unknownFields       *UnknownFields
 	instanceCount       int
 	lastKillAt          cluster.Time // when a controller process was last killed
 	limitsBeforeUpgrade StoreLimits
@@ -25,9 +26,10 @@
 
 func newNodeSet(env *environment, network *Network) *nodeSet {
 	set := &nodeSet{
-		environment: env,
-		network:     network,
-		observe:     func(cluster.Time, cluster.NodeID, messages.Effect) {},
+		environment:   env,
+		network:       network,
+		observe:       func(cluster.Time, cluster.NodeID, messages.Effect) {},
+		unknownFields: &UnknownFields{environment: env},
 	}
 	for _, id := range env.config.Nodes {
 		set.Nodes = append(set.Nodes, &Node{ID: id, set: set})
--- a/internal/simulation/simulator.go
+++ b/internal/simulation/simulator.go
@@ -34,6 +34,7 @@
 	ReadAfterWrite   *ReadAfterWrite
 	EdgeCaseRequests *EdgeCaseRequests
 	StartCopies      *StartCopies
+	UnknownFields    *UnknownFields
 	checker          *invariantChecker
 }
 
@@ -68,6 +69,7 @@
 		Cloud:       cloud,
 		Network:     network,
 	}
+	s.UnknownFields = s.unknownFields
 	s.assembleMachines()
 	s.assembleUsers()
 	s.assembleServices()
--- a/internal/wire/names_test.go
+++ b/internal/wire/names_test.go
@@ -73,7 +73,11 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			got, err := test.decode(exactjsontest.AddOtherSpellings(t, []byte(test.body)))
+			extended, err := exactjsontest.AddOtherSpellings([]byte(test.body))
+			if err != nil {
+				t.Fatal(err)
+			}
+			got, err := test.decode(extended)
 			if err != nil || !reflect.DeepEqual(got, want) {
 				t.Errorf("with other spellings: decoded %+v, %v; want %+v", got, err, want)
 			}
