Comments of the new tests are shorter, and late start copies share their steps

Cause: comments of three and four lines above the tests of this change, and two blocks of TestLateStartCopies that differed in the order of two calls.

Change: comments of at most two lines; one function runs the steps of a case in the given order.

--- a/internal/controller/additional_faults_test.go
+++ b/internal/controller/additional_faults_test.go
@@ -17,11 +17,11 @@
 	additionalStream = 2
 	// unknownFieldShare is the share of messages and records with unknown fields.
 	unknownFieldShare = 0.3
-	// quickReturnsPerRun is the number of returns within a second in a run.
+	// quickReturnsPerRun is the number of returns within a second, for each seed.
 	quickReturnsPerRun = 10
 	// maxCopyDelay is the maximum time from a return to the delivery of copies.
 	maxCopyDelay = 2 * second
-	// deepPipelinesPerRun is the number of deep pipelines in a run.
+	// deepPipelinesPerRun is the number of deep pipelines for each seed.
 	deepPipelinesPerRun = 2
 	// minPipelineSteps and maxPipelineSteps limit the number of steps of a deep pipeline. The
 	// number of its paths is pipelineWidth to the power of the number of steps.
@@ -81,9 +81,8 @@
 	f.sim.After(absence+f.between(0, maxCopyDelay), f.sim.StartCopies.DeliverAll)
 }
 
-// planDeepPipeline schedules a pipeline with many steps, each job of which depends on all
-// jobs of the step before. In half of the pipelines, a job is cancelled. The estimated run
-// times grow, and the last step has a deadline.
+// planDeepPipeline schedules a pipeline whose run times grow, with a deadline at its end. In
+// half of the pipelines, a job is cancelled.
 func (f *additionalFaults) planDeepPipeline(number int, teams []string, until cluster.Time) {
 	at := f.between(0, until-60*second)
 	var jobs []*simulation.Job
--- a/internal/controller/late_start_test.go
+++ b/internal/controller/late_start_test.go
@@ -22,10 +22,8 @@
 	machine cluster.MachineID
 }
 
-// newLateStart returns a cluster with one machine on which the task of a job runs, besides
-// the long job. If inResponse is set, the start was sent in the response to a heartbeat by an
-// owner that has pushed no start to the machine, so that no fence is needed for its pushes.
-// Otherwise it was pushed.
+// newLateStart returns a cluster with one machine on which a task runs, besides the long job.
+// Its start was pushed, or sent in a response by an owner that has pushed no start there.
 func newLateStart(t *testing.T, inResponse bool) *lateStart {
 	t.Helper()
 	c := newIdleCluster(t, 1)
@@ -137,31 +135,26 @@
 	}
 }
 
-// TestLateStartCopies guards against ran_twice and ran_cancelled: a copy of a start that was
-// executed and answered reaches the machine right after a controller or the machine has come
-// back within a second. The task has changed before the absence or after it.
+// TestLateStartCopies guards against ran_twice and ran_cancelled: a copy of an executed start
+// arrives as a controller or the machine is back, before or after which the task has changed.
 func TestLateStartCopies(t *testing.T) {
 	for way, inResponse := range map[string]bool{"pushed": false, "in a response": true} {
 		for who, comeBack := range returns {
 			for what, change := range changes {
-				t.Run(way+"/"+who+"/"+what+" before", func(t *testing.T) {
-					t.Parallel()
-					s := newLateStart(t, inResponse)
-					change(s)
-					comeBack(s)
-					s.checkCopies(t)
-					s.RunUntil(s.Now + 40*second)
-					s.checkNoViolations()
-				})
-				t.Run(way+"/"+who+"/"+what+" after", func(t *testing.T) {
-					t.Parallel()
-					s := newLateStart(t, inResponse)
-					comeBack(s)
-					change(s)
-					s.checkCopies(t)
-					s.RunUntil(s.Now + 40*second)
-					s.checkNoViolations()
-				})
+				check := func(order string, steps ...func(s *lateStart)) {
+					t.Run(way+"/"+who+"/"+what+" "+order, func(t *testing.T) {
+						t.Parallel()
+						s := newLateStart(t, inResponse)
+						for _, step := range steps {
+							step(s)
+						}
+						s.checkCopies(t)
+						s.RunUntil(s.Now + 40*second)
+						s.checkNoViolations()
+					})
+				}
+				check("before", change, comeBack)
+				check("after", comeBack, change)
 			}
 		}
 	}
--- a/internal/jobs/pipeline_test.go
+++ b/internal/jobs/pipeline_test.go
@@ -105,9 +105,8 @@
 	}
 }
 
-// TestCancellationOfPipelineVisitsEachJobOnce guards against the fault of review/4, in which
-// the cancellation of a job in a pipeline stopped one controller after the other: the walk
-// over the dependents followed every path. The pipeline has 4^39 paths.
+// TestCancellationOfPipelineVisitsEachJobOnce guards against the fault of review/4: a walk
+// along each of the 4^39 paths of a pipeline stopped one controller after the other.
 func TestCancellationOfPipelineVisitsEachJobOnce(t *testing.T) {
 	jobs, p := newTestJobs(t), pipeline{steps: 40, width: 4}
 	var notified []string
@@ -128,9 +127,8 @@
 	}
 }
 
-// TestSuccessorStoresCancellationsOfPipeline guards against the second half of the fault of
-// review/4: the next owner, which reads that the first job is cancelled and stores the
-// cancellations that follow from it, stopped in the same way.
+// TestSuccessorStoresCancellationsOfPipeline guards against the fault of review/4 at the next
+// owner, which stores the cancellations that follow from the first.
 func TestSuccessorStoresCancellationsOfPipeline(t *testing.T) {
 	jobs, p := newTestJobs(t), pipeline{steps: 40, width: 4}
 	runWithTimeout(t, func() {
@@ -149,9 +147,8 @@
 	}
 }
 
-// TestDeadlineOfPipelineVisitsEachJobOnce guards against the fault that the review names
-// beside case 4: run times that grow from step to step let the propagation of a deadline
-// follow every path. The records arrive in the order of submission, reversed and shuffled.
+// TestDeadlineOfPipelineVisitsEachJobOnce guards against a controller that stops because run
+// times that double from step to step let a deadline follow every path.
 func TestDeadlineOfPipelineVisitsEachJobOnce(t *testing.T) {
 	p := pipeline{steps: 40, width: 4}
 	shuffled := p.specs()
--- a/internal/peers/names_test.go
+++ b/internal/peers/names_test.go
@@ -60,8 +60,7 @@
 }
 
 // addOtherSpellings adds to each map members whose names differ by case and whose values
-// have a type that no field has. Maps whose keys are data, such as node IDs, stay as they
-// are.
+// have a type that no field has. It leaves out the map whose keys are node IDs.
 func addOtherSpellings(value any) {
 	switch value := value.(type) {
 	case []any:
--- a/internal/wire/names_test.go
+++ b/internal/wire/names_test.go
@@ -63,9 +63,8 @@
 	},
 }
 
-// TestFieldNamesMatchExactly guards against the fault of review/5, in which an unknown field
-// was taken for a known one: names that differ from those of the protocol by case must not
-// change the result of any decoder.
+// TestFieldNamesMatchExactly guards against the fault of review/5: an unknown field whose name
+// differs from a known one by case was taken for it.
 func TestFieldNamesMatchExactly(t *testing.T) {
 	for name, test := range decoders {
 		t.Run(name, func(t *testing.T) {
