A seed of the long run in which a large job begins too late is known to fail

Cause: seeds 1201 to 1500 of TestRandomFaults by hand, as load beside the checks on: two of 750 runs failed, both of seed 1367 (with and without additional faults): the largest job of class c1 began 4m11.756627159s and 4m22.37636288s after its submission; 4m are allowed.

--- a/internal/controller/random_faults_test.go
+++ b/internal/controller/random_faults_test.go
@@ -280,7 +280,7 @@
 }
 
 // longRunSeeds are seeds outside the range of TestRandomFaults that have failed in long runs.
-var longRunSeeds = []uint64{1323, 2020}
+var longRunSeeds = []uint64{1323, 1367, 2020}
 
 // TestLongRunSeeds repeats the runs of TestRandomFaults with longRunSeeds.
 func TestLongRunSeeds(t *testing.T) {
