A job passes its urgency on once per step, however many dependencies arrive after it

Cause: a job whose record is read before those of its dependencies is requested once for each of them, and each request passed its urgency on to all of them: the square of its dependencies in a failover, although the comment promised at most two visits. Found in reading the change.

Change: the requests of a step are taken without duplicates.

Result: TestUrgencyPassedOnOncePerStep failed before (51 times for a job with 50 dependencies) and passes.

--- a/internal/jobs/harness_test.go
+++ b/internal/jobs/harness_test.go
@@ -43,12 +43,15 @@
 func (f *fakeTasks) StopAll(job *state.Job)                           { f.stopped = append(f.stopped, job.Spec.ID) }
 func (*fakeTasks) RemoveAssignment(*state.Machine, *state.Assignment) {}
 
-// fakeScheduler counts the requests to schedule.
-type fakeScheduler struct{ schedulingRequests int }
+// fakeScheduler counts the requests to schedule and for run time ratios.
+type fakeScheduler struct{ schedulingRequests, ratioRequests int }
 
-func (f *fakeScheduler) RequestScheduling()        { f.schedulingRequests++ }
-func (*fakeScheduler) RequestScaleOut()            {}
-func (*fakeScheduler) RuntimeRatio(string) float64 { return 1 }
+func (f *fakeScheduler) RequestScheduling() { f.schedulingRequests++ }
+func (*fakeScheduler) RequestScaleOut()     {}
+func (f *fakeScheduler) RuntimeRatio(string) float64 {
+	f.ratioRequests++
+	return 1
+}
 
 func newTestJobs(tb testing.TB) *testJobs {
 	tb.Helper()
--- a/internal/jobs/pipeline_test.go
+++ b/internal/jobs/pipeline_test.go
@@ -171,6 +171,18 @@
 	}
 }
 
+// TestUrgencyPassedOnOncePerStep guards against a cost that grows with the square of a job's
+// dependencies: their records arrive after its own, and each requests that it passes on.
+func TestUrgencyPassedOnOncePerStep(t *testing.T) {
+	const width = 50
+	jobs, p := newTestJobs(t), pipeline{steps: 2, width: width}
+	last := p.spec(1, 0)
+	jobs.applyPipeline(append([]cluster.JobSpec{last}, p.specs()[:width]...))
+	if requests := jobs.scheduler.ratioRequests; requests != 1 {
+		t.Errorf("the deadline was passed on %d times, want once", requests)
+	}
+}
+
 // TestUrgencyInCycle checks that a pass ends if records name each other as dependencies,
 // which no admission creates.
 func TestUrgencyInCycle(t *testing.T) {
--- a/internal/jobs/urgency.go
+++ b/internal/jobs/urgency.go
@@ -31,7 +31,7 @@
 // dependencies. A job whose urgency changes passes it on after all its dependents have, so
 // that it does so only once.
 func (u *urgencyPropagation) run() {
-	requested := u.requested
+	requested := cluster.UniqueJobIDs(u.requested)
 	u.requested = nil
 	changed := map[cluster.JobID]bool{}
 	for _, id := range requested {
